Set down the layout, core types and interfaces

Cause: nothing existed; several people are about to work in parallel. Conclusion: every module can be built against these headers.

--- /dev/null
+++ b/bluebell/config/config_scope.h
@@ -0,0 +1,21 @@
+// What a default or an exception applies to. Empty fields match everything.
+
+#ifndef BLUEBELL_CONFIG_CONFIG_SCOPE_H_
+#define BLUEBELL_CONFIG_CONFIG_SCOPE_H_
+
+#include "bluebell/core/ids.h"
+
+namespace bluebell {
+
+struct config_scope {
+  service_name service;
+  domain_name domain;
+  endpoint_id endpoint;
+  caller_name caller;
+
+  friend bool operator==(const config_scope&, const config_scope&) = default;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_CONFIG_CONFIG_SCOPE_H_
--- /dev/null
+++ b/bluebell/control/control_event.h
@@ -0,0 +1,101 @@
+// All that can happen to the control state of a daemon.
+
+#ifndef BLUEBELL_CONTROL_CONTROL_EVENT_H_
+#define BLUEBELL_CONTROL_CONTROL_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bluebell/control/operator_command.h"
+#include "bluebell/control/slice_load.h"
+#include "bluebell/core/ids.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/membership/heartbeat.h"
+#include "bluebell/ownership/lease_reply.h"
+#include "bluebell/store/host_entry.h"
+#include "bluebell/store/store_value.h"
+#include "bluebell/store/write_result.h"
+
+namespace bluebell {
+
+// Time passed. Sent every kControlTick.
+struct tick {};
+
+inline constexpr milliseconds kControlTick{20};
+
+struct store_read_done {
+  std::string key;
+  // When the read was sent. Its result proves what held at some later moment.
+  instant sent_at;
+  result<store_value> value;
+};
+
+struct store_write_done {
+  std::string key;
+  change_id change;
+  write_result outcome;
+};
+
+struct hosts_read_done {
+  result<std::vector<host_entry>> hosts;
+};
+
+struct lease_request_done {
+  endpoint_id endpoint;
+  address where;
+  instant sent_at;
+  result<lease_reply> reply;
+};
+
+struct heartbeat_received {
+  heartbeat message;
+};
+
+// Values that a peer holds, asked for by `fetch_state`. Each is the stored
+// text.
+struct peer_state_received {
+  daemon_id peer;
+  std::optional<std::string> config;
+  std::vector<std::string> tables;
+  load_report load;
+};
+
+// An exchange of a traffic thread with an endpoint.
+struct exchange_observed {
+  endpoint_instance instance;
+  bool answered = false;
+  // The endpoint refused the order since it is draining.
+  bool draining = false;
+};
+
+struct load_measured {
+  load_report load;
+};
+
+struct operator_asked {
+  std::uint64_t token = 0;
+  operator_command command;
+};
+
+// The process was told to stop.
+struct stop_requested {};
+
+using control_event = std::variant<tick,
+                                   store_read_done,
+                                   store_write_done,
+                                   hosts_read_done,
+                                   lease_request_done,
+                                   heartbeat_received,
+                                   peer_state_received,
+                                   exchange_observed,
+                                   load_measured,
+                                   operator_asked,
+                                   stop_requested>;
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_CONTROL_CONTROL_EVENT_H_
--- /dev/null
+++ b/bluebell/dispatch/endpoint_queue.h
@@ -0,0 +1,79 @@
+// The queue and the slots of one endpoint, held by its dispatcher.
+//
+// Urgent work goes first, each lower rank keeps its guaranteed share of slot
+// time, callers share within a rank, and what can't start before its deadline
+// is refused on arrival.
+//
+//   endpoint_queue queue = endpoint_queue::Make(slots, values, now).value();
+//   admission verdict = queue.Submit(request, now);
+//   while (auto next = queue.StartNext(now)) { Send(*next); }
+//   queue.Finish(id, completion{...}, now);
+
+#ifndef BLUEBELL_DISPATCH_ENDPOINT_QUEUE_H_
+#define BLUEBELL_DISPATCH_ENDPOINT_QUEUE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "bluebell/config/policy_values.h"
+#include "bluebell/core/request_id.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/dispatch/admission.h"
+#include "bluebell/dispatch/completion.h"
+#include "bluebell/dispatch/queue_pressure.h"
+#include "bluebell/dispatch/queued_request.h"
+
+namespace bluebell {
+
+class endpoint_queue {
+ public:
+  // `slots` is the number of requests that the endpoint runs at a time when it
+  // is warm. The endpoint is cold at `now`.
+  static result<endpoint_queue> Make(std::uint32_t slots,
+                                     const policy_values& values,
+                                     instant now);
+
+  endpoint_queue(endpoint_queue&& other) noexcept;
+  endpoint_queue& operator=(endpoint_queue&& other) noexcept;
+  endpoint_queue(const endpoint_queue&) = delete;
+  endpoint_queue& operator=(const endpoint_queue&) = delete;
+  ~endpoint_queue();
+
+  // Admits or rejects `request`. A rejected request never enters the queue.
+  admission Submit(const queued_request& request, instant now);
+
+  // Takes a slot for the next request to send, if one is free and one waits.
+  std::optional<queued_request> StartNext(instant now);
+
+  // Removes and returns the waiting requests whose deadline has passed or can
+  // no longer be met.
+  std::vector<queued_request> TakeExpired(instant now);
+
+  // Removes a waiting request. False if it isn't waiting.
+  bool Withdraw(const request_id& id);
+
+  // Gives back the slot of a started request.
+  void Finish(const request_id& id, const completion& how, instant now);
+
+  // Applies changed limits and shares to what arrives from now on.
+  void Configure(const policy_values& values, instant now);
+
+  queue_pressure pressure(instant now) const;
+
+  // When StartNext or TakeExpired may next have something to return without
+  // another call, or nothing if only a call can change that.
+  std::optional<instant> next_wakeup(instant now) const;
+
+ private:
+  class state;
+  explicit endpoint_queue(std::unique_ptr<state> initial);
+
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DISPATCH_ENDPOINT_QUEUE_H_
--- /dev/null
+++ b/bluebell/placement/slice.h
@@ -0,0 +1,69 @@
+// A slice: a range of key hashes and the state of its ownership.
+
+#ifndef BLUEBELL_PLACEMENT_SLICE_H_
+#define BLUEBELL_PLACEMENT_SLICE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "bluebell/core/ids.h"
+#include "bluebell/placement/slice_range.h"
+
+namespace bluebell {
+
+// Why a slice leaves its owner.
+enum class move_cause : std::uint8_t {
+  kEndpointLost,
+  kEndpointDraining,
+  kInstanceReplaced,
+  kDomainLost,
+  kRebalance,
+  kOperator,
+};
+
+std::string_view ToString(move_cause value);
+
+// Nobody owns the slice, and no lease of an epoch up to `at` can be in force.
+struct unassigned {
+  epoch at;
+
+  friend bool operator==(const unassigned&, const unassigned&) = default;
+};
+
+struct owned {
+  endpoint_instance owner;
+  domain_name domain;
+  epoch at;
+
+  friend bool operator==(const owned&, const owned&) = default;
+};
+
+// The former owner may still hold a lease of an epoch below `at`. The slice
+// gets a new owner only once that is excluded.
+struct moving {
+  endpoint_instance from;
+  domain_name from_domain;
+  epoch at;
+  move_cause cause = move_cause::kRebalance;
+  // The endpoint that a planned move is meant for.
+  std::optional<endpoint_id> to;
+
+  friend bool operator==(const moving&, const moving&) = default;
+};
+
+using slice_state = std::variant<unassigned, owned, moving>;
+
+struct slice {
+  slice_range range;
+  slice_state state;
+
+  friend bool operator==(const slice&, const slice&) = default;
+};
+
+epoch EpochOf(const slice_state& state);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_PLACEMENT_SLICE_H_
--- /dev/null
+++ b/bluebell/settings/settings_problem.h
@@ -0,0 +1,26 @@
+// One mistake in a settings file.
+
+#ifndef BLUEBELL_SETTINGS_SETTINGS_PROBLEM_H_
+#define BLUEBELL_SETTINGS_SETTINGS_PROBLEM_H_
+
+#include <ostream>
+#include <string>
+
+namespace bluebell {
+
+struct settings_problem {
+  // For example "services[2].slots".
+  std::string path;
+  // The value as it stands in the file; empty if it is missing.
+  std::string value;
+  // For example "a whole number from 1 to 1024".
+  std::string allowed;
+
+  friend bool operator==(const settings_problem&,
+                         const settings_problem&) = default;
+  friend std::ostream& operator<<(std::ostream& out, const settings_problem& v);
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_SETTINGS_SETTINGS_PROBLEM_H_
--- /dev/null
+++ b/bluebell/settings/timing_settings.h
@@ -0,0 +1,41 @@
+// Intervals and bounds on which the ownership rules rest. All daemons of a
+// region must use the same values.
+
+#ifndef BLUEBELL_SETTINGS_TIMING_SETTINGS_H_
+#define BLUEBELL_SETTINGS_TIMING_SETTINGS_H_
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+struct timing_settings {
+  // How long a lease lasts on the endpoint's clock.
+  milliseconds lease_term{500};
+  // How often a daemon renews the leases of an endpoint.
+  milliseconds lease_renewal{150};
+  // How old the proof that a table is current may be.
+  milliseconds table_freshness{600};
+  // How often a store reader reads the tables.
+  milliseconds table_read_interval{200};
+  // How long an endpoint or daemon may be silent before it counts as lost.
+  milliseconds detection{500};
+  // How long a failure domain without proof goes on renewing its leases.
+  milliseconds domain_autonomy{10'000};
+  // The longest time for which a written order may be delayed.
+  milliseconds max_order_delay{1'000};
+  // How far a caller's clock may be off.
+  milliseconds max_clock_error{500};
+  milliseconds heartbeat_interval{100};
+  // The k-th ranked proposer waits k times this long.
+  milliseconds proposer_step{50};
+  // Bound on the relative difference of two clocks' speed, in parts per
+  // million.
+  int clock_drift_ppm = 2'000;
+
+  friend bool operator==(const timing_settings&,
+                         const timing_settings&) = default;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_SETTINGS_TIMING_SETTINGS_H_
--- /dev/null
+++ b/bluebell/telemetry/metric.h
@@ -0,0 +1,50 @@
+// The names, labels and kinds of all metrics, fixed in this one place.
+//
+// Label values are bounded: no keys, request ids or caller names.
+
+#ifndef BLUEBELL_TELEMETRY_METRIC_H_
+#define BLUEBELL_TELEMETRY_METRIC_H_
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace bluebell {
+
+enum class metric : std::uint8_t {
+  kRequests,             // labels service, rank, outcome
+  kRequestSeconds,       // labels service, rank, outcome; histogram
+  kRefusals,             // labels service, reason
+  kForwards,             // label service
+  kRetries,              // label service
+  kOrdersWritten,        // label service
+  kLateAnswersDropped,   // label link
+  kMessagesDropped,      // labels link, reason
+  kStoreCalls,           // labels operation, result
+  kTableWrites,          // labels service, cause, result
+  kLeasesRenewed,        // label result
+  kHeartbeatsSent,       // no labels
+  kHeartbeatsReceived,   // no labels
+  kHeartbeatBytes,       // label direction
+  kControlSeconds,       // label event; CPU time of the control thread
+  kSlicesUnowned,        // label service; gauge
+  kConfigVersion,        // gauge
+  kTableVersion,         // label service; gauge
+  kQueueLength,          // labels service, rank; gauge
+  kInvariantViolations,  // label invariant
+};
+
+enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
+
+struct metric_description {
+  std::string_view name;
+  std::string_view help;
+  metric_kind kind;
+  std::span<const std::string_view> labels;
+};
+
+const metric_description& Describe(metric which);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_TELEMETRY_METRIC_H_
--- /dev/null
+++ b/bluebell/telemetry/metrics_registry.h
@@ -0,0 +1,51 @@
+// Counters, gauges and latency histograms, served in the text format that
+// Prometheus scrapers read. All functions may be called from any thread.
+//
+//   registry.Add(metric::kRequests, {"tracker", "urgent", "answer"});
+//   std::string page = registry.Expose();
+
+#ifndef BLUEBELL_TELEMETRY_METRICS_REGISTRY_H_
+#define BLUEBELL_TELEMETRY_METRICS_REGISTRY_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "bluebell/core/time.h"
+#include "bluebell/telemetry/metric.h"
+
+namespace bluebell {
+
+class metrics_registry {
+ public:
+  metrics_registry();
+  metrics_registry(const metrics_registry&) = delete;
+  metrics_registry& operator=(const metrics_registry&) = delete;
+  ~metrics_registry();
+
+  // Label values are given in the order of the metric's description. Their
+  // number must match.
+  void Add(metric which,
+           std::initializer_list<std::string_view> labels,
+           std::uint64_t count = 1);
+  void Set(metric which,
+           std::initializer_list<std::string_view> labels,
+           double value);
+  void Observe(metric which,
+               std::initializer_list<std::string_view> labels,
+               duration value);
+
+  std::uint64_t Count(metric which,
+                      std::initializer_list<std::string_view> labels) const;
+  std::string Expose() const;
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_TELEMETRY_METRICS_REGISTRY_H_
