--- a/bluebell/control/control_event.h
+++ b/bluebell/control/control_event.h
@@ -61,6 +61,7 @@
   daemon_id peer;
   std::optional<std::string> config;
   std::vector<std::string> tables;
+  std::vector<host_entry> hosts;
   load_report load;
 };
 
--- a/bluebell/control/control_state.h
+++ b/bluebell/control/control_state.h
@@ -29,6 +29,7 @@
 struct shared_state {
   std::optional<std::string> config;
   std::vector<std::string> tables;
+  std::vector<host_entry> hosts;
   load_report load;
 };
 
--- a/bluebell/core/ids.h
+++ b/bluebell/core/ids.h
@@ -61,6 +61,22 @@
   }
 };
 
+// One run of a daemon. A daemon that restarts has forgotten which table it
+// acknowledged, so it counts as another one.
+struct daemon_instance {
+  daemon_id id;
+  incarnation run;
+
+  friend bool operator==(const daemon_instance&,
+                         const daemon_instance&) = default;
+  friend auto operator<=>(const daemon_instance&,
+                          const daemon_instance&) = default;
+
+  friend std::ostream& operator<<(std::ostream& out, const daemon_instance& v) {
+    return out << v.id << '/' << v.run;
+  }
+};
+
 }  // namespace bluebell
 
 template <>
--- a/bluebell/membership/heartbeat.h
+++ b/bluebell/membership/heartbeat.h
@@ -8,7 +8,7 @@
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
-#include "bluebell/core/time.h"
+#include "bluebell/membership/endpoint_status.h"
 
 namespace bluebell {
 
@@ -45,15 +45,18 @@
   incarnation echoed_run;
   config_version config;
   std::vector<table_status> tables;
-  // Endpoints of the sender's domain that it finds lost.
-  std::vector<endpoint_instance> lost_endpoints;
+  // The endpoints that the sender probes. Left out of most heartbeats unless
+  // something changed.
+  std::vector<endpoint_status> endpoints;
+  // Failure domains of which the sender hears no daemon.
+  std::vector<domain_name> silent_domains;
 
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sender, run, domain, peer_address, admin_address, leaving, ping,
-            echoed_ping, echoed_run, config, tables, lost_endpoints);
+            echoed_ping, echoed_run, config, tables, endpoints, silent_domains);
   }
 };
 
--- a/bluebell/placement/domain_roster.h
+++ b/bluebell/placement/domain_roster.h
@@ -1,48 +1,42 @@
 // The daemons of one failure domain that may renew leases of a table shard.
 //
-// Two majorities of the roster must meet, also across changes. So the roster
-// changes by one daemon at a time, and a change is complete only once a
-// majority of the former roster has acknowledged the table that holds it.
+// A daemon may renew without a proof that its table is current while a
+// majority of the roster in its own table supports it. Whoever moves a slice
+// must therefore account for every roster that a daemon with an older table may
+// still go by. Such former rosters stay recorded until they are excluded.
 
 #ifndef BLUEBELL_PLACEMENT_DOMAIN_ROSTER_H_
 #define BLUEBELL_PLACEMENT_DOMAIN_ROSTER_H_
 
-#include <optional>
+#include <compare>
 #include <set>
-#include <variant>
+#include <vector>
 
 #include "bluebell/core/ids.h"
 
 namespace bluebell {
 
-struct roster_addition {
-  daemon_id added;
+struct former_roster {
+  std::set<daemon_instance> members;
+  // The table version that replaced this roster.
+  table_version replaced_at;
 
-  friend bool operator==(const roster_addition&,
-                         const roster_addition&) = default;
+  friend bool operator==(const former_roster&, const former_roster&) = default;
 };
 
-struct roster_removal {
-  daemon_id removed;
-
-  friend bool operator==(const roster_removal&,
-                         const roster_removal&) = default;
-};
-
-using roster_change = std::variant<roster_addition, roster_removal>;
-
 struct domain_roster {
   domain_name domain;
-  std::set<daemon_id> members;
-  // A change that isn't complete. An added daemon isn't in `members` yet and
-  // may not renew; a removed one still is and counts as able to renew.
-  std::optional<roster_change> pending;
-  // The table version that began the pending change.
-  table_version pending_since;
+  std::set<daemon_instance> members;
+  std::vector<former_roster> formers;
 
   friend bool operator==(const domain_roster&, const domain_roster&) = default;
 };
 
+// How many members are more than half of `size`.
+constexpr std::size_t MajorityOf(std::size_t size) {
+  return size / 2 + 1;
+}
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_PLACEMENT_DOMAIN_ROSTER_H_
--- a/bluebell/placement/slice.h
+++ b/bluebell/placement/slice.h
@@ -24,6 +24,7 @@
 };
 
 std::string_view ToString(move_cause value);
+std::optional<move_cause> ParseMoveCause(std::string_view text);
 
 // Nobody owns the slice, and no lease of an epoch up to `at` can be in force.
 struct unassigned {
@@ -47,6 +48,8 @@
   domain_name from_domain;
   epoch at;
   move_cause cause = move_cause::kRebalance;
+  // The table version that began the move.
+  table_version since;
   // The endpoint that a planned move is meant for.
   std::optional<endpoint_id> to;
 
@@ -63,6 +66,7 @@
 };
 
 epoch EpochOf(const slice_state& state);
+std::optional<endpoint_instance> OwnerOf(const slice_state& state);
 
 }  // namespace bluebell
 
--- a/bluebell/routing/endpoint_entry.h
+++ b/bluebell/routing/endpoint_entry.h
@@ -4,18 +4,14 @@
 #define BLUEBELL_ROUTING_ENDPOINT_ENTRY_H_
 
 #include <cstdint>
-#include <string_view>
 
 #include "bluebell/config/policy_values.h"
 #include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
+#include "bluebell/membership/endpoint_status.h"
 
 namespace bluebell {
 
-enum class endpoint_condition : std::uint8_t { kServing, kDraining, kLost };
-
-std::string_view ToString(endpoint_condition value);
-
 struct endpoint_entry {
   endpoint_instance instance;
   address where;
--- a/bluebell/settings/timing_settings.h
+++ b/bluebell/settings/timing_settings.h
@@ -21,6 +21,11 @@
   milliseconds detection{500};
   // How long a failure domain without proof goes on renewing its leases.
   milliseconds domain_autonomy{10'000};
+  // The same while majorities in most failure domains agree that the table is
+  // current. Only a longer outage of the store stops the renewals.
+  milliseconds region_autonomy{21'600'000};
+  // How long a daemon on a roster may be silent before it is taken off.
+  milliseconds roster_silence{3'000};
   // The longest time for which a written order may be delayed.
   milliseconds max_order_delay{1'000};
   // How far a caller's clock may be off.
--- a/bluebell/store/host_entry.h
+++ b/bluebell/store/host_entry.h
@@ -25,6 +25,11 @@
   address where;
 
   friend bool operator==(const host_entry&, const host_entry&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(name, role, state, domain, service, where);
+  }
 };
 
 }  // namespace bluebell
