Write the begin version of a move into the stored table

Cause: the round-trip test failed since TableToJson left the field out. Change: the field is written.

--- a/bluebell/placement/table_json.cc
+++ b/bluebell/placement/table_json.cc
@@ -77,6 +77,7 @@
             row.emplace_back(state.at.value());
             row.emplace_back(instances.Number(state.from, state.from_domain));
             row.emplace_back(ToString(state.cause));
+            row.emplace_back(state.since.value());
             if (state.to) {
               row.emplace_back(state.to->value());
             }
