Add the ownership rules: replicas, renewal limits, exclusion, proposals

Cause: a lease may be renewed only while its table is provably or jointly current, and a slice may be reassigned only when nobody can renew any more.

--- /dev/null
+++ b/bluebell/control/lease_book.cc
@@ -0,0 +1,83 @@
+#include "bluebell/control/lease_book.h"
+
+#include <algorithm>
+
+namespace bluebell {
+
+namespace {
+
+constexpr std::size_t kMaxRevocationsRemembered = 10'000;
+
+}  // namespace
+
+lease_book::lease_book(const timing_settings& timing) : timing_(timing) {}
+
+std::optional<send_lease_request> lease_book::Next(const wanted_leases& wanted,
+                                                   instant now) {
+  entry& known = entries_[wanted.to.endpoint];
+  if (known.in_flight) {
+    return std::nullopt;
+  }
+  const bool changed = known.last_wanted != wanted;
+  const bool due =
+      !known.last_sent || now - *known.last_sent >= timing_.lease_renewal;
+  // A revocation is repeated until the endpoint has confirmed it.
+  const bool waits = std::any_of(
+      wanted.revoked.begin(), wanted.revoked.end(),
+      [&](const lease& revoked) { return !IsRevoked(wanted.to, revoked); });
+  if (!changed && !due && !waits) {
+    return std::nullopt;
+  }
+  known.in_flight = true;
+  known.last_sent = now;
+  known.last_wanted = wanted;
+  lease_request request;
+  request.to = wanted.to;
+  request.revoked = wanted.revoked;
+  // Without a clock reading of this very instance no expiry can be named.
+  if (known.instance == wanted.to && !wanted.granted.empty()) {
+    request.granted = wanted.granted;
+    request.expires_at_ns =
+        known.clock_ns + duration(timing_.lease_term).count();
+  }
+  return send_lease_request{wanted.where, std::move(request)};
+}
+
+void lease_book::Finish(const endpoint_id& endpoint, const lease_reply* reply) {
+  const auto found = entries_.find(endpoint);
+  if (found == entries_.end()) {
+    return;
+  }
+  entry& known = found->second;
+  known.in_flight = false;
+  if (!reply) {
+    return;
+  }
+  if (known.instance != reply->from) {
+    // The first grants to this instance need a reading: send again at once.
+    known.instance = reply->from;
+    known.clock_ns = reply->clock_ns;
+    known.last_sent.reset();
+    known.revoked.clear();
+  }
+  known.clock_ns = std::max(known.clock_ns, reply->clock_ns);
+  known.revoked.insert(reply->revoked.begin(), reply->revoked.end());
+  while (known.revoked.size() > kMaxRevocationsRemembered) {
+    known.revoked.erase(known.revoked.begin());
+  }
+}
+
+bool lease_book::IsRevoked(const endpoint_instance& instance,
+                           const lease& what) const {
+  const auto found = entries_.find(instance.endpoint);
+  return found != entries_.end() && found->second.instance == instance &&
+         found->second.revoked.contains(what);
+}
+
+void lease_book::Keep(const std::set<endpoint_id>& current) {
+  std::erase_if(entries_, [&](const auto& known) {
+    return !current.contains(known.first);
+  });
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/control/placement_proposer.cc
@@ -0,0 +1,233 @@
+#include "bluebell/control/placement_proposer.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "bluebell/control/owner_picker.h"
+#include "bluebell/ownership/renewal_exclusion.h"
+
+namespace bluebell {
+
+namespace {
+
+// More members make majorities slower and add nothing: one per host at today's
+// sizes, a bounded number of messages at any size.
+constexpr std::size_t kMaxRosterSize = 5;
+
+// Draining slices that move at a time, so that a drain doesn't make a whole
+// endpoint's keys unavailable at once.
+constexpr std::size_t kMaxPlannedMoves = 8;
+
+// How long an owner may go unreported before it counts as lost.
+constexpr milliseconds kMissingGrace{1'500};
+
+const endpoint_info* Find(const std::vector<endpoint_info>& endpoints,
+                          const endpoint_id& id) {
+  const auto found = std::find_if(
+      endpoints.begin(), endpoints.end(),
+      [&](const endpoint_info& e) { return e.instance.endpoint == id; });
+  return found == endpoints.end() ? nullptr : &*found;
+}
+
+bool IsPlanned(move_cause cause) {
+  return cause == move_cause::kEndpointDraining ||
+         cause == move_cause::kRebalance || cause == move_cause::kOperator;
+}
+
+// Whether a roster member still counts: not replaced by a later run, not
+// leaving, not silent for long.
+bool StaysOnRoster(const placement_inputs& inputs,
+                   const daemon_instance& member) {
+  const member_view& view = inputs.view;
+  if (member == view.self()) {
+    return true;
+  }
+  const auto known = view.members().find(member.id);
+  if (known == view.members().end() || known->second.leaving ||
+      member.id == view.self().id) {
+    return false;
+  }
+  if (known->second.instance.run > member.run) {
+    return false;
+  }
+  const auto silence = view.Silence(member.id, inputs.now);
+  return !silence || *silence < inputs.timing.roster_silence;
+}
+
+std::set<daemon_instance> DesiredRoster(const placement_inputs& inputs,
+                                        const domain_roster& roster) {
+  std::set<daemon_instance> desired;
+  for (const daemon_instance& member : roster.members) {
+    if (StaysOnRoster(inputs, member)) {
+      desired.insert(member);
+    }
+  }
+  const std::string role = "roster/" + inputs.keeper.table().service().value();
+  const auto live = inputs.view.LiveIn(roster.domain, inputs.now);
+  for (const daemon_instance& candidate : RankForRole(role, live)) {
+    if (desired.size() < kMaxRosterSize) {
+      desired.insert(candidate);
+    }
+  }
+  return desired;
+}
+
+}  // namespace
+
+std::optional<instant> ReleasedAt(const placement_inputs& inputs,
+                                  const moving& state) {
+  const table_keeper& keeper = inputs.keeper;
+  const std::optional<instant> excluded =
+      RenewalsExcludedAt(keeper.replica(), keeper.peers(), inputs.view.self(),
+                         state.from_domain, state.since, inputs.timing);
+  if (!excluded) {
+    return std::nullopt;
+  }
+  const duration last_effect = keeper.spec().checks_epoch
+                                   ? inputs.timing.lease_term
+                                   : inputs.timing.max_order_delay;
+  return *excluded + WithDrift(last_effect, inputs.timing);
+}
+
+placement_proposer::placement_proposer(instant started_at)
+    : started_at_(started_at) {}
+
+std::vector<table_edit> placement_proposer::Propose(
+    const placement_inputs& inputs) {
+  edits_.clear();
+  ProposeRosters(inputs);
+  ProposeClearing(inputs);
+  ProposeFinishing(inputs);
+  ProposeLeaving(inputs);
+  return std::exchange(edits_, {});
+}
+
+void placement_proposer::ProposeRosters(const placement_inputs& inputs) {
+  for (const domain_roster& roster : inputs.keeper.table().rosters()) {
+    if (inputs.view.LiveIn(roster.domain, inputs.now).empty()) {
+      continue;
+    }
+    std::set<daemon_instance> desired = DesiredRoster(inputs, roster);
+    if (desired != roster.members) {
+      edits_.emplace_back(set_roster{roster.domain, std::move(desired)});
+    }
+  }
+}
+
+void placement_proposer::ProposeClearing(const placement_inputs& inputs) {
+  const table_keeper& keeper = inputs.keeper;
+  for (const domain_roster& roster : keeper.table().rosters()) {
+    std::optional<table_version> up_to;
+    for (const former_roster& former : roster.formers) {
+      const auto excluded =
+          RosterExcludedAt(keeper.replica(), keeper.peers(), inputs.view.self(),
+                           former.members, former.replaced_at, inputs.timing);
+      if (!excluded || *excluded > inputs.now) {
+        break;
+      }
+      up_to = former.replaced_at;
+    }
+    if (up_to) {
+      edits_.emplace_back(clear_former_rosters{roster.domain, *up_to});
+    }
+  }
+}
+
+void placement_proposer::ProposeFinishing(const placement_inputs& inputs) {
+  owner_picker picker(inputs);
+  for (const slice& current : inputs.keeper.table().slices()) {
+    if (const auto* leaving = std::get_if<moving>(&current.state)) {
+      const endpoint_info* from =
+          Find(inputs.endpoints, leaving->from.endpoint);
+      const bool returned = from && from->usable() &&
+                            from->instance == leaving->from &&
+                            !inputs.silent_domains.contains(from->domain);
+      if (returned && !IsPlanned(leaving->cause)) {
+        edits_.emplace_back(
+            assign_slice{current.range, from->instance, from->domain});
+        continue;
+      }
+      const std::optional<instant> released = ReleasedAt(inputs, *leaving);
+      const bool free =
+          inputs.confirmed(current) || (released && *released <= inputs.now);
+      if (!free) {
+        continue;
+      }
+    } else if (std::holds_alternative<owned>(current.state)) {
+      continue;
+    }
+    if (const endpoint_info* target = picker.Pick(current)) {
+      edits_.emplace_back(
+          assign_slice{current.range, target->instance, target->domain});
+    }
+  }
+}
+
+void placement_proposer::ProposeLeaving(const placement_inputs& inputs) {
+  const std::vector<slice>& slices = inputs.keeper.table().slices();
+  const auto is_moving = [](const slice& s) {
+    return std::holds_alternative<moving>(s.state);
+  };
+  auto in_progress = static_cast<std::size_t>(
+      std::count_if(slices.begin(), slices.end(), is_moving));
+  const bool any_usable = std::any_of(
+      inputs.endpoints.begin(), inputs.endpoints.end(),
+      [&](const endpoint_info& e) {
+        return e.usable() && !inputs.silent_domains.contains(e.domain);
+      });
+  if (!any_usable) {
+    return;
+  }
+  for (const slice& current : slices) {
+    const auto* held = std::get_if<owned>(&current.state);
+    const auto cause = held ? CauseToLeave(inputs, *held) : std::nullopt;
+    if (!cause || (IsPlanned(*cause) && in_progress >= kMaxPlannedMoves)) {
+      continue;
+    }
+    ++in_progress;
+    edits_.emplace_back(begin_move{current.range, *cause, std::nullopt});
+  }
+}
+
+std::optional<move_cause> placement_proposer::CauseToLeave(
+    const placement_inputs& inputs,
+    const owned& held) {
+  if (inputs.silent_domains.contains(held.domain)) {
+    return move_cause::kDomainLost;
+  }
+  const endpoint_info* info = Find(inputs.endpoints, held.owner.endpoint);
+  if (!info) {
+    return IsMissing(inputs, held) ? std::optional(move_cause::kEndpointLost)
+                                   : std::nullopt;
+  }
+  missing_since_.erase(held.owner);
+  if (info->instance.run > held.owner.run) {
+    return move_cause::kInstanceReplaced;
+  }
+  switch (info->condition) {
+    case endpoint_condition::kLost:
+      return move_cause::kEndpointLost;
+    case endpoint_condition::kDraining:
+      return move_cause::kEndpointDraining;
+    case endpoint_condition::kServing:
+      break;
+  }
+  return std::nullopt;
+}
+
+bool placement_proposer::IsMissing(const placement_inputs& inputs,
+                                   const owned& held) {
+  if (inputs.view.LiveIn(held.domain, inputs.now).empty()) {
+    missing_since_.erase(held.owner);
+    return false;
+  }
+  const auto [since, added] =
+      missing_since_.try_emplace(held.owner, inputs.now);
+  const instant counted_from = std::max(since->second, started_at_);
+  return inputs.now - counted_from >= kMissingGrace;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/control/table_keeper.cc
@@ -0,0 +1,131 @@
+#include "bluebell/control/table_keeper.h"
+
+#include <utility>
+
+#include "bluebell/placement/table_json.h"
+
+namespace bluebell {
+
+table_keeper::table_keeper(const service_spec& spec, placement_table initial)
+    : spec_(spec),
+      replica_(std::move(initial)),
+      sync_(TableKey(spec.name, replica_.table().shard())) {}
+
+bool table_keeper::can_write() const {
+  return stored_ == table().version() && !sync_.writing();
+}
+
+std::optional<instant> table_keeper::SliceSince(key_hash first) const {
+  const auto found = slice_since_.find(first);
+  if (found == slice_since_.end()) {
+    return std::nullopt;
+  }
+  return found->second.second;
+}
+
+adoption table_keeper::Take(const placement_table& table,
+                            std::string text,
+                            instant now) {
+  const adoption taken = replica_.Adopt(table, now);
+  if (taken != adoption::kAdopted) {
+    return taken;
+  }
+  text_ = std::move(text);
+  std::map<key_hash, std::pair<slice, instant>> since;
+  for (const slice& current : table.slices()) {
+    const auto found = slice_since_.find(current.range.first);
+    const bool unchanged =
+        found != slice_since_.end() && found->second.first == current;
+    since[current.range.first] = {current,
+                                  unchanged ? found->second.second : now};
+  }
+  slice_since_ = std::move(since);
+  return taken;
+}
+
+table_keeper::update table_keeper::HandleRead(const store_read_done& event,
+                                              instant now) {
+  const instant sent_at = sync_.FinishRead(bool(event.value));
+  if (!event.value) {
+    return {};
+  }
+  const store_value& stored = event.value.value();
+  if (stored.version == store_version()) {
+    stored_ = table_version();
+    update outcome;
+    outcome.own_write = sync_.Settle(stored.version, change_id());
+    return outcome;
+  }
+  const result<placement_table> parsed = ParseTable(stored.value);
+  if (!parsed) {
+    update outcome;
+    outcome.problem = parsed.error().ToString();
+    return outcome;
+  }
+  update outcome;
+  stored_ = parsed.value().version();
+  outcome.own_write = sync_.Settle(stored.version, parsed.value().change());
+  outcome.result = Take(parsed.value(), stored.value, now);
+  if (outcome.own_write != write_fate::kNoWrite &&
+      outcome.own_write != write_fate::kOpen) {
+    written_.reset();
+  }
+  replica_.Prove(parsed.value().version(), sent_at);
+  return outcome;
+}
+
+table_keeper::update table_keeper::HandleWrite(const store_write_done& event,
+                                               instant now) {
+  update outcome;
+  outcome.own_write = sync_.FinishWrite(event.outcome);
+  if (outcome.own_write == write_fate::kApplied && written_) {
+    stored_ = written_->version();
+    outcome.result = Take(*written_, std::move(written_text_), now);
+    replica_.Prove(written_->version(), sync_.write_sent_at());
+    written_.reset();
+  }
+  return outcome;
+}
+
+table_keeper::update table_keeper::HandlePeerTable(std::string_view text,
+                                                   instant now) {
+  const result<placement_table> parsed = ParseTable(text);
+  if (!parsed) {
+    update outcome;
+    outcome.problem = parsed.error().ToString();
+    return outcome;
+  }
+  if (parsed.value().service() != spec_.name) {
+    return {};
+  }
+  update outcome;
+  outcome.result = Take(parsed.value(), std::string(text), now);
+  return outcome;
+}
+
+void table_keeper::HandlePeerStatus(const daemon_instance& peer,
+                                    table_version version,
+                                    std::optional<duration> proof_age,
+                                    instant received_at,
+                                    std::optional<instant> pinged_at) {
+  peers_.Record(peer, version, received_at, pinged_at);
+  replica_.Hear(version);
+  if (proof_age && pinged_at) {
+    // The message was written after the ping it echoes was sent.
+    replica_.Prove(version, *pinged_at - *proof_age);
+  }
+}
+
+result<write_store> table_keeper::StartWrite(std::span<const table_edit> edits,
+                                             const change_id& change,
+                                             instant now) {
+  result<placement_table> next = table().Apply(edits, change);
+  if (!next) {
+    return next.error();
+  }
+  written_ = std::move(next.value());
+  written_text_ = TableToJson(*written_);
+  return sync_.StartWrite(written_text_, change, now);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/health/endpoint_health.cc
@@ -0,0 +1,68 @@
+#include "bluebell/health/endpoint_health.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+
+namespace {
+
+// How long a refusal counts for more than the endpoint's reports.
+constexpr seconds kRefusalHold{5};
+
+}  // namespace
+
+endpoint_health::endpoint_health(endpoint_instance instance, duration detection)
+    : instance_(std::move(instance)), detection_(detection) {}
+
+void endpoint_health::RecordSuccess(instant now) {
+  last_success_ = now;
+  failing_since_.reset();
+  last_failure_.reset();
+}
+
+void endpoint_health::RecordFailure(instant sent_at, instant now) {
+  // An attempt that began before the last success says nothing new.
+  if (last_success_ && sent_at < *last_success_) {
+    return;
+  }
+  if (!failing_since_) {
+    failing_since_ =
+        last_success_ ? std::max(*last_success_, sent_at) : sent_at;
+  }
+  last_failure_ = now;
+}
+
+void endpoint_health::ReportDraining(bool draining) {
+  reported_draining_ = draining;
+}
+
+void endpoint_health::RecordDrainingRefusal(instant now) {
+  refused_at_ = now;
+}
+
+void endpoint_health::ListDraining(bool draining) {
+  listed_draining_ = draining;
+}
+
+void endpoint_health::ForgivePause(duration pause) {
+  if (last_success_) {
+    last_success_ = *last_success_ + pause;
+  }
+  if (failing_since_) {
+    failing_since_ = *failing_since_ + pause;
+  }
+}
+
+endpoint_condition endpoint_health::Condition(instant now) const {
+  if (failing_since_ && last_failure_ && now - *failing_since_ >= detection_) {
+    return endpoint_condition::kLost;
+  }
+  const bool refused = refused_at_ && now - *refused_at_ < kRefusalHold;
+  if (refused || reported_draining_ || listed_draining_) {
+    return endpoint_condition::kDraining;
+  }
+  return endpoint_condition::kServing;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/ownership/table_peers.cc
@@ -0,0 +1,66 @@
+#include "bluebell/ownership/table_peers.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace bluebell {
+
+namespace {
+
+constexpr std::size_t kMaxAcknowledgements = 256;
+
+}  // namespace
+
+void table_peers::Record(const daemon_instance& peer,
+                         table_version version,
+                         instant received_at,
+                         std::optional<instant> pinged_at) {
+  record& known = records_[peer];
+  // Messages may arrive out of order; a peer never goes back to a lower
+  // version.
+  if (version < known.version) {
+    return;
+  }
+  if (known.acknowledged.empty() || version > known.version) {
+    known.acknowledged.emplace_back(version, received_at);
+    known.pinged_at = pinged_at;
+  } else if (!known.pinged_at || (pinged_at && *pinged_at > *known.pinged_at)) {
+    known.pinged_at = pinged_at;
+  }
+  known.version = version;
+  if (known.acknowledged.size() > kMaxAcknowledgements) {
+    known.acknowledged.erase(known.acknowledged.begin());
+  }
+}
+
+std::optional<instant> table_peers::AcknowledgedAt(
+    const daemon_instance& peer,
+    table_version version) const {
+  const auto found = records_.find(peer);
+  if (found == records_.end()) {
+    return std::nullopt;
+  }
+  const auto& acknowledged = found->second.acknowledged;
+  const auto first =
+      std::find_if(acknowledged.begin(), acknowledged.end(),
+                   [&](const auto& entry) { return entry.first >= version; });
+  if (first == acknowledged.end()) {
+    return std::nullopt;
+  }
+  return first->second;
+}
+
+std::optional<instant> table_peers::SupportedAt(const daemon_instance& peer,
+                                                table_version version) const {
+  const auto found = records_.find(peer);
+  if (found == records_.end() || found->second.version > version) {
+    return std::nullopt;
+  }
+  return found->second.pinged_at;
+}
+
+void table_peers::Forget(const daemon_instance& peer) {
+  records_.erase(peer);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/ownership/table_replica.cc
@@ -0,0 +1,56 @@
+#include "bluebell/ownership/table_replica.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace bluebell {
+
+namespace {
+
+// Moves older than this many versions see a later point in time, which only
+// makes them wait longer.
+constexpr std::size_t kMaxAdoptions = 256;
+
+}  // namespace
+
+table_replica::table_replica(placement_table initial)
+    : table_(std::move(initial)) {}
+
+adoption table_replica::Adopt(const placement_table& table, instant now) {
+  if (table.version() < table_.version()) {
+    return adoption::kOlder;
+  }
+  if (table.version() == table_.version()) {
+    return table == table_ ? adoption::kAlreadyKnown : adoption::kForked;
+  }
+  table_ = table;
+  proven_at_.reset();
+  Hear(table.version());
+  adoptions_.emplace_back(table.version(), now);
+  if (adoptions_.size() > kMaxAdoptions) {
+    adoptions_.erase(adoptions_.begin());
+  }
+  return adoption::kAdopted;
+}
+
+void table_replica::Prove(table_version version, instant at) {
+  if (version == table_.version() && (!proven_at_ || *proven_at_ < at)) {
+    proven_at_ = at;
+  }
+}
+
+void table_replica::Hear(table_version version) {
+  heard_ = std::max(heard_, version);
+}
+
+std::optional<instant> table_replica::HeldSince(table_version version) const {
+  const auto found = std::find_if(
+      adoptions_.begin(), adoptions_.end(),
+      [&](const auto& adopted) { return adopted.first >= version; });
+  if (found == adoptions_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+}  // namespace bluebell
--- a/bluebell/placement/domain_roster.h
+++ b/bluebell/placement/domain_roster.h
@@ -9,6 +9,7 @@
 #define BLUEBELL_PLACEMENT_DOMAIN_ROSTER_H_
 
 #include <compare>
+#include <cstddef>
 #include <set>
 #include <vector>
 
