--- a/bluebell/dispatch/request_ledger.h
+++ b/bluebell/dispatch/request_ledger.h
@@ -37,7 +37,8 @@
   ledger_verdict Admit(const request_id& id, bool idempotent, wall_instant now);
 
   // Records how the request ended. A `not_run` outcome frees the id: a repeat
-  // may run.
+  // may run. Except not_run{kWithdrawn}, which stays: a copy of the request
+  // that is still under way must not run after its withdrawal was reported.
   void End(const request_id& id, const request_outcome& outcome);
 
   // How the request stands, for a daemon that asks after a lost link. Empty if
@@ -45,11 +46,17 @@
   std::optional<ledger_record> Find(const request_id& id) const;
 
   // Makes a request that has not arrived yet refusable for good: a later Admit
-  // of it answers `already_ended` with not_run{kWithdrawn}.
-  void Withdraw(const request_id& id);
+  // of it answers `already_ended` with not_run{kWithdrawn}. Returns how the
+  // request stands then: withdrawn; queued or running (no outcome; take it out
+  // of the queue and call End); ended; or, if the ledger can't know whether it
+  // arrived before, unknown{kRepeatOfForgottenRequest}.
+  ledger_record Withdraw(const request_id& id);
 
   // All records, for the dispatcher that takes over, and their adoption there.
-  // Adopting moves `complete_from` back to that of the former ledger.
+  // The former dispatcher admits nothing after its export. Adopting moves
+  // `complete_from` back to that of the former ledger, as far as this one has
+  // dropped nothing since. A record without outcome counts as possibly run
+  // until a later Adopt brings its outcome.
   std::vector<ledger_record> Export() const;
   void Adopt(const std::vector<ledger_record>& records,
              wall_instant complete_from);
--- /dev/null
+++ b/bluebell/dispatch/retry_budget.cc
@@ -0,0 +1,49 @@
+#include "bluebell/dispatch/retry_budget.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace bluebell {
+
+namespace {
+
+// Retries that a service without traffic may do at once.
+constexpr double kReserve = 3;
+
+// First attempts and spent retries are forgotten with this time constant.
+constexpr std::chrono::duration<double> kWindow{10};
+
+}  // namespace
+
+retry_budget::retry_budget(std::uint32_t percent)
+    : percent_(percent), tokens_(kReserve) {}
+
+void retry_budget::CountFirstAttempt(instant now) {
+  Decay(now);
+  tokens_ += static_cast<double>(percent_) / 100;
+}
+
+bool retry_budget::TryRetry(instant now) {
+  Decay(now);
+  if (percent_ == 0 || tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+void retry_budget::Configure(std::uint32_t percent) {
+  percent_ = percent;
+}
+
+void retry_budget::Decay(instant now) {
+  if (now <= updated_at_) {
+    return;
+  }
+  const std::chrono::duration<double> elapsed = now - updated_at_;
+  const double kept = std::exp(-elapsed / kWindow);
+  tokens_ = kReserve + (tokens_ - kReserve) * kept;
+  updated_at_ = now;
+}
+
+}  // namespace bluebell
