Add the JSON-line log and the metrics registry

Cause: the other modules need to log and count.

A metric keeps at most 256 combinations; further ones are counted under "other". log_event::With takes numbers by a template, since a string literal would otherwise convert to bool.

--- a/bluebell/telemetry/log_event.h
+++ b/bluebell/telemetry/log_event.h
@@ -12,8 +12,10 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "bluebell/core/error.h"
+#include "bluebell/core/strong_value.h"
 #include "bluebell/telemetry/log_level.h"
 
 namespace bluebell {
@@ -22,30 +24,57 @@
  public:
   log_event(log_level level, std::string_view message);
 
+  // Adds a field. Bytes of `value` that aren't UTF-8 become U+FFFD. A field's
+  // name is given once and isn't "time", "level" or "message".
   log_event& With(std::string_view name, std::string_view value);
-  log_event& With(std::string_view name, bool value);
-  log_event& With(std::string_view name, double value);
-  template <std::integral Number>
-  log_event& With(std::string_view name, Number value) {
-    return WithNumber(name, static_cast<std::int64_t>(value));
+  // A template, since a string literal converts to bool before it converts to
+  // std::string_view.
+  template <typename Number>
+  requires std::is_arithmetic_v<Number> log_event& With(std::string_view name,
+                                                        Number value) {
+    if constexpr (std::same_as<Number, bool>) {
+      return WithBool(name, value);
+    } else if constexpr (std::is_floating_point_v<Number>) {
+      return WithReal(name, static_cast<double>(value));
+    } else if constexpr (std::is_signed_v<Number>) {
+      return WithSigned(name, static_cast<std::int64_t>(value));
+    } else {
+      return WithUnsigned(name, static_cast<std::uint64_t>(value));
+    }
+  }
+  template <typename Tag, typename Value>
+  log_event& With(std::string_view name,
+                  const strong_value<Tag, Value>& value) {
+    return With(name, value.value());
   }
   // Adds code, step, peer and detail.
   log_event& With(const error& failure);
 
+  // Hands the line to the log's own thread and returns. Never waits for the
+  // file: if too many lines are waiting, the line is dropped, and the number of
+  // dropped lines is logged once there is room again.
   void Write();
 
  private:
-  log_event& WithNumber(std::string_view name, std::int64_t value);
+  log_event& WithBool(std::string_view name, bool value);
+  log_event& WithReal(std::string_view name, double value);
+  log_event& WithSigned(std::string_view name, std::int64_t value);
+  log_event& WithUnsigned(std::string_view name, std::uint64_t value);
+  log_event& WithToken(std::string_view name, std::string_view token);
 
-  log_level level_;
   bool enabled_;
-  std::string fields_;
+  std::string line_;
 };
 
-// Configures the log once, before the first line. `file` empty: standard
-// output. `level` is the least level written.
+// Configures the log. Until then nothing is written. `file` empty: standard
+// output; otherwise the file is appended to and kept under a fixed size, since
+// hosts have no disks. `level` is the least level written.
 void ConfigureLog(log_level level, const std::string& file);
 
+// Waits until all lines written so far are in the file. Call it before the
+// process ends.
+void FlushLog();
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_TELEMETRY_LOG_EVENT_H_
--- a/bluebell/telemetry/log_level.h
+++ b/bluebell/telemetry/log_level.h
@@ -11,6 +11,7 @@
 
 enum class log_level : std::uint8_t { kTrace, kDebug, kInfo, kWarn, kError };
 
+std::string_view ToString(log_level value);
 std::optional<log_level> ParseLogLevel(std::string_view text);
 
 }  // namespace bluebell
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -5,6 +5,7 @@
 #ifndef BLUEBELL_TELEMETRY_METRIC_H_
 #define BLUEBELL_TELEMETRY_METRIC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -26,7 +27,7 @@
   kHeartbeatsSent,       // no labels
   kHeartbeatsReceived,   // no labels
   kHeartbeatBytes,       // label direction
-  kControlSeconds,       // label event; CPU time of the control thread
+  kControlSeconds,       // label event; histogram; CPU of the control thread
   kSlicesUnowned,        // label service; gauge
   kConfigVersion,        // gauge
   kTableVersion,         // label service; gauge
@@ -39,12 +40,15 @@
 struct metric_description {
   std::string_view name;
   std::string_view help;
-  metric_kind kind;
+  metric_kind kind = metric_kind::kCounter;
   std::span<const std::string_view> labels;
 };
 
 const metric_description& Describe(metric which);
 
+// The number of metrics; they are numbered from zero.
+std::size_t MetricCount();
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_TELEMETRY_METRIC_H_
--- /dev/null
+++ b/bluebell/telemetry/metrics_registry.cc
@@ -0,0 +1,78 @@
+#include "bluebell/telemetry/metrics_registry.h"
+
+#include <vector>
+
+#include "bluebell/telemetry/internal/metric_family.h"
+
+namespace bluebell {
+
+class metrics_registry::state {
+ public:
+  state() {
+    for (std::size_t i = 0; i < MetricCount(); ++i) {
+      const metric_description& description = Describe(static_cast<metric>(i));
+      families_.push_back(
+          std::make_unique<internal::metric_family>(description, kMaxSeries));
+    }
+  }
+
+  internal::metric_family& Family(metric which) const {
+    return *families_.at(static_cast<std::size_t>(which));
+  }
+
+  std::string Expose() const {
+    std::string page;
+    for (const auto& family : families_) {
+      family->Expose(page);
+    }
+    return page;
+  }
+
+ private:
+  std::vector<std::unique_ptr<internal::metric_family>> families_;
+};
+
+metrics_registry::metrics_registry() : state_(std::make_unique<state>()) {}
+
+metrics_registry::~metrics_registry() = default;
+
+void metrics_registry::Add(metric which,
+                           std::initializer_list<std::string_view> labels,
+                           std::uint64_t count) {
+  internal::metric_series& series = state_->Family(which).Find(labels);
+  if (auto* counter = std::get_if<internal::counter_cell>(&series.cell)) {
+    counter->Add(count);
+  }
+}
+
+void metrics_registry::Set(metric which,
+                           std::initializer_list<std::string_view> labels,
+                           double value) {
+  internal::metric_series& series = state_->Family(which).Find(labels);
+  if (auto* gauge = std::get_if<internal::gauge_cell>(&series.cell)) {
+    gauge->Set(value);
+  }
+}
+
+void metrics_registry::Observe(metric which,
+                               std::initializer_list<std::string_view> labels,
+                               duration value) {
+  internal::metric_series& series = state_->Family(which).Find(labels);
+  if (auto* histogram = std::get_if<internal::histogram_cell>(&series.cell)) {
+    histogram->Observe(value);
+  }
+}
+
+std::uint64_t metrics_registry::Count(
+    metric which,
+    std::initializer_list<std::string_view> labels) const {
+  const internal::metric_series* series =
+      state_->Family(which).FindExisting(labels);
+  return series == nullptr ? 0 : internal::CountOf(series->cell);
+}
+
+std::string metrics_registry::Expose() const {
+  return state_->Expose();
+}
+
+}  // namespace bluebell
--- a/bluebell/telemetry/metrics_registry.h
+++ b/bluebell/telemetry/metrics_registry.h
@@ -7,6 +7,7 @@
 #ifndef BLUEBELL_TELEMETRY_METRICS_REGISTRY_H_
 #define BLUEBELL_TELEMETRY_METRICS_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
@@ -25,8 +26,11 @@
   metrics_registry& operator=(const metrics_registry&) = delete;
   ~metrics_registry();
 
-  // Label values are given in the order of the metric's description. Their
-  // number must match.
+  // Label values are given in the order of the metric's description. Missing
+  // ones count as empty, extra ones are ignored, and so is a call that doesn't
+  // fit the metric's kind. Finding the counter takes no lock, except for the
+  // first use of a combination of label values. A metric keeps at most
+  // kMaxSeries combinations; further ones are counted together under "other".
   void Add(metric which,
            std::initializer_list<std::string_view> labels,
            std::uint64_t count = 1);
@@ -41,6 +45,8 @@
                       std::initializer_list<std::string_view> labels) const;
   std::string Expose() const;
 
+  static constexpr std::size_t kMaxSeries = 256;
+
  private:
   class state;
   std::unique_ptr<state> state_;
