Parse and check the daemon's settings

Cause: bluebelld and its tests need settings that are checked as a whole.

The header's example no longer mentions a type that doesn't exist.

--- /dev/null
+++ b/bluebell/settings/daemon_settings.cc
@@ -0,0 +1,163 @@
+#include "bluebell/settings/daemon_settings.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/json/parser.hpp>
+
+#include "bluebell/settings/internal/object_reader.h"
+#include "bluebell/settings/internal/problem_list.h"
+#include "bluebell/settings/internal/settings_rules.h"
+
+namespace bluebell {
+
+namespace {
+
+using internal::number_range;
+using internal::object_reader;
+using internal::presence;
+using internal::problem_list;
+
+constexpr auto kLogLevels = std::to_array<std::string_view>(
+    {"trace", "debug", "info", "warn", "error"});
+// The others than "bluebell" are baselines for measurements.
+constexpr auto kDispatchPolicies =
+    std::to_array<std::string_view>({"bluebell", "fifo", "per_host_limit"});
+constexpr auto kPlacementPolicies =
+    std::to_array<std::string_view>({"bluebell", "consistent_hash"});
+
+constexpr std::int64_t kMaxSlots = 1'024;
+constexpr std::int64_t kMaxConnections = 65'535;
+// A table shard is split at this size, so a new one must not be larger.
+constexpr std::int64_t kMaxSlices = 4'000;
+constexpr std::int64_t kMaxServices = 64;
+constexpr std::int64_t kMaxPeers = 1'024;
+
+template <typename Strong>
+void ReadName(object_reader& reader, std::string_view name, Strong& out) {
+  std::string text;
+  reader.Name(name, text);
+  out = Strong(std::move(text));
+}
+
+peer_settings ReadPeer(object_reader& reader) {
+  peer_settings peer;
+  ReadName(reader, "id", peer.id);
+  ReadName(reader, "domain", peer.domain);
+  reader.Address("peer_address", false, peer.peer_address);
+  return peer;
+}
+
+service_spec ReadService(object_reader& reader) {
+  service_spec service;
+  ReadName(reader, "name", service.name);
+  reader.Flag("keyed", service.keyed);
+  reader.Flag("checks_epoch", service.checks_epoch);
+  reader.Number("slots", {1, kMaxSlots}, service.slots);
+  reader.Number("connections", {1, kMaxConnections}, service.connections);
+  reader.Number("initial_slices", {1, kMaxSlices}, service.initial_slices);
+  return service;
+}
+
+void ReadTiming(object_reader& reader, timing_settings& timing) {
+  constexpr number_range kTerm{20, 60'000};
+  constexpr number_range kInterval{5, 60'000};
+  constexpr number_range kBound{0, 600'000};
+  constexpr std::int64_t kDay = 86'400'000;
+  constexpr std::int64_t kMaxDriftPpm = 100'000;
+  reader.Milliseconds("lease_term_ms", kTerm, timing.lease_term);
+  reader.Milliseconds("lease_renewal_ms", kInterval, timing.lease_renewal);
+  reader.Milliseconds("table_freshness_ms", kTerm, timing.table_freshness);
+  reader.Milliseconds("table_read_interval_ms", kInterval,
+                      timing.table_read_interval);
+  reader.Milliseconds("detection_ms", kTerm, timing.detection);
+  reader.Milliseconds("domain_autonomy_ms", {0, kDay}, timing.domain_autonomy);
+  reader.Milliseconds("max_order_delay_ms", kBound, timing.max_order_delay);
+  reader.Milliseconds("max_clock_error_ms", kBound, timing.max_clock_error);
+  reader.Milliseconds("heartbeat_interval_ms", kInterval,
+                      timing.heartbeat_interval);
+  reader.Milliseconds("proposer_step_ms", kInterval, timing.proposer_step);
+  reader.Number("clock_drift_ppm", {0, kMaxDriftPpm}, timing.clock_drift_ppm);
+}
+
+void ReadLimits(object_reader& reader, daemon_settings& settings) {
+  constexpr number_range kThreads{1, 256};
+  constexpr number_range kBodyBytes{1'024, 64LL << 20U};
+  constexpr number_range kHeaderBytes{1'024, 1LL << 20U};
+  reader.Number("traffic_threads", kThreads, settings.traffic_threads);
+  reader.Number("max_body_bytes", kBodyBytes, settings.max_body_bytes);
+  reader.Number("max_header_bytes", kHeaderBytes, settings.max_header_bytes);
+}
+
+daemon_settings ReadAll(object_reader& reader) {
+  daemon_settings settings;
+  ReadName(reader, "id", settings.id);
+  ReadName(reader, "domain", settings.domain);
+  reader.Name("region", settings.region);
+  reader.Address("caller_listen", true, settings.caller_listen);
+  reader.Address("admin_listen", true, settings.admin_listen);
+  reader.Address("peer_listen", false, settings.peer_listen);
+  reader.Address("platform", false, settings.platform);
+  reader.Objects("peers", presence::kOptional, {0, kMaxPeers},
+                 [&settings](object_reader& peer) {
+                   settings.peers.push_back(ReadPeer(peer));
+                 });
+  reader.Objects("services", presence::kRequired, {1, kMaxServices},
+                 [&settings](object_reader& service) {
+                   settings.services.push_back(ReadService(service));
+                 });
+  reader.Object("timing", [&settings](object_reader& timing) {
+    ReadTiming(timing, settings.timing);
+  });
+  ReadLimits(reader, settings);
+  reader.Text("log_file", settings.log_file);
+  reader.Choice("log_level", kLogLevels, settings.log_level);
+  reader.Choice("dispatch_policy", kDispatchPolicies, settings.dispatch_policy);
+  reader.Choice("placement_policy", kPlacementPolicies,
+                settings.placement_policy);
+  return settings;
+}
+
+settings_problem SyntaxProblem(std::string_view text,
+                               std::size_t position,
+                               const std::string& message) {
+  const std::string_view before = text.substr(0, position);
+  const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+  const std::size_t start = before.rfind('\n') + 1;  // npos + 1 is 0.
+  const std::string_view rest = text.substr(start);
+  return {"line " + std::to_string(line) + ", column " +
+              std::to_string(position - start + 1),
+          std::string(rest.substr(0, rest.find('\n'))),
+          "JSON with comments (" + message + ")"};
+}
+
+}  // namespace
+
+std::variant<daemon_settings, std::vector<settings_problem>>
+daemon_settings::Parse(std::string_view text) {
+  boost::json::parse_options options;
+  options.allow_comments = true;
+  boost::json::parser parser(boost::json::storage_ptr(), options);
+  boost::json::error_code failure;
+  const std::size_t parsed = parser.write(text, failure);
+  if (failure) {
+    return std::vector{SyntaxProblem(text, parsed, failure.message())};
+  }
+  const boost::json::value root = parser.release();
+  if (!root.is_object()) {
+    return std::vector{SyntaxProblem(text, 0, "the file is one object")};
+  }
+  problem_list problems;
+  object_reader reader(root.get_object(), "", problems);
+  daemon_settings settings = ReadAll(reader);
+  reader.Finish();
+  internal::CheckIdentities(settings, problems);
+  internal::CheckServices(settings, problems);
+  internal::CheckTiming(settings, problems);
+  if (!problems.all().empty()) {
+    return problems.all();
+  }
+  return settings;
+}
+
+}  // namespace bluebell
--- a/bluebell/settings/daemon_settings.h
+++ b/bluebell/settings/daemon_settings.h
@@ -1,6 +1,9 @@
 // The settings of one daemon, read from a JSON file with comments.
 //
-//   result_or_problems loaded = daemon_settings::Parse(text);
+//   const auto loaded = daemon_settings::Parse(text);
+//   if (const auto* settings = std::get_if<daemon_settings>(&loaded)) {
+//     Start(*settings);
+//   }
 
 #ifndef BLUEBELL_SETTINGS_DAEMON_SETTINGS_H_
 #define BLUEBELL_SETTINGS_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/bluebell/settings/internal/problem_list.h
@@ -0,0 +1,31 @@
+// The mistakes found so far in one settings file.
+
+#ifndef BLUEBELL_SETTINGS_INTERNAL_PROBLEM_LIST_H_
+#define BLUEBELL_SETTINGS_INTERNAL_PROBLEM_LIST_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bluebell/settings/settings_problem.h"
+
+namespace bluebell::internal {
+
+class problem_list {
+ public:
+  void Add(std::string path, std::string value, std::string allowed);
+
+  // True if none of `paths` has a problem. Rules between fields are checked
+  // only then, so that one mistake isn't reported twice.
+  bool AllSound(std::initializer_list<std::string_view> paths) const;
+
+  const std::vector<settings_problem>& all() const { return problems_; }
+
+ private:
+  std::vector<settings_problem> problems_;
+};
+
+}  // namespace bluebell::internal
+
+#endif  // BLUEBELL_SETTINGS_INTERNAL_PROBLEM_LIST_H_
--- /dev/null
+++ b/bluebell/settings/internal/settings_rules.cc
@@ -0,0 +1,169 @@
+#include "bluebell/settings/internal/settings_rules.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace bluebell::internal {
+
+namespace {
+
+std::string Indexed(std::string_view list,
+                    std::size_t index,
+                    std::string_view field) {
+  std::string path(list);
+  path.append("[").append(std::to_string(index)).append("].").append(field);
+  return path;
+}
+
+std::string Quoted(const std::string& text) {
+  return '"' + text + '"';
+}
+
+// Notes each value that was seen before at another path.
+class distinct_values {
+ public:
+  explicit distinct_values(problem_list& problems) : problems_(problems) {}
+
+  void Check(const std::string& path, const std::string& value) {
+    if (!problems_.AllSound({path})) {
+      return;
+    }
+    const auto [first, added] = seen_.emplace(value, path);
+    if (!added) {
+      problems_.Add(path, Quoted(value),
+                    "a value that differs from " + first->second);
+    }
+  }
+
+ private:
+  problem_list& problems_;
+  std::map<std::string, std::string> seen_;
+};
+
+bool IsWildcard(const address& where) {
+  return where.ip() == "0.0.0.0" || where.ip() == "::";
+}
+
+// A listener on all local addresses takes the port from the others as well.
+void CheckListeners(const daemon_settings& settings, problem_list& problems) {
+  const std::pair<std::string_view, const address*> listeners[] = {
+      {"caller_listen", &settings.caller_listen},
+      {"admin_listen", &settings.admin_listen},
+      {"peer_listen", &settings.peer_listen},
+      {"platform", &settings.platform}};
+  for (const auto& [path, where] : listeners) {
+    for (const auto& [earlier_path, earlier] : listeners) {
+      if (earlier == where) {
+        break;
+      }
+      const bool same_ip =
+          where->ip() == earlier->ip() ||
+          (path != "platform" && (IsWildcard(*where) || IsWildcard(*earlier)));
+      if (problems.AllSound({path, earlier_path}) && same_ip &&
+          where->port() == earlier->port()) {
+        problems.Add(std::string(path), Quoted(where->ToString()),
+                     "an address that doesn't collide with " +
+                         std::string(earlier_path));
+      }
+    }
+  }
+}
+
+struct timing_rule {
+  std::string_view smaller;
+  milliseconds smaller_value;
+  std::string_view larger;
+  milliseconds larger_value;
+};
+
+std::string Text(milliseconds value) {
+  return std::to_string(value.count());
+}
+
+}  // namespace
+
+void CheckIdentities(const daemon_settings& settings, problem_list& problems) {
+  CheckListeners(settings, problems);
+  distinct_values ids(problems);
+  distinct_values addresses(problems);
+  ids.Check("id", settings.id.value());
+  addresses.Check("peer_listen", settings.peer_listen.ToString());
+  for (std::size_t i = 0; i < settings.peers.size(); ++i) {
+    const peer_settings& peer = settings.peers[i];
+    ids.Check(Indexed("peers", i, "id"), peer.id.value());
+    addresses.Check(Indexed("peers", i, "peer_address"),
+                    peer.peer_address.ToString());
+  }
+}
+
+void CheckServices(const daemon_settings& settings, problem_list& problems) {
+  distinct_values names(problems);
+  for (std::size_t i = 0; i < settings.services.size(); ++i) {
+    const service_spec& service = settings.services[i];
+    names.Check(Indexed("services", i, "name"), service.name.value());
+    const std::string slots = Indexed("services", i, "slots");
+    const std::string connections = Indexed("services", i, "connections");
+    // A running request occupies a connection.
+    if (problems.AllSound({slots, connections}) &&
+        service.connections < service.slots) {
+      problems.Add(
+          connections, std::to_string(service.connections),
+          "at least " + slots + ", which is " + std::to_string(service.slots));
+    }
+    // Without epochs at the endpoint only the wait for delayed requests
+    // separates two owners.
+    if (problems.AllSound({"timing.max_order_delay_ms"}) && service.keyed &&
+        !service.checks_epoch && settings.timing.max_order_delay.count() == 0) {
+      problems.Add("timing.max_order_delay_ms", "0",
+                   "at least 1, since " + Indexed("services", i, "name") +
+                       " has owned keys and checks no epochs");
+    }
+  }
+}
+
+void CheckTiming(const daemon_settings& settings, problem_list& problems) {
+  const timing_settings& timing = settings.timing;
+  const timing_rule rules[] = {
+      // A lease has to be renewed before it ends.
+      {"timing.lease_renewal_ms", timing.lease_renewal, "timing.lease_term_ms",
+       timing.lease_term},
+      // One late heartbeat must not count as a loss.
+      {"timing.heartbeat_interval_ms", timing.heartbeat_interval,
+       "timing.detection_ms", timing.detection},
+      // Proof has to be renewed before it is too old.
+      {"timing.table_read_interval_ms", timing.table_read_interval,
+       "timing.table_freshness_ms", timing.table_freshness},
+      // Autonomy begins where freshness ends.
+      {"timing.table_freshness_ms", timing.table_freshness,
+       "timing.domain_autonomy_ms", timing.domain_autonomy},
+      // Otherwise the second proposer waits longer than the loss of the first
+      // takes to notice.
+      {"timing.proposer_step_ms", timing.proposer_step, "timing.detection_ms",
+       timing.detection},
+  };
+  for (const timing_rule& rule : rules) {
+    if (problems.AllSound({rule.smaller, rule.larger}) &&
+        rule.smaller_value >= rule.larger_value) {
+      problems.Add(std::string(rule.smaller), Text(rule.smaller_value),
+                   "less than " + std::string(rule.larger) + ", which is " +
+                       Text(rule.larger_value));
+    }
+  }
+  // Daemons that don't read the store get the proof by heartbeat, so it is
+  // older there by one interval.
+  const milliseconds oldest =
+      timing.table_read_interval + timing.heartbeat_interval;
+  if (problems.AllSound({"timing.table_read_interval_ms",
+                         "timing.heartbeat_interval_ms",
+                         "timing.table_freshness_ms"}) &&
+      oldest >= timing.table_freshness) {
+    problems.Add("timing.table_freshness_ms", Text(timing.table_freshness),
+                 "more than table_read_interval_ms + heartbeat_interval_ms, "
+                 "which is " +
+                     Text(oldest));
+  }
+}
+
+}  // namespace bluebell::internal
