Add the control state: events in, actions out

Cause: the decisions on ownership, membership and configuration need one aggregate without I/O that a control thread and randomised runs can both drive. Conclusion: the control thread can be built on it.

--- /dev/null
+++ b/bluebell/control/internal/control_impl.h
@@ -0,0 +1,161 @@
+// The state behind `control_state`, and its work in parts:
+// control_impl.cc takes in events, table_work.cc keeps the tables,
+// peer_work.cc talks to daemons and endpoints.
+
+#ifndef BLUEBELL_CONTROL_INTERNAL_CONTROL_IMPL_H_
+#define BLUEBELL_CONTROL_INTERNAL_CONTROL_IMPL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bluebell/control/config_keeper.h"
+#include "bluebell/control/control_state.h"
+#include "bluebell/control/endpoint_registry.h"
+#include "bluebell/control/lease_book.h"
+#include "bluebell/control/placement_proposer.h"
+#include "bluebell/control/snapshot_builder.h"
+#include "bluebell/control/table_keeper.h"
+#include "bluebell/membership/member_view.h"
+
+namespace bluebell {
+
+class control_state::impl {
+ public:
+  impl(const daemon_settings& settings,
+       incarnation run,
+       std::uint64_t seed,
+       instant now);
+
+  std::vector<control_action> Handle(const control_event& event,
+                                     instant now,
+                                     wall_instant wall_now);
+  shared_state Share() const;
+
+  // One overload for each event.
+  void operator()(const tick& event);
+  void operator()(const store_read_done& event);
+  void operator()(const store_write_done& event);
+  void operator()(const hosts_read_done& event);
+  void operator()(const lease_request_done& event);
+  void operator()(const heartbeat_received& event);
+  void operator()(const peer_state_received& event);
+  void operator()(const exchange_observed& event);
+  void operator()(const load_measured& event);
+  void operator()(const operator_asked& event);
+  void operator()(const stop_requested& event);
+
+  // One overload for each operator command.
+  void operator()(const show_status& command);
+  void operator()(const show_config& command);
+  void operator()(const show_placement& command);
+  void operator()(const explain_key& command);
+  void operator()(const change_config& command);
+  void operator()(const declare_domain_lost& command);
+
+ private:
+  // What belongs to one table besides its copy.
+  struct table_task {
+    placement_proposer proposer;
+    // Since when the table has needed edits.
+    std::optional<instant> wanted_since;
+    // The edits on their way to the store, for the log.
+    std::vector<table_edit> written;
+    // When a load-based rebalancing was last considered.
+    std::optional<instant> balanced_at;
+  };
+
+  // A failure domain that an operator declared lost.
+  struct declaration {
+    declare_domain_lost command;
+    std::uint64_t token = 0;
+    std::set<service_name> open;
+  };
+
+  // control_impl.cc
+  void Learn();
+  void NoticePause();
+  snapshot_inputs SnapshotInputs() const;
+  void Publish();
+  void Violation(std::string invariant, std::string state);
+  void Log(std::string message,
+           std::vector<std::pair<std::string, std::string>> fields);
+
+  // table_work.cc
+  void ReadStore();
+  void ReadTable(table_keeper& keeper);
+  void ReadConfig();
+  void WriteConfig();
+  void ReadHosts();
+  void WorkOnTable(const service_name& service, table_keeper& keeper);
+  void WriteTable(const service_name& service,
+                  table_keeper& keeper,
+                  const std::vector<table_edit>& edits);
+  std::vector<table_edit> WantedEdits(const service_name& service,
+                                      table_keeper& keeper);
+  void NoticeUpdate(const service_name& service,
+                    const table_keeper::update& change);
+  void FinishDeclarations(const service_name& service);
+  void LogEdits(const service_name& service);
+  std::set<domain_name> AgreedSilentDomains() const;
+  int RankFor(const std::string& role,
+              const std::vector<daemon_instance>& candidates) const;
+  change_id NextChange();
+  load_report RegionLoad() const;
+
+  // peer_work.cc
+  void SendHeartbeats();
+  heartbeat MakeHeartbeat(bool with_endpoints) const;
+  void SendHeartbeat(const daemon_id& to, const heartbeat& message);
+  void FetchState();
+  void SendLeases();
+  void ChooseProbed();
+  wanted_leases Wanted(const host_entry& host, bool revoker) const;
+  bool IsProber(const host_entry& host) const;
+  bool IsRevoker(const service_name& service) const;
+
+  daemon_settings settings_;
+  daemon_instance self_;
+  member_view view_;
+  endpoint_registry registry_;
+  lease_book leases_;
+  config_keeper config_;
+  std::map<service_name, table_keeper> keepers_;
+  std::map<service_name, table_task> tasks_;
+  std::vector<declaration> declarations_;
+  std::map<daemon_id, load_report> peer_loads_;
+  load_report own_load_;
+  std::mt19937_64 random_;
+  std::uint64_t changes_made_ = 0;
+  bool leaving_ = false;
+
+  // Derived anew on each tick.
+  std::set<endpoint_id> probed_;
+  std::vector<endpoint_info> endpoints_;
+
+  // Set by Handle for the length of one event.
+  instant now_;
+  wall_instant wall_now_;
+  std::vector<control_action> actions_;
+
+  std::uint64_t asked_token_ = 0;
+  instant last_tick_;
+  std::optional<instant> hosts_read_at_;
+  bool reading_hosts_ = false;
+  bool hosts_known_ = false;
+  std::optional<instant> fetch_sent_at_;
+  std::optional<instant> load_fetched_at_;
+  std::vector<endpoint_status> told_endpoints_;
+  std::optional<instant> told_endpoints_at_;
+  bool announce_ = false;
+  std::shared_ptr<const routing_snapshot> published_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_CONTROL_INTERNAL_CONTROL_IMPL_H_
--- /dev/null
+++ b/bluebell/control/internal/peer_work.cc
@@ -0,0 +1,273 @@
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "bluebell/control/internal/control_impl.h"
+#include "bluebell/ownership/renewal_limit.h"
+
+namespace bluebell {
+
+namespace {
+
+// Two daemons renew the leases of an endpoint, so that the loss of one goes
+// unnoticed.
+constexpr std::size_t kProbersPerEndpoint = 2;
+// Two daemons ask a former owner to give a slice up.
+constexpr int kRevokers = 2;
+// How often unchanged endpoint conditions are repeated.
+constexpr seconds kConditionsInterval{1};
+constexpr milliseconds kFetchTimeout{300};
+constexpr seconds kLoadFetchInterval{3};
+// Heartbeats to other failure domains are this much rarer.
+constexpr int kCrossDomainFactor = 2;
+
+// Whether `from` may be the run that answers at the endpoint `seen`, of which
+// the run isn't known if it is zero.
+bool IsRunOf(const endpoint_instance& from, const endpoint_instance& seen) {
+  return from == seen ||
+         (from.endpoint == seen.endpoint && seen.run == incarnation());
+}
+
+}  // namespace
+
+void control_state::impl::SendHeartbeats() {
+  std::vector<endpoint_status> probed = registry_.Probed(probed_, now_);
+  const bool changed = probed != told_endpoints_;
+  const bool repeat =
+      !told_endpoints_at_ || now_ - *told_endpoints_at_ >= kConditionsInterval;
+  if (changed || repeat) {
+    told_endpoints_ = std::move(probed);
+    told_endpoints_at_ = now_;
+  }
+  const bool with_endpoints = changed || repeat;
+  const bool at_once = std::exchange(announce_, false) || with_endpoints;
+  const heartbeat message = MakeHeartbeat(with_endpoints);
+  std::vector<daemon_id> due;
+  for (const auto& [id, known] : view_.members()) {
+    const bool near = known.domain == view_.domain();
+    const duration interval =
+        settings_.timing.heartbeat_interval * (near ? 1 : kCrossDomainFactor);
+    if (at_once || now_ - known.last_sent >= interval) {
+      due.push_back(id);
+    }
+  }
+  for (const daemon_id& id : due) {
+    SendHeartbeat(id, message);
+  }
+}
+
+heartbeat control_state::impl::MakeHeartbeat(bool with_endpoints) const {
+  heartbeat message;
+  message.sender = self_.id;
+  message.run = self_.run;
+  message.domain = view_.domain();
+  message.peer_address = settings_.peer_listen;
+  message.admin_address = settings_.admin_listen;
+  message.leaving = leaving_;
+  message.config = config_.config().version();
+  for (const auto& [service, keeper] : keepers_) {
+    table_status status{service, keeper.table().shard(),
+                        keeper.table().version(), -1};
+    if (const auto proven = keeper.replica().proven_at()) {
+      const duration age = std::max(duration(0), now_ - *proven);
+      status.proof_age_us = std::chrono::ceil<microseconds>(age).count();
+    }
+    message.tables.push_back(std::move(status));
+  }
+  if (with_endpoints) {
+    message.endpoints = told_endpoints_;
+  }
+  const std::set<domain_name> silent = view_.SilentDomains(now_);
+  message.silent_domains.assign(silent.begin(), silent.end());
+  return message;
+}
+
+void control_state::impl::SendHeartbeat(const daemon_id& to,
+                                        const heartbeat& message) {
+  heartbeat addressed = message;
+  view_.Address(to, addressed, now_);
+  actions_.emplace_back(send_heartbeat{view_.members().at(to).peer_address,
+                                       std::move(addressed)});
+}
+
+void control_state::impl::operator()(const heartbeat_received& event) {
+  const heartbeat& message = event.message;
+  const auto receipt = view_.Receive(message, now_);
+  if (!receipt) {
+    return;
+  }
+  config_.Hear(message.config);
+  bool behind = config_.stale();
+  for (const table_status& status : message.tables) {
+    const auto keeper = keepers_.find(status.service);
+    if (keeper == keepers_.end()) {
+      continue;
+    }
+    std::optional<duration> proof_age;
+    if (status.proof_age_us >= 0) {
+      proof_age = microseconds(status.proof_age_us);
+    }
+    keeper->second.HandlePeerStatus(receipt->sender, status.version, proof_age,
+                                    now_, receipt->pinged_at);
+    behind = behind || keeper->second.replica().stale();
+  }
+  if (behind && !fetch_sent_at_) {
+    fetch_sent_at_ = now_;
+    actions_.emplace_back(fetch_state{message.sender, message.peer_address});
+  }
+}
+
+void control_state::impl::FetchState() {
+  if (fetch_sent_at_ && now_ - *fetch_sent_at_ >= kFetchTimeout) {
+    fetch_sent_at_.reset();
+  }
+  const bool load_due =
+      !load_fetched_at_ || now_ - *load_fetched_at_ >= kLoadFetchInterval;
+  bool proposes = false;
+  for (const auto& [service, keeper] : keepers_) {
+    proposes = proposes ||
+               RankFor("propose/" + keeper.sync().key(), view_.Live(now_)) == 0;
+  }
+  if (load_due && proposes) {
+    load_fetched_at_ = now_;
+    for (const auto& [id, known] : view_.members()) {
+      if (view_.IsLive(id, now_)) {
+        actions_.emplace_back(fetch_state{id, known.peer_address});
+      }
+    }
+  }
+  bool behind = config_.stale();
+  for (const auto& [service, keeper] : keepers_) {
+    behind = behind || keeper.replica().stale();
+  }
+  const std::vector<daemon_instance> live = view_.Live(now_);
+  if (!behind || fetch_sent_at_ || live.size() < 2) {
+    return;
+  }
+  const daemon_instance& chosen = live[random_() % live.size()];
+  const auto peer = view_.members().find(chosen.id);
+  if (peer != view_.members().end()) {
+    fetch_sent_at_ = now_;
+    actions_.emplace_back(fetch_state{chosen.id, peer->second.peer_address});
+  }
+}
+
+void control_state::impl::operator()(const peer_state_received& event) {
+  fetch_sent_at_.reset();
+  peer_loads_[event.peer] = event.load;
+  if (event.config && config_.Take(*event.config)) {
+    announce_ = true;
+  }
+  for (const std::string& text : event.tables) {
+    for (auto& [service, keeper] : keepers_) {
+      NoticeUpdate(service, keeper.HandlePeerTable(text, now_));
+    }
+  }
+  if (!hosts_known_ && !event.hosts.empty()) {
+    registry_.SetHosts(event.hosts);
+    Learn();
+  }
+}
+
+bool control_state::impl::IsProber(const host_entry& host) const {
+  if (host.role != host_role::kEndpoint || host.domain != view_.domain()) {
+    return false;
+  }
+  std::vector<daemon_instance> live = view_.LiveIn(view_.domain(), now_);
+  const auto keeper = keepers_.find(host.service);
+  if (keeper != keepers_.end()) {
+    // Only members of the roster may renew leases.
+    std::vector<daemon_instance> members = live;
+    std::erase_if(members, [&](const daemon_instance& candidate) {
+      return !keeper->second.table().IsMember(view_.domain(), candidate);
+    });
+    if (!members.empty()) {
+      live = std::move(members);
+    }
+  }
+  live = RankForRole("probe/" + host.name, std::move(live));
+  live.resize(std::min(live.size(), kProbersPerEndpoint));
+  return std::find(live.begin(), live.end(), self_) != live.end();
+}
+
+void control_state::impl::ChooseProbed() {
+  probed_.clear();
+  for (const host_entry& host : registry_.hosts()) {
+    if (IsProber(host)) {
+      probed_.insert(endpoint_id(host.name));
+    }
+  }
+}
+
+bool control_state::impl::IsRevoker(const service_name& service) const {
+  const auto keeper = keepers_.find(service);
+  if (keeper == keepers_.end() || !keeper->second.spec().checks_epoch) {
+    return false;
+  }
+  const std::string role = "propose/" + keeper->second.sync().key();
+  return RankFor(role, view_.Live(now_)) < kRevokers;
+}
+
+wanted_leases control_state::impl::Wanted(const host_entry& host,
+                                          bool revoker) const {
+  wanted_leases wanted;
+  wanted.to.endpoint = endpoint_id(host.name);
+  wanted.to.run = registry_.SeenRun(wanted.to.endpoint).value_or(incarnation());
+  wanted.where = host.where;
+  const auto found = keepers_.find(host.service);
+  if (found == keepers_.end() || !found->second.spec().checks_epoch) {
+    return wanted;
+  }
+  const table_keeper& keeper = found->second;
+  const renewal_limit limit =
+      RenewalLimit(keeper.replica(), keeper.peers(), self_, view_.domain(),
+                   settings_.timing, now_);
+  const bool may_renew =
+      host.domain == view_.domain() && now_ < limit.until && !leaving_;
+  for (const slice& current : keeper.table().slices()) {
+    const auto* held = std::get_if<owned>(&current.state);
+    const auto* leaving = std::get_if<moving>(&current.state);
+    if (held && may_renew && held->owner == wanted.to) {
+      wanted.granted.push_back({current.range, held->at});
+    } else if (leaving && revoker && IsRunOf(leaving->from, wanted.to)) {
+      wanted.to = leaving->from;
+      wanted.revoked.push_back({current.range, epoch(leaving->at.value() - 1)});
+    }
+  }
+  return wanted;
+}
+
+void control_state::impl::SendLeases() {
+  for (const host_entry& host : registry_.hosts()) {
+    if (host.role != host_role::kEndpoint) {
+      continue;
+    }
+    const bool prober = probed_.contains(endpoint_id(host.name));
+    const bool revoker = IsRevoker(host.service);
+    if (!prober && !revoker) {
+      continue;
+    }
+    const wanted_leases wanted = Wanted(host, revoker);
+    if (!prober && wanted.revoked.empty()) {
+      continue;
+    }
+    if (auto request = leases_.Next(wanted, now_)) {
+      actions_.emplace_back(std::move(*request));
+    }
+  }
+}
+
+void control_state::impl::operator()(const lease_request_done& event) {
+  leases_.Finish(event.endpoint, event.reply ? &event.reply.value() : nullptr);
+  if (!event.reply) {
+    registry_.RecordFailure(event.endpoint, event.sent_at, now_);
+    return;
+  }
+  registry_.RecordReply(event.endpoint, event.reply.value(), now_);
+  for (auto& [service, keeper] : keepers_) {
+    WorkOnTable(service, keeper);
+  }
+  SendLeases();
+}
+
+}  // namespace bluebell
