Route requests by key owner or by expected wait

Cause: the traffic threads need to pick an endpoint and its dispatcher. A request without owned keys leaves its failure domain only if the wait there is over 20 ms and shorter elsewhere by 20 ms.

--- a/bluebell/routing/route.h
+++ b/bluebell/routing/route.h
@@ -1,6 +1,6 @@
 // Picks the endpoint that serves a request, and the daemon that sends it there.
 //
-//   route_decision decision = Route(snapshot, request, preference, now);
+//   route_decision decision = Route(snapshot, request, wait, random, now);
 
 #ifndef BLUEBELL_ROUTING_ROUTE_H_
 #define BLUEBELL_ROUTING_ROUTE_H_
@@ -68,8 +68,15 @@
 using expected_wait =
     std::function<duration(const endpoint_instance& instance, rank priority)>;
 
-// `random` decides which two endpoints of a service without owned keys are
-// compared.
+// Beyond this wait in the own failure domain, a request goes to another domain
+// if the wait there is shorter by more than this. Larger than the way between
+// domains (1.5 ms) and smaller than what a caller notices.
+inline constexpr milliseconds kLongWait{20};
+
+// For a service divided by key, the owner of the key's slice; a draining owner
+// too, until its slices have moved. Otherwise the better by `wait` of two
+// random endpoints, those of the own failure domain first; draining and lost
+// ones are left out. `random` decides which two are compared.
 route_decision Route(const routing_snapshot& snapshot,
                      const caller_request& request,
                      const expected_wait& wait,
--- /dev/null
+++ b/bluebell/routing/service_routes.cc
@@ -0,0 +1,29 @@
+#include "bluebell/routing/service_routes.h"
+
+#include <algorithm>
+
+namespace bluebell {
+
+const slice_route* service_routes::FindSlice(key_hash where) const {
+  const auto after = std::upper_bound(
+      slices.begin(), slices.end(), where,
+      [](key_hash hash, const slice_route& s) { return hash < s.range.first; });
+  if (after == slices.begin()) {
+    return nullptr;
+  }
+  const slice_route& candidate = *std::prev(after);
+  return candidate.range.Contains(where) ? &candidate : nullptr;
+}
+
+const endpoint_entry* service_routes::FindEndpoint(
+    const endpoint_instance& instance) const {
+  const auto found =
+      std::lower_bound(endpoints.begin(), endpoints.end(), instance,
+                       [](const endpoint_entry& e, const endpoint_instance& i) {
+                         return e.instance < i;
+                       });
+  const bool exists = found != endpoints.end() && found->instance == instance;
+  return exists ? &*found : nullptr;
+}
+
+}  // namespace bluebell
