--- /dev/null
+++ b/bluebell/wire/internal/bounded_archive.h
@@ -0,0 +1,107 @@
+// Loading and saving of strings, vectors and flags for cereal's portable binary
+// archives. Replaces cereal's own functions, which trust the length in the
+// message: here memory grows with the bytes read, a length costs one to five
+// bytes instead of eight, and a flag is exactly 0 or 1.
+
+#ifndef BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
+#define BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+
+namespace bluebell::wire_internal {
+
+// Seven bits a byte, low bits first; the high bit says that more follow.
+inline void SaveLength(cereal::PortableBinaryOutputArchive& archive,
+                       std::size_t length) {
+  constexpr std::size_t kMore = 0x80;
+  while (length >= kMore) {
+    archive(static_cast<std::uint8_t>(length % kMore + kMore));
+    length /= kMore;
+  }
+  archive(static_cast<std::uint8_t>(length));
+}
+
+inline std::size_t LoadLength(cereal::PortableBinaryInputArchive& archive) {
+  constexpr unsigned kBitsPerByte = 7;
+  constexpr unsigned kMaxBits = 5 * kBitsPerByte;
+  std::size_t length = 0;
+  for (unsigned shift = 0; shift < kMaxBits; shift += kBitsPerByte) {
+    std::uint8_t byte = 0;
+    archive(byte);
+    length |= static_cast<std::size_t>(byte & 0x7FU) << shift;
+    if (byte < 0x80U) {
+      return length;
+    }
+  }
+  throw cereal::Exception("length has more than five bytes");
+}
+
+}  // namespace bluebell::wire_internal
+
+namespace cereal {
+
+inline void CEREAL_SAVE_FUNCTION_NAME(PortableBinaryOutputArchive& archive,
+                                      const std::string& text) {
+  bluebell::wire_internal::SaveLength(archive, text.size());
+  archive.saveBinary<1>(text.data(), static_cast<std::streamsize>(text.size()));
+}
+
+inline void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                                      std::string& text) {
+  constexpr std::size_t kStep = 64U << 10U;
+  std::size_t left = bluebell::wire_internal::LoadLength(archive);
+  text.clear();
+  while (left > 0) {
+    const std::size_t begin = text.size();
+    const std::size_t part = std::min(left, std::max(kStep, begin));
+    text.resize(begin + part);
+    archive.loadBinary<1>(text.data() + begin,
+                          static_cast<std::streamsize>(part));
+    left -= part;
+  }
+}
+
+template <typename Element>
+void CEREAL_SAVE_FUNCTION_NAME(PortableBinaryOutputArchive& archive,
+                               const std::vector<Element>& elements) {
+  bluebell::wire_internal::SaveLength(archive, elements.size());
+  for (const Element& element : elements) {
+    archive(element);
+  }
+}
+
+template <typename Element>
+void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                               std::vector<Element>& elements) {
+  const std::size_t count = bluebell::wire_internal::LoadLength(archive);
+  elements.clear();
+  for (std::size_t i = 0; i < count; ++i) {
+    archive(elements.emplace_back());
+  }
+}
+
+inline void CEREAL_SAVE_FUNCTION_NAME(PortableBinaryOutputArchive& archive,
+                                      const bool& flag) {
+  archive(static_cast<std::uint8_t>(flag ? 1 : 0));
+}
+
+inline void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                                      bool& flag) {
+  std::uint8_t byte = 0;
+  archive(byte);
+  if (byte > 1) {
+    throw Exception("flag is neither 0 nor 1");
+  }
+  flag = byte == 1;
+}
+
+}  // namespace cereal
+
+#endif  // BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
--- /dev/null
+++ b/bluebell/wire/wire_message.h
@@ -0,0 +1,32 @@
+// All messages between daemons.
+
+#ifndef BLUEBELL_WIRE_WIRE_MESSAGE_H_
+#define BLUEBELL_WIRE_WIRE_MESSAGE_H_
+
+#include <variant>
+
+#include "bluebell/membership/heartbeat.h"
+#include "bluebell/wire/forward_reply.h"
+#include "bluebell/wire/forward_request.h"
+#include "bluebell/wire/ledger_transfer.h"
+#include "bluebell/wire/pressure_update.h"
+#include "bluebell/wire/request_query.h"
+#include "bluebell/wire/state_exchange.h"
+
+namespace bluebell {
+
+// The position in this list is the type number on the wire: append only.
+using wire_message = std::variant<heartbeat,
+                                  forward_request,
+                                  forward_reply,
+                                  request_query,
+                                  query_reply,
+                                  ledger_transfer,
+                                  ledger_transfer_reply,
+                                  state_request,
+                                  state_reply,
+                                  pressure_update>;
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_WIRE_WIRE_MESSAGE_H_
