Satisfy the linter in the settings parser

Cause: clang-tidy refused C-style arrays and two function-style casts.

Change: std::to_array and named variables instead.

Conclusion: clang-tidy is clean on bluebell/settings.

--- a/bluebell/settings/internal/object_reader.cc
+++ b/bluebell/settings/internal/object_reader.cc
@@ -94,13 +94,14 @@
   if (value == nullptr) {
     return;
   }
-  if (!value->is_string() ||
-      std::find(choices.begin(), choices.end(),
-                std::string_view(value->get_string())) == choices.end()) {
-    Refuse(name, *value, allowed);
-    return;
+  if (value->is_string()) {
+    const std::string_view text = value->get_string();
+    if (std::find(choices.begin(), choices.end(), text) != choices.end()) {
+      out = text;
+      return;
+    }
   }
-  out = value->get_string();
+  Refuse(name, *value, allowed);
 }
 
 void object_reader::Flag(std::string_view name, bool& out) {
@@ -194,7 +195,8 @@
 
 void object_reader::Finish() {
   for (const auto& member : object_) {
-    if (known_.contains(std::string_view(member.key()))) {
+    const std::string_view key = member.key();
+    if (known_.contains(key)) {
       continue;
     }
     std::string allowed = "no such name; known here are";
--- a/bluebell/settings/internal/settings_rules.cc
+++ b/bluebell/settings/internal/settings_rules.cc
@@ -1,5 +1,6 @@
 #include "bluebell/settings/internal/settings_rules.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <string_view>
@@ -48,11 +49,12 @@
 
 // A listener on all local addresses takes the port from the others as well.
 void CheckListeners(const daemon_settings& settings, problem_list& problems) {
-  const std::pair<std::string_view, const address*> listeners[] = {
-      {"caller_listen", &settings.caller_listen},
-      {"admin_listen", &settings.admin_listen},
-      {"peer_listen", &settings.peer_listen},
-      {"platform", &settings.platform}};
+  using listener = std::pair<std::string_view, const address*>;
+  const auto listeners =
+      std::to_array<listener>({{"caller_listen", &settings.caller_listen},
+                               {"admin_listen", &settings.admin_listen},
+                               {"peer_listen", &settings.peer_listen},
+                               {"platform", &settings.platform}});
   for (const auto& [path, where] : listeners) {
     for (const auto& [earlier_path, earlier] : listeners) {
       if (earlier == where) {
@@ -125,7 +127,7 @@
 
 void CheckTiming(const daemon_settings& settings, problem_list& problems) {
   const timing_settings& timing = settings.timing;
-  const timing_rule rules[] = {
+  const auto rules = std::to_array<timing_rule>({
       // A lease has to be renewed before it ends.
       {"timing.lease_renewal_ms", timing.lease_renewal, "timing.lease_term_ms",
        timing.lease_term},
@@ -142,7 +144,7 @@
       // takes to notice.
       {"timing.proposer_step_ms", timing.proposer_step, "timing.detection_ms",
        timing.detection},
-  };
+  });
   for (const timing_rule& rule : rules) {
     if (problems.AllSound({rule.smaller, rule.larger}) &&
         rule.smaller_value >= rule.larger_value) {
