--- a/bluebell/control/internal/peer_work.cc
+++ b/bluebell/control/internal/peer_work.cc
@@ -107,6 +107,9 @@
     if (status.proof_age_us >= 0) {
       proof_age = microseconds(status.proof_age_us);
     }
+    if (message.leaving) {
+      keeper->second.peers().Retire(receipt->sender, now_);
+    }
     keeper->second.HandlePeerStatus(receipt->sender, status.version, proof_age,
                                     now_, receipt->pinged_at);
     behind = behind || keeper->second.replica().stale();
--- a/bluebell/ownership/table_peers.cc
+++ b/bluebell/ownership/table_peers.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 
 namespace bluebell {
 
@@ -36,6 +38,17 @@
 std::optional<instant> table_peers::AcknowledgedAt(
     const daemon_instance& peer,
     table_version version) const {
+  std::optional<instant> earliest = HeldAt(peer, version);
+  const auto later = records_.upper_bound(peer);
+  if (later != records_.end() && later->first.id == peer.id) {
+    const instant ended_by = later->second.acknowledged.front().second;
+    earliest = std::min(earliest.value_or(ended_by), ended_by);
+  }
+  return earliest;
+}
+
+std::optional<instant> table_peers::HeldAt(const daemon_instance& peer,
+                                           table_version version) const {
   const auto found = records_.find(peer);
   if (found == records_.end()) {
     return std::nullopt;
@@ -59,8 +72,9 @@
   return found->second.pinged_at;
 }
 
-void table_peers::Forget(const daemon_instance& peer) {
-  records_.erase(peer);
+void table_peers::Retire(const daemon_instance& peer, instant received_at) {
+  constexpr auto kEveryVersion = std::numeric_limits<std::uint64_t>::max();
+  Record(peer, table_version(kEveryVersion), received_at, std::nullopt);
 }
 
 }  // namespace bluebell
--- a/bluebell/ownership/table_peers.h
+++ b/bluebell/ownership/table_peers.h
@@ -28,7 +28,10 @@
               instant received_at,
               std::optional<instant> pinged_at);
 
-  // Since when `peer` is known to hold `version` or a later one.
+  // Since when `peer` is known to hold `version` or a later one, or to have
+  // ended. A daemon id is used again only at the same address, and a process
+  // holds its address exclusively, so a later run shows that the earlier ones
+  // have ended.
   std::optional<instant> AcknowledgedAt(const daemon_instance& peer,
                                         table_version version) const;
 
@@ -37,9 +40,13 @@
   std::optional<instant> SupportedAt(const daemon_instance& peer,
                                      table_version version) const;
 
-  void Forget(const daemon_instance& peer);
+  // Records that `peer` promised never to renew a lease again.
+  void Retire(const daemon_instance& peer, instant received_at);
 
  private:
+  std::optional<instant> HeldAt(const daemon_instance& peer,
+                                table_version version) const;
+
   struct record {
     std::vector<std::pair<table_version, instant>> acknowledged;
     table_version version;
--- a/bluebell/wire/frame_test.cc
+++ b/bluebell/wire/frame_test.cc
@@ -27,7 +27,7 @@
   sample.ping = 5;
   sample.tables = {{service_name("tracker"), 0, table_version(4), 1'200},
                    {service_name("booker"), 1, table_version(8), -1}};
-  sample.lost_endpoints = {kEndpoint};
+  sample.endpoints = {{kEndpoint, endpoint_condition::kLost}};
   return sample;
 }
 
@@ -151,7 +151,7 @@
   bytes[3] = 0x7f;
   CHECK(DecodeHeader(bytes).error().code() == errc::kTooLarge);
   heartbeat large = SampleHeartbeat();
-  large.lost_endpoints.assign(10'000, kEndpoint);
+  large.endpoints.assign(10'000, {kEndpoint, endpoint_condition::kLost});
   CHECK(EncodeFrame({exchange_kind::kOneWay, 0, large}).error().code() ==
         errc::kTooLarge);
 }
