Add the fleet configuration and its changes

Cause: operators change limits, shares and deadlines while the fleet runs, and an accepted change must hold everywhere and never revert.

Change: fleet_config parses and prints its JSON document, applies changes with every rule (base version, written reason, names, ranges, shares and deadlines in every scope that exceptions form together) and gives the values for a scope. setting.h is the one list of settings with range, unit and the parts of a scope at which each can differ; an exception that nothing would read is refused. config_change_json maps changes to JSON for the command line and the admin server. ToIso8601 moves from telemetry to core, since the history needs it.

--- a/bluebell/config/fleet_config.h
+++ b/bluebell/config/fleet_config.h
@@ -6,9 +6,9 @@
 #ifndef BLUEBELL_CONFIG_FLEET_CONFIG_H_
 #define BLUEBELL_CONFIG_FLEET_CONFIG_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 #include "bluebell/config/config_change.h"
@@ -26,14 +26,18 @@
   // Version zero with the built-in defaults.
   fleet_config() = default;
 
-  // Reads the stored JSON document.
+  // Reads the stored JSON document. Fails with errc::kMalformedMessage if it
+  // isn't one or holds a name or value that isn't allowed, and with
+  // errc::kUnsupportedVersion if a later release wrote it in another format.
   static result<fleet_config> Parse(std::string_view json);
   std::string ToJson() const;
 
   // Returns the next version. Fails with errc::kConflict if `change` was made
   // against another version than this one (the error's detail then shows who
   // made which change since), and with errc::kInvalidArgument if a name, a
-  // value or a reason is missing or not allowed.
+  // value or a reason is missing or not allowed, or if in some scope the shares
+  // would exceed 100 percent or a default deadline its maximum. With
+  // errc::kTooLarge if there would be more than kMaxExceptions.
   result<fleet_config> Apply(const config_change& change,
                              const change_id& id,
                              wall_instant now) const;
@@ -50,11 +54,23 @@
 
   // The values in force for `scope`: the defaults, overridden by each exception
   // that matches. The most specific exception wins.
+  // An endpoint counts as more specific than a caller, a caller than a service,
+  // a service than a failure domain. Takes time for each exception, so callers
+  // keep the result for as long as the version is the same.
   policy_values ValuesFor(const config_scope& scope) const;
 
+  // True if a daemon that holds `other` may go on to this version. Versions
+  // never go back, whatever a delayed message or an old read brings.
+  bool Supersedes(const fleet_config& other) const {
+    return version_ > other.version_;
+  }
+
   friend bool operator==(const fleet_config&, const fleet_config&) = default;
 
   static constexpr std::size_t kMaxHistory = 100;
+  // Keeps the document under the store's limit of one megabyte for a value.
+  static constexpr std::size_t kMaxExceptions = 1'000;
+  static constexpr std::size_t kMaxReasonBytes = 400;
 
  private:
   config_version version_;
--- a/bluebell/telemetry/internal/log_line.h
+++ b/bluebell/telemetry/internal/log_line.h
@@ -12,9 +12,6 @@
 
 namespace bluebell::internal {
 
-// For example "2026-12-04T10:27:40.123Z".
-std::string FormatTime(wall_instant when);
-
 // The line up to and with its message, without the closing brace.
 std::string BeginLine(wall_instant when,
                       log_level level,
--- a/bluebell/telemetry/log_event_test.cc
+++ b/bluebell/telemetry/log_event_test.cc
@@ -17,7 +17,7 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/core/ids.h"
-#include "bluebell/telemetry/internal/log_line.h"
+#include "bluebell/core/time.h"
 #include "bluebell/telemetry/internal/log_queue.h"
 
 namespace bluebell {
@@ -77,14 +77,6 @@
   CHECK(line.at("peer").as_string() == "127.0.0.1:1");
 }
 
-TEST_CASE("log times keep leading zeros and milliseconds") {
-  const wall_instant when(
-      std::chrono::sys_days(std::chrono::year(2026) / 3 / 4) +
-      std::chrono::hours(5) + std::chrono::minutes(6) + seconds(7) +
-      milliseconds(8));
-  CHECK(internal::FormatTime(when) == "2026-03-04T05:06:07.008Z");
-}
-
 TEST_CASE("a blocked log file drops lines instead of holding up the caller") {
   std::mutex mutex;
   std::condition_variable changed;
