--- /dev/null
+++ b/testing/http_server.cc
@@ -0,0 +1,214 @@
+#include "testing/http_server.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint64_t kMaxBody = 8U << 20U;
+
+class session;
+
+}  // namespace
+
+struct http_server::state {
+  state(asio::io_context& context,
+        http_server_options given,
+        http_handler on_request)
+      : acceptor(context),
+        accept_timer(context),
+        options(std::move(given)),
+        handler(std::move(on_request)) {}
+
+  tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
+  http_server_options options;
+  http_handler handler;
+  std::set<std::shared_ptr<session>> sessions;
+  std::size_t peak = 0;
+  bool stopped = false;
+};
+
+namespace {
+
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket, std::weak_ptr<http_server::state> server)
+      : socket_(std::move(socket)), server_(std::move(server)) {}
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxBody);
+    bhttp::async_read(socket_, buffer_, *parser_,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        self->OnRead(error);
+                      });
+  }
+
+  // Without lingering, so that the peer gets a reset and not an orderly end.
+  void Reset() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  void OnRead(error_code error) {
+    const auto server = server_.lock();
+    if (error || !server || server->stopped) {
+      Close();
+      return;
+    }
+    const http_request request = parser_->release();
+    keep_alive_ = request.keep_alive();
+    is_head_ = request.method() == bhttp::verb::head;
+    server->handler(request, [self = shared_from_this()](http_response reply) {
+      self->Write(std::move(reply));
+    });
+  }
+
+  void Write(http_response reply) {
+    reply.keep_alive(keep_alive_);
+    reply.prepare_payload();
+    if (is_head_) {
+      reply.body().clear();
+    }
+    reply_ = std::move(reply);
+    bhttp::async_write(socket_, reply_,
+                       [self = shared_from_this()](error_code error, size_t) {
+                         if (error || !self->keep_alive_) {
+                           self->Close();
+                         } else {
+                           self->Read();
+                         }
+                       });
+  }
+
+  void Close() {
+    error_code ignored;
+    socket_.close(ignored);
+    if (const auto server = server_.lock()) {
+      server->sessions.erase(shared_from_this());
+    }
+  }
+
+  tcp::socket socket_;
+  std::weak_ptr<http_server::state> server_;
+  beast::flat_buffer buffer_;
+  std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
+  http_response reply_;
+  bool keep_alive_ = true;
+  bool is_head_ = false;
+};
+
+void Admit(const std::shared_ptr<http_server::state>& server,
+           tcp::socket socket) {
+  if (server->sessions.size() >= server->options.max_connections) {
+    return;
+  }
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const auto added = std::make_shared<session>(std::move(socket), server);
+  server->sessions.insert(added);
+  server->peak = std::max(server->peak, server->sessions.size());
+  added->Read();
+}
+
+void Accept(const std::shared_ptr<http_server::state>& server) {
+  server->acceptor.async_accept([server](error_code error, tcp::socket socket) {
+    if (server->stopped || error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      Accept(server);
+      return;
+    }
+    server->accept_timer.expires_after(server->options.accept_time);
+    server->accept_timer.async_wait(
+        [server, accepted = std::make_shared<tcp::socket>(std::move(socket))](
+            error_code) {
+          if (!server->stopped) {
+            Admit(server, std::move(*accepted));
+            Accept(server);
+          }
+        });
+  });
+}
+
+}  // namespace
+
+http_server::http_server(std::shared_ptr<state> initial)
+    : state_(std::move(initial)) {}
+
+result<std::shared_ptr<http_server>> http_server::Start(
+    asio::io_context& io,
+    const http_server_options& options,
+    http_handler handler) {
+  const auto server = std::make_shared<state>(io, options, std::move(handler));
+  error_code error;
+  const tcp::endpoint where(asio::ip::make_address(options.listen.ip(), error),
+                            options.listen.port());
+  if (!error) {
+    server->acceptor.open(where.protocol(), error);
+  }
+  if (!error) {
+    server->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    server->acceptor.bind(where, error);
+  }
+  if (!error) {
+    server->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return bluebell::error(error, step::kListen, options.listen.ToString(), "");
+  }
+  Accept(server);
+  return std::shared_ptr<http_server>(new http_server(server));
+}
+
+void http_server::Stop() {
+  state_->stopped = true;
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->accept_timer.cancel();
+  for (const auto& open : state_->sessions) {
+    open->Reset();
+  }
+  state_->sessions.clear();
+}
+
+std::size_t http_server::connections() const {
+  return state_->sessions.size();
+}
+
+std::size_t http_server::peak_connections() const {
+  return state_->peak;
+}
+
+http_response JsonResponse(unsigned status, const std::string& json) {
+  http_response reply(bhttp::int_to_status(status), kHttp11);
+  reply.set(bhttp::field::content_type, "application/json");
+  reply.body() = json;
+  return reply;
+}
+
+}  // namespace bluebell
