Split the network of the randomised runs by nodes, and slow it

Change: splits separate any set of daemons and endpoints; a fault delays a third of all messages by up to three seconds.

--- a/testing/decision_run.cc
+++ b/testing/decision_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -56,7 +57,7 @@
     const std::size_t endpoint = Random(world_.endpoints().size());
     const std::string domain = "domain-" + std::to_string(Random(3));
     const std::string other = "domain-" + std::to_string(Random(3));
-    const std::uint64_t kind = Random(13);
+    const std::uint64_t kind = Random(14);
     world_.Trace("fault " + std::to_string(kind),
                  "daemon " + std::to_string(daemon) + " endpoint " +
                      std::to_string(endpoint) + ' ' + domain + ' ' + other +
@@ -84,18 +85,18 @@
         world_.store().losing_answers_until = until;
         break;
       case 7:
-        world_.Cut(domain, decision_world::kPlatform, until);
+        // The platform is cut off from all.
+        world_.Split({decision_world::kPlatform}, until);
         break;
       case 8:
-        if (domain != other) {
-          world_.Cut(domain, other, until);
-        }
+        // Two failure domains together lose the third and the platform.
+        SplitDomains({domain, other}, until);
         break;
       case 9:
-        CutOff(domain, until);
+        SplitDomains({domain}, until);
         break;
       case 10:
-        world_.Isolate(daemon, endpoint, until);
+        SplitSome(daemon, until);
         break;
       case 11:
         StopDomain(domain, until);
@@ -103,6 +104,9 @@
       case 12:
         Drain(endpoint, until);
         break;
+      case 13:
+        world_.SlowNetwork(until);
+        break;
     }
   }
 
@@ -141,14 +145,39 @@
     }
   }
 
-  void CutOff(const std::string& domain, sim_time until) {
-    world_.Cut(domain, decision_world::kPlatform, until);
-    for (int i = 0; i < 3; ++i) {
-      const std::string other = "domain-" + std::to_string(i);
-      if (other != domain) {
-        world_.Cut(domain, other, until);
+  // Cuts domains off from the platform and all else.
+  void SplitDomains(const std::set<std::string>& domains, sim_time until) {
+    std::set<std::string> group;
+    for (const sim_daemon& daemon : world_.daemons()) {
+      if (domains.contains(daemon.settings.domain.value())) {
+        group.insert(daemon.settings.id.value());
+      }
+    }
+    for (const sim_endpoint& endpoint : world_.endpoints()) {
+      if (domains.contains(endpoint.host.domain.value())) {
+        group.insert(endpoint.host.name);
+      }
+    }
+    world_.Split(std::move(group), until);
+  }
+
+  // Separates a daemon, sometimes with its neighbours, and an endpoint of its
+  // domain that it may go on serving alone.
+  void SplitSome(std::size_t daemon, sim_time until) {
+    const domain_name domain = world_.daemons()[daemon].settings.domain;
+    std::set<std::string> group = {
+        world_.daemons()[daemon].settings.id.value()};
+    for (const sim_daemon& other : world_.daemons()) {
+      if (other.settings.domain == domain && Random(3) == 0) {
+        group.insert(other.settings.id.value());
+      }
+    }
+    for (const sim_endpoint& endpoint : world_.endpoints()) {
+      if (endpoint.host.domain == domain && Random(2) == 0) {
+        group.insert(endpoint.host.name);
       }
     }
+    world_.Split(std::move(group), until);
   }
 
   void Drain(std::size_t index, sim_time until) {
--- a/testing/decision_world.cc
+++ b/testing/decision_world.cc
@@ -112,7 +112,8 @@
 sim_time decision_world::Delay() {
   std::uniform_int_distribution<int> usual(200, 2'000);
   std::uniform_int_distribution<int> late(2'000, 3'000'000);
-  return microseconds(Chance(0.01) ? late(random_) : usual(random_));
+  const double late_share = slow_network_until_ > now_ ? 0.3 : 0.01;
+  return microseconds(Chance(late_share) ? late(random_) : usual(random_));
 }
 
 instant decision_world::ClockOf(const sim_daemon& daemon) const {
@@ -169,21 +170,13 @@
   After(kControlTick, [this, index, run] { Tick(index, run); });
 }
 
-void decision_world::Cut(const std::string& a,
-                         const std::string& b,
-                         sim_time until) {
-  cuts_[std::minmax(a, b)] = until;
-}
-
-void decision_world::Isolate(std::size_t daemon,
-                             std::size_t endpoint,
-                             sim_time until) {
-  isolations_[daemon] = {endpoint, until};
+void decision_world::Split(std::set<std::string> group, sim_time until) {
+  splits_.push_back({std::move(group), until});
 }
 
 void decision_world::Heal() {
-  cuts_.clear();
-  isolations_.clear();
+  splits_.clear();
+  slow_network_until_ = now_;
   store_.down_until = store_.slow_until = store_.losing_answers_until = now_;
   for (sim_daemon& daemon : daemons_) {
     daemon.paused_until = std::min(daemon.paused_until, now_);
@@ -194,27 +187,11 @@
 }
 
 bool decision_world::Reaches(const std::string& a, const std::string& b) const {
-  const auto found = cuts_.find(std::minmax(a, b));
-  return found == cuts_.end() || found->second <= now_;
-}
-
-bool decision_world::DaemonReaches(std::size_t daemon,
-                                   const std::string& place) const {
-  const auto isolated = isolations_.find(daemon);
-  if (isolated != isolations_.end() && isolated->second.until > now_) {
-    return false;
-  }
-  return Reaches(daemons_[daemon].settings.domain.value(), place);
-}
-
-bool decision_world::DaemonReachesEndpoint(std::size_t daemon,
-                                           std::size_t endpoint) const {
-  const auto isolated = isolations_.find(daemon);
-  if (isolated != isolations_.end() && isolated->second.until > now_) {
-    return isolated->second.endpoint == endpoint;
-  }
-  return Reaches(daemons_[daemon].settings.domain.value(),
-                 endpoints_[endpoint].host.domain.value());
+  return std::none_of(
+      splits_.begin(), splits_.end(), [&](const network_split& split) {
+        return split.until > now_ &&
+               split.group.contains(a) != split.group.contains(b);
+      });
 }
 
 std::optional<std::size_t> decision_world::DaemonAt(
@@ -258,7 +235,7 @@
       }
     };
     world.After(kStoreTimeout, [answer] { answer(std::nullopt); });
-    if (!world.DaemonReaches(index, kPlatform)) {
+    if (!world.Reaches(world.NameOf(index), kPlatform)) {
       return;
     }
     sim_time there = world.Delay();
@@ -274,7 +251,7 @@
       Result value = at_store();
       const bool lost =
           (sim->store_.losing_answers_until > sim->now_ && sim->Chance(0.5)) ||
-          !sim->DaemonReaches(self, kPlatform);
+          !sim->Reaches(sim->NameOf(self), kPlatform);
       if (!lost) {
         sim->After(sim->Delay(), [answer, value] { answer(value); });
       }
@@ -363,7 +340,8 @@
     };
     world.After(kLeaseTimeout, [answer] { answer(std::nullopt); });
     const auto target = world.EndpointAt(action.where);
-    if (!target || !world.DaemonReachesEndpoint(index, *target)) {
+    if (!target || !world.Reaches(world.NameOf(index),
+                                  world.endpoints_[*target].host.name)) {
       return;
     }
     world.After(world.Delay(),
@@ -374,9 +352,7 @@
   void operator()(const send_heartbeat& action) const {
     const auto target = world.DaemonAt(action.to);
     if (!target || world.Chance(0.01) ||
-        !world.DaemonReaches(*target, Daemon().settings.domain.value()) ||
-        !world.DaemonReaches(index,
-                             world.daemons_[*target].settings.domain.value())) {
+        !world.Reaches(world.NameOf(index), world.NameOf(*target))) {
       return;
     }
     decision_world* const sim = &world;
@@ -392,10 +368,7 @@
 
   void operator()(const fetch_state& action) const {
     const auto target = world.DaemonAt(action.where);
-    if (!target ||
-        !world.DaemonReaches(index,
-                             world.daemons_[*target].settings.domain.value()) ||
-        !world.DaemonReaches(*target, Daemon().settings.domain.value())) {
+    if (!target || !world.Reaches(world.NameOf(index), world.NameOf(*target))) {
       return;
     }
     decision_world* const sim = &world;
@@ -484,7 +457,7 @@
   }
   const lease_reply reply =
       endpoint.model->Handle(request, endpoint.clock.Reading(now_));
-  if (DaemonReachesEndpoint(daemon, target)) {
+  if (Reaches(NameOf(daemon), endpoint.host.name)) {
     After(Delay(), [answer, reply] { answer(reply); });
   }
 }
@@ -566,7 +539,8 @@
   const bool permitted =
       service == kChecked || (entry->dispatcher == daemon.settings.id &&
                               ClockOf(daemon) < route->may_write_until);
-  if (!target || !permitted || !DaemonReachesEndpoint(index, *target)) {
+  if (!target || !permitted ||
+      !Reaches(NameOf(index), endpoints_[*target].host.name)) {
     return;
   }
   // Written orders arrive within max_order_delay; the rules rest on that.
--- a/testing/decision_world.h
+++ b/testing/decision_world.h
@@ -104,11 +104,11 @@
   // Calls `what` after `delay`.
   void After(sim_time delay, std::function<void()> what);
 
-  // Network partitions between failure domains and from the platform, whose
-  // name is kPlatform. They last until the given time.
-  void Cut(const std::string& a, const std::string& b, sim_time until);
-  // Lets the daemon reach one endpoint and nothing else.
-  void Isolate(std::size_t daemon, std::size_t endpoint, sim_time until);
+  // Separates the nodes of `group` from all others until the given time. Nodes
+  // are named by daemon id, endpoint id or kPlatform.
+  void Split(std::set<std::string> group, sim_time until);
+  // Delays many messages for long until the given time.
+  void SlowNetwork(sim_time until) { slow_network_until_ = until; }
   void Heal();
 
   void StartDaemon(std::size_t index);
@@ -143,8 +143,8 @@
       return std::pair(at, order) > std::pair(other.at, other.order);
     }
   };
-  struct isolation {
-    std::size_t endpoint = 0;
+  struct network_split {
+    std::set<std::string> group;
     sim_time until{0};
   };
   struct executor;
@@ -162,8 +162,9 @@
                 key_hash where,
                 slice_claim claim);
   bool Reaches(const std::string& a, const std::string& b) const;
-  bool DaemonReachesEndpoint(std::size_t daemon, std::size_t endpoint) const;
-  bool DaemonReaches(std::size_t daemon, const std::string& place) const;
+  const std::string& NameOf(std::size_t daemon) const {
+    return daemons_[daemon].settings.id.value();
+  }
   // A network delay: mostly short, now and then up to three seconds.
   sim_time Delay();
   bool Chance(double probability);
@@ -180,8 +181,8 @@
   std::vector<sim_daemon> daemons_;
   std::vector<sim_endpoint> endpoints_;
   sim_store store_;
-  std::map<std::pair<std::string, std::string>, sim_time> cuts_;
-  std::map<std::size_t, isolation> isolations_;
+  std::vector<network_split> splits_;
+  sim_time slow_network_until_{0};
   std::map<std::uint64_t, std::function<void(const operator_reply&)>> asked_;
   std::uint64_t tokens_ = 0;
   std::uint64_t runs_ = 0;
