Follow the new heartbeat fields and check enumerations on the wire

The heartbeat now carries endpoint conditions and silent domains, and a state reply the host list. cereal reads enumerations without a range check; a number outside its enumeration is now a malformed message. Adds link_probe, which a link uses to tell a silent connection from an idle one.

--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -51,6 +51,7 @@
     {"state_request", 1, kMaxSmallBytes},
     {"state_reply", 1, kMaxFrameBodyBytes},
     {"pressure_update", 1, kMaxSmallBytes},
+    {"link_probe", 1, kMaxSmallBytes},
 }};
 
 error Failure(errc code, std::string detail) {
--- a/bluebell/wire/frame_test.cc
+++ b/bluebell/wire/frame_test.cc
@@ -27,7 +27,8 @@
   sample.ping = 5;
   sample.tables = {{service_name("tracker"), 0, table_version(4), 1'200},
                    {service_name("booker"), 1, table_version(8), -1}};
-  sample.lost_endpoints = {kEndpoint};
+  sample.endpoints = {{kEndpoint, endpoint_condition::kDraining}};
+  sample.silent_domains = {domain_name("lk-west-b")};
   return sample;
 }
 
@@ -37,6 +38,12 @@
           {{service_name("tracker"), 18, milliseconds(2)}}};
 }
 
+host_entry SampleHost() {
+  return {"lk-west-a-tracker-1",   host_role::kEndpoint,
+          host_state::kLeaving,    domain_name("lk-west-a"),
+          service_name("tracker"), address::Parse("127.0.0.1:7500").value()};
+}
+
 std::vector<wire_message> Samples() {
   const answer reply{200, {{"Content-Type", "text/plain"}}, "collected"};
   const not_run refusal{not_run_reason::kOverloaded, "queue full",
@@ -69,8 +76,13 @@
                       false},
       ledger_transfer_reply{kEndpoint, true},
       state_request{daemon_id("lk-west-a-1")},
-      state_reply{daemon_id("lk-west-a-2"), "{}", {"a", "b"}, SampleLoad()},
+      state_reply{daemon_id("lk-west-a-2"),
+                  "{}",
+                  {"a", "b"},
+                  {SampleHost()},
+                  SampleLoad()},
       pressure_update{service, kEndpoint, pressure},
+      link_probe{},
   };
 }
 
@@ -151,7 +163,7 @@
   bytes[3] = 0x7f;
   CHECK(DecodeHeader(bytes).error().code() == errc::kTooLarge);
   heartbeat large = SampleHeartbeat();
-  large.lost_endpoints.assign(10'000, kEndpoint);
+  large.endpoints.assign(10'000, {kEndpoint, endpoint_condition::kLost});
   CHECK(EncodeFrame({exchange_kind::kOneWay, 0, large}).error().code() ==
         errc::kTooLarge);
 }
--- a/bluebell/wire/internal/bounded_archive.h
+++ b/bluebell/wire/internal/bounded_archive.h
@@ -1,7 +1,8 @@
-// Loading and saving of strings, vectors and flags for cereal's portable binary
-// archives. Replaces cereal's own functions, which trust the length in the
+// Loading and saving of strings, vectors, flags and enumerations for cereal's
+// portable binary archives. Replaces cereal's own functions, which trust the
 // message: here memory grows with the bytes read, a length costs one to five
-// bytes instead of eight, and a flag is exactly 0 or 1.
+// bytes instead of eight, a flag is exactly 0 or 1, and a number outside its
+// enumeration is refused.
 
 #ifndef BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
 #define BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
@@ -10,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 #include <cereal/archives/portable_binary.hpp>
@@ -17,6 +19,10 @@
 
 namespace bluebell::wire_internal {
 
+// The highest value of an enumeration that messages use; specialized for each.
+template <typename Enum>
+struct last_of;
+
 // Seven bits a byte, low bits first; the high bit says that more follow.
 inline void SaveLength(cereal::PortableBinaryOutputArchive& archive,
                        std::size_t length) {
@@ -102,6 +108,40 @@
   flag = byte == 1;
 }
 
+template <typename Enum>
+requires std::is_enum_v<Enum>
+struct specialize<PortableBinaryOutputArchive,
+                  Enum,
+                  specialization::non_member_load_save> : std::true_type {
+};
+
+template <typename Enum>
+requires std::is_enum_v<Enum>
+struct specialize<PortableBinaryInputArchive,
+                  Enum,
+                  specialization::non_member_load_save> : std::true_type {
+};
+
+template <typename Enum>
+requires std::is_enum_v<Enum>
+void CEREAL_SAVE_FUNCTION_NAME(PortableBinaryOutputArchive& archive,
+                               const Enum& value) {
+  archive(static_cast<std::uint8_t>(value));
+}
+
+template <typename Enum>
+requires std::is_enum_v<Enum>
+void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive,
+                               Enum& value) {
+  using bluebell::wire_internal::last_of;
+  std::uint8_t number = 0;
+  archive(number);
+  if (number > static_cast<std::uint8_t>(last_of<Enum>::kValue)) {
+    throw Exception("number is outside its enumeration");
+  }
+  value = static_cast<Enum>(number);
+}
+
 }  // namespace cereal
 
 #endif  // BLUEBELL_WIRE_INTERNAL_BOUNDED_ARCHIVE_H_
--- a/bluebell/wire/internal/value_archives.h
+++ b/bluebell/wire/internal/value_archives.h
@@ -12,21 +12,39 @@
 #include "bluebell/core/request_outcome.h"
 #include "bluebell/core/time.h"
 #include "bluebell/dispatch/ledger_record.h"
+#include "bluebell/membership/endpoint_status.h"
+#include "bluebell/store/host_entry.h"
+#include "bluebell/wire/internal/bounded_archive.h"
 
 namespace bluebell {
 
 namespace wire_internal {
 
-// Refuses numbers above `last`, the enumeration's highest value.
-template <typename Archive, typename Enum>
-void SerializeEnum(Archive& archive, Enum& value, Enum last) {
-  auto number = static_cast<std::uint8_t>(value);
-  archive(number);
-  if (number > static_cast<std::uint8_t>(last)) {
-    throw cereal::Exception("number is outside its enumeration");
-  }
-  value = static_cast<Enum>(number);
-}
+template <>
+struct last_of<not_run_reason> {
+  static constexpr not_run_reason kValue = not_run_reason::kShuttingDown;
+};
+
+template <>
+struct last_of<unknown_reason> {
+  static constexpr unknown_reason kValue =
+      unknown_reason::kRepeatOfForgottenRequest;
+};
+
+template <>
+struct last_of<host_role> {
+  static constexpr host_role kValue = host_role::kEndpoint;
+};
+
+template <>
+struct last_of<host_state> {
+  static constexpr host_state kValue = host_state::kLeaving;
+};
+
+template <>
+struct last_of<endpoint_condition> {
+  static constexpr endpoint_condition kValue = endpoint_condition::kLost;
+};
 
 template <typename Archive, typename Duration>
 void SerializeDuration(Archive& archive, Duration& value) {
@@ -40,17 +58,13 @@
 
 template <typename Archive>
 void serialize(Archive& archive, not_run& value) {
-  wire_internal::SerializeEnum(archive, value.reason,
-                               not_run_reason::kShuttingDown);
-  archive(value.detail);
+  archive(value.reason, value.detail);
   wire_internal::SerializeDuration(archive, value.retry_after);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, unknown& value) {
-  wire_internal::SerializeEnum(archive, value.reason,
-                               unknown_reason::kRepeatOfForgottenRequest);
-  archive(value.detail);
+  archive(value.reason, value.detail);
 }
 
 template <typename Archive>
--- a/bluebell/wire/state_exchange.h
+++ b/bluebell/wire/state_exchange.h
@@ -9,6 +9,7 @@
 
 #include "bluebell/control/slice_load.h"
 #include "bluebell/core/ids.h"
+#include "bluebell/store/host_entry.h"
 
 namespace bluebell {
 
@@ -23,18 +24,19 @@
   }
 };
 
-// The fields of `shared_state`: values as they are stored, as text.
+// The fields of `shared_state`. Configuration and tables are the stored text.
 struct state_reply {
   daemon_id sender;
   std::optional<std::string> config;
   std::vector<std::string> tables;
+  std::vector<host_entry> hosts;
   load_report load;
 
   friend bool operator==(const state_reply&, const state_reply&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, config, tables, load);
+    archive(sender, config, tables, hosts, load);
   }
 };
 
--- a/bluebell/wire/wire_message.h
+++ b/bluebell/wire/wire_message.h
@@ -9,6 +9,7 @@
 #include "bluebell/wire/forward_reply.h"
 #include "bluebell/wire/forward_request.h"
 #include "bluebell/wire/ledger_transfer.h"
+#include "bluebell/wire/link_probe.h"
 #include "bluebell/wire/pressure_update.h"
 #include "bluebell/wire/request_query.h"
 #include "bluebell/wire/state_exchange.h"
@@ -25,7 +26,8 @@
                                   ledger_transfer_reply,
                                   state_request,
                                   state_reply,
-                                  pressure_update>;
+                                  pressure_update,
+                                  link_probe>;
 
 }  // namespace bluebell
 
