Add TCP links between daemons and the server that accepts them

A link connects when there is something to send, matches answers to requests by correlation number, ends each request after its timeout, and tells whether a failed request may have reached the other end. Late and duplicate answers and messages that can't be decoded are dropped and counted.

The server spreads connections over the traffic threads and lets a handler answer from any thread.

--- /dev/null
+++ b/bluebell/daemon/internal/log_limiter.h
@@ -0,0 +1,35 @@
+// Keeps a repeated fault from flooding the log: at most one line a second.
+
+#ifndef BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
+#define BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+class log_limiter {
+ public:
+  // Returns how many events were left out since the last line, or nothing if
+  // this one is to be left out as well.
+  std::optional<std::uint64_t> Admit(instant now) {
+    if (next_ && now < *next_) {
+      ++omitted_;
+      return std::nullopt;
+    }
+    next_ = now + seconds(1);
+    const std::uint64_t omitted = omitted_;
+    omitted_ = 0;
+    return omitted;
+  }
+
+ private:
+  std::optional<instant> next_;
+  std::uint64_t omitted_ = 0;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
--- /dev/null
+++ b/bluebell/daemon/internal/socket_address.h
@@ -0,0 +1,40 @@
+// Conversions between addresses and Asio's endpoints.
+
+#ifndef BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
+#define BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/error.h"
+#include "bluebell/core/result.h"
+
+namespace bluebell {
+
+// Protocol is asio::ip::tcp or asio::ip::udp.
+template <typename Protocol>
+result<typename Protocol::endpoint> ToSocketAddress(const address& where,
+                                                    step at) {
+  boost::system::error_code failure;
+  const auto number = boost::asio::ip::make_address(where.ip(), failure);
+  if (failure) {
+    return error(errc::kInvalidArgument, at, where.ToString(),
+                 "not an IP number");
+  }
+  return typename Protocol::endpoint(number, where.port());
+}
+
+// `socket_address` has an IP number, so that the conversion can't fail.
+template <typename SocketAddress>
+address FromSocketAddress(const SocketAddress& socket_address) {
+  const std::string ip = socket_address.address().to_string();
+  const bool is_v6 = socket_address.address().is_v6();
+  return address::Parse((is_v6 ? '[' + ip + ']' : ip) + ':' +
+                        std::to_string(socket_address.port()))
+      .value();
+}
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/bluebell/daemon/peer_link.cc
@@ -0,0 +1,389 @@
+#include "bluebell/daemon/peer_link.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/daemon/internal/frame_channel.h"
+#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/telemetry/log_event.h"
+#include "bluebell/telemetry/metrics_registry.h"
+#include "bluebell/wire/frame.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+step StepOf(const wire_message& message) {
+  return std::visit(
+      overloaded{
+          [](const forward_request&) { return step::kForwardRequest; },
+          [](const request_query&) { return step::kQueryRequest; },
+          [](const state_request&) { return step::kFetchState; },
+          [](const ledger_transfer&) { return step::kShutDown; },
+          [](const auto&) { return step::kReadReply; },
+      },
+      message);
+}
+
+}  // namespace
+
+class peer_link::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& io,
+       address where,
+       tcp::endpoint target,
+       const peer_link_options& options,
+       metrics_registry& metrics)
+      : io_(io),
+        where_(std::move(where)),
+        target_(std::move(target)),
+        options_(options),
+        metrics_(metrics),
+        watch_timer_(io),
+        connect_timer_(io),
+        next_backoff_(options.min_backoff) {}
+
+  const address& where() const { return where_; }
+
+  void Send(const wire_message& message) {
+    const result<std::string> encoded =
+        EncodeFrame({exchange_kind::kOneWay, 0, message});
+    if (!encoded || IsBacklogFull(encoded.value().size())) {
+      metrics_.Add(metric::kMessagesDropped, {"peer", "backlog"});
+      return;
+    }
+    Transmit(0, encoded.value());
+  }
+
+  void Ask(const wire_message& message,
+           milliseconds timeout,
+           reply_handler done) {
+    const step at = StepOf(message);
+    const std::uint64_t correlation = ++last_correlation_;
+    const result<std::string> encoded =
+        EncodeFrame({exchange_kind::kRequest, correlation, message});
+    if (!encoded) {
+      Post(std::move(done),
+           Failure(errc::kTooLarge, at, encoded.error().detail()));
+      return;
+    }
+    if (IsBacklogFull(encoded.value().size())) {
+      Post(std::move(done),
+           Failure(errc::kUnavailable, at, "too much waits to be sent"));
+      return;
+    }
+    auto timer = std::make_unique<asio::steady_timer>(io_, timeout);
+    timer->async_wait([self = shared_from_this(), correlation,
+                       timeout](const boost::system::error_code& cancelled) {
+      if (!cancelled) {
+        self->Finish(
+            correlation, errc::kTimeout,
+            "no answer within " + std::to_string(timeout.count()) + " ms");
+      }
+    });
+    open_.emplace(correlation,
+                  open_request{std::move(done), at, std::move(timer)});
+    Transmit(correlation, encoded.value());
+  }
+
+  void Close() {
+    closed_ = true;
+    watch_timer_.cancel();
+    connect_timer_.cancel();
+    if (channel_) {
+      channel_->Close();
+      channel_.reset();
+    }
+    waiting_.clear();
+    FailAll(errc::kConnectionLost, "the link was closed");
+  }
+
+ private:
+  struct open_request {
+    reply_handler done;
+    step at;
+    std::unique_ptr<asio::steady_timer> timer;
+  };
+
+  struct waiting_frame {
+    // Zero for one-way messages.
+    std::uint64_t correlation;
+    std::string bytes;
+  };
+
+  error Failure(errc code, step at, const std::string& detail) const {
+    return {code, at, where_.ToString(), detail};
+  }
+
+  void Post(reply_handler done, const result<wire_message>& outcome) {
+    asio::post(io_, [done = std::move(done), outcome] { done(outcome); });
+  }
+
+  bool IsBacklogFull(std::size_t more) const {
+    const std::size_t queued =
+        waiting_bytes_ + (channel_ ? channel_->backlog_bytes() : 0);
+    return queued + more > options_.max_backlog_bytes;
+  }
+
+  void Finish(std::uint64_t correlation, errc code, const std::string& detail) {
+    const auto found = open_.find(correlation);
+    if (found == open_.end()) {
+      return;
+    }
+    open_request request = std::move(found->second);
+    open_.erase(found);
+    Post(std::move(request.done), Failure(code, request.at, detail));
+  }
+
+  void FailAll(errc code, const std::string& detail) {
+    auto open = std::move(open_);
+    open_.clear();
+    for (auto& [correlation, request] : open) {
+      Post(std::move(request.done), Failure(code, request.at, detail));
+    }
+  }
+
+  void Transmit(std::uint64_t correlation, std::string bytes) {
+    if (closed_) {
+      Finish(correlation, errc::kUnavailable, "the link was closed");
+      return;
+    }
+    if (channel_) {
+      if (!IsAnswerDue()) {
+        due_since_ = Now();
+      }
+      channel_->Write(std::move(bytes));
+      Watch();
+      return;
+    }
+    waiting_bytes_ += bytes.size();
+    waiting_.push_back({correlation, std::move(bytes)});
+    if (!connecting_) {
+      connecting_ = true;
+      WaitToConnect();
+    }
+  }
+
+  void WaitToConnect() {
+    connect_timer_.expires_at(next_attempt_);
+    connect_timer_.async_wait([self = shared_from_this()](
+                                  const boost::system::error_code& cancelled) {
+      if (!cancelled && !self->closed_) {
+        self->Connect();
+      }
+    });
+  }
+
+  void Connect() {
+    auto socket = std::make_shared<tcp::socket>(io_);
+    connect_timer_.expires_after(options_.connect_timeout);
+    connect_timer_.async_wait(
+        [socket](const boost::system::error_code& cancelled) {
+          if (!cancelled) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+          }
+        });
+    socket->async_connect(target_,
+                          [self = shared_from_this(),
+                           socket](const boost::system::error_code& failure) {
+                            self->connect_timer_.cancel();
+                            if (!self->closed_) {
+                              self->FinishConnect(*socket, failure);
+                            }
+                          });
+  }
+
+  void FinishConnect(tcp::socket& socket,
+                     const boost::system::error_code& failure) {
+    connecting_ = false;
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    waiting_bytes_ = 0;
+    // The deadline may have closed the socket after it was connected.
+    if (failure || !socket.is_open()) {
+      next_attempt_ = Now() + next_backoff_;
+      next_backoff_ = std::min(2 * next_backoff_, options_.max_backoff);
+      const std::string detail =
+          "can't connect: " + (failure == asio::error::operation_aborted
+                                   ? std::string("timeout")
+                                   : failure.message());
+      for (const waiting_frame& entry : waiting) {
+        Finish(entry.correlation, errc::kUnavailable, detail);
+      }
+      return;
+    }
+    next_backoff_ = options_.min_backoff;
+    channel_ = std::make_shared<frame_channel>(std::move(socket),
+                                               where_.ToString(), metrics_);
+    channel_->Start([self = shared_from_this()](
+                        const frame& received) { self->Receive(received); },
+                    [self = shared_from_this()](const error& cause) {
+                      self->Lose(cause.detail());
+                    });
+    due_since_ = Now();
+    for (waiting_frame& entry : waiting) {
+      if (entry.correlation == 0 || open_.contains(entry.correlation)) {
+        channel_->Write(std::move(entry.bytes));
+      }
+    }
+    Watch();
+  }
+
+  void Receive(const frame& received) {
+    due_since_ = Now();
+    if (std::holds_alternative<link_probe>(received.message)) {
+      return;
+    }
+    const auto found = received.kind == exchange_kind::kResponse
+                           ? open_.find(received.correlation)
+                           : open_.end();
+    if (found == open_.end()) {
+      metrics_.Add(metric::kLateAnswersDropped, {"peer"});
+      return;
+    }
+    open_request request = std::move(found->second);
+    open_.erase(found);
+    request.done(received.message);
+  }
+
+  void Lose(const std::string& detail) {
+    if (channel_) {
+      channel_->Close();
+      channel_.reset();
+    }
+    watch_timer_.cancel();
+    watching_ = false;
+    next_attempt_ = Now();
+    FailAll(errc::kConnectionLost, detail);
+  }
+
+  bool IsAnswerDue() const {
+    return !open_.empty() ||
+           channel_->last_written() > channel_->last_received();
+  }
+
+  // Watches the connection while an answer is due, and closes it once it has
+  // been idle for long.
+  void Watch() {
+    const bool due = IsAnswerDue();
+    if (watching_ && (watching_due_ || !due)) {
+      return;
+    }
+    watching_ = true;
+    watching_due_ = due;
+    const milliseconds wait = due ? options_.probe_interval : options_.idle;
+    watch_timer_.expires_after(wait);
+    watch_timer_.async_wait(
+        [self = shared_from_this(),
+         expected = Now() + wait](const boost::system::error_code& cancelled) {
+          if (!cancelled && self->channel_) {
+            self->watching_ = false;
+            self->Check(expected);
+          }
+        });
+  }
+
+  void Check(instant expected) {
+    const instant now = Now();
+    if (now - expected > options_.silence / 2) {
+      // This process itself was paused; what has arrived wasn't read yet.
+      due_since_ = now;
+    }
+    const instant heard = std::max(channel_->last_received(), due_since_);
+    if (!IsAnswerDue()) {
+      if (now - heard >= options_.idle) {
+        Lose("idle");
+        return;
+      }
+    } else if (now - heard >= options_.silence) {
+      log_event(log_level::kWarn, "silent connection abandoned")
+          .With(Failure(errc::kTimeout, step::kReadReply,
+                        "nothing arrived while an answer was due"))
+          .Write();
+      Lose("the connection went silent");
+      return;
+    } else if (now - heard >= options_.probe_interval) {
+      Probe();
+    }
+    Watch();
+  }
+
+  void Probe() {
+    const result<std::string> encoded =
+        EncodeFrame({exchange_kind::kRequest, 0, link_probe{}});
+    channel_->Write(encoded.value());
+  }
+
+  asio::io_context& io_;
+  address where_;
+  tcp::endpoint target_;
+  peer_link_options options_;
+  metrics_registry& metrics_;
+  std::shared_ptr<frame_channel> channel_;
+  std::unordered_map<std::uint64_t, open_request> open_;
+  std::vector<waiting_frame> waiting_;
+  std::size_t waiting_bytes_ = 0;
+  std::uint64_t last_correlation_ = 0;
+  asio::steady_timer watch_timer_;
+  asio::steady_timer connect_timer_;
+  instant due_since_;
+  instant next_attempt_;
+  milliseconds next_backoff_;
+  bool connecting_ = false;
+  bool watching_ = false;
+  bool watching_due_ = false;
+  bool closed_ = false;
+};
+
+result<std::unique_ptr<peer_link>> peer_link::Make(
+    asio::io_context& io,
+    const address& where,
+    const peer_link_options& options,
+    metrics_registry& metrics) {
+  const auto target = ToSocketAddress<tcp>(where, step::kConnect);
+  if (!target) {
+    return target.error();
+  }
+  return std::unique_ptr<peer_link>(new peer_link(
+      std::make_shared<impl>(io, where, target.value(), options, metrics)));
+}
+
+peer_link::peer_link(std::shared_ptr<impl> state) : impl_(std::move(state)) {}
+
+peer_link::~peer_link() {
+  impl_->Close();
+}
+
+void peer_link::Send(const wire_message& message) {
+  impl_->Send(message);
+}
+
+void peer_link::Ask(const wire_message& message,
+                    milliseconds timeout,
+                    reply_handler done) {
+  impl_->Ask(message, timeout, std::move(done));
+}
+
+const address& peer_link::where() const {
+  return impl_->where();
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/peer_link.h
@@ -0,0 +1,72 @@
+// A TCP link to another daemon. It connects when there is something to send,
+// and again after a connection was lost or went silent.
+//
+// All functions and handlers run on the thread of the io_context.
+//
+//   auto link = peer_link::Make(io, where, peer_link_options(), metrics);
+//   link.value()->Ask(query, milliseconds(200),
+//                     [](result<wire_message> reply) { ... });
+
+#ifndef BLUEBELL_DAEMON_PEER_LINK_H_
+#define BLUEBELL_DAEMON_PEER_LINK_H_
+
+#include <functional>
+#include <memory>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/daemon/peer_link_options.h"
+#include "bluebell/wire/wire_message.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class metrics_registry;
+
+class peer_link {
+ public:
+  using reply_handler = std::function<void(result<wire_message>)>;
+
+  // Fails if `where` holds no IP number. `io` and `metrics` outlive the link
+  // and its handlers.
+  static result<std::unique_ptr<peer_link>> Make(
+      boost::asio::io_context& io,
+      const address& where,
+      const peer_link_options& options,
+      metrics_registry& metrics);
+
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+  // Open requests end with errc::kConnectionLost.
+  ~peer_link();
+
+  // Sends a message that has no answer. It may get lost; one that exceeds the
+  // backlog is dropped and counted.
+  void Send(const wire_message& message);
+
+  // Sends a request and calls `done` once, never from within this call:
+  // - with the answer;
+  // - with errc::kUnavailable or errc::kTooLarge: nothing was sent;
+  // - with errc::kTimeout or errc::kConnectionLost: the other end may have got
+  //   the request, and may yet answer it.
+  // The link never sends a request twice.
+  void Ask(const wire_message& message,
+           milliseconds timeout,
+           reply_handler done);
+
+  const address& where() const;
+
+ private:
+  class impl;
+  explicit peer_link(std::shared_ptr<impl> state);
+
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_PEER_LINK_H_
--- /dev/null
+++ b/bluebell/daemon/peer_server.cc
@@ -0,0 +1,284 @@
+#include "bluebell/daemon/peer_server.h"
+
+#include <atomic>
+#include <cstddef>
+#include <unordered_set>
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bluebell/daemon/internal/frame_channel.h"
+#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/daemon/peer_link_options.h"
+#include "bluebell/telemetry/log_event.h"
+#include "bluebell/telemetry/metrics_registry.h"
+#include "bluebell/wire/frame.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Connections that one worker holds; more are closed on arrival.
+constexpr std::size_t kMaxChannels = 20'000;
+// The wait after a failed accept, so that a lack of file descriptors doesn't
+// make the thread spin.
+constexpr milliseconds kAcceptPause{50};
+
+// The connections of one worker, touched on its thread only.
+class worker : public std::enable_shared_from_this<worker> {
+ public:
+  worker(asio::io_context& io, peer_handler handler, metrics_registry& metrics)
+      : io_(io), handler_(std::move(handler)), metrics_(metrics), sweep_(io) {}
+
+  asio::io_context& io() { return io_; }
+
+  void Adopt(tcp::socket socket) {
+    boost::system::error_code failure;
+    const tcp::endpoint remote = socket.remote_endpoint(failure);
+    if (failure || closed_ || channels_.size() >= kMaxChannels) {
+      return;
+    }
+    auto channel = std::make_shared<frame_channel>(
+        std::move(socket), FromSocketAddress(remote).ToString(), metrics_);
+    channels_.insert(channel);
+    const std::weak_ptr<frame_channel> weak = channel;
+    channel->Start(
+        // Weak, since the worker holds the channel.
+        [self = weak_from_this(), weak](frame received) {
+          if (const auto owner = self.lock()) {
+            owner->Receive(weak, std::move(received));
+          }
+        },
+        [self = weak_from_this(), weak](const error& /*cause*/) {
+          if (const auto owner = self.lock()) {
+            owner->channels_.erase(weak.lock());
+          }
+        });
+  }
+
+  void SweepIdle() {
+    sweep_.expires_after(kServerIdle / 4);
+    sweep_.async_wait([self = shared_from_this()](
+                          const boost::system::error_code& cancelled) {
+      if (cancelled || self->closed_) {
+        return;
+      }
+      const instant oldest = std::chrono::steady_clock::now() - kServerIdle;
+      std::erase_if(self->channels_, [&](const auto& channel) {
+        const bool idle = channel->last_received() < oldest &&
+                          channel->last_written() < oldest;
+        if (idle) {
+          channel->Close();
+        }
+        return idle;
+      });
+      self->SweepIdle();
+    });
+  }
+
+  void Close() {
+    closed_ = true;
+    sweep_.cancel();
+    for (const auto& channel : channels_) {
+      channel->Close();
+    }
+    channels_.clear();
+  }
+
+ private:
+  void Receive(const std::weak_ptr<frame_channel>& weak, frame received) {
+    const std::shared_ptr<frame_channel> channel = weak.lock();
+    if (!channel) {
+      return;
+    }
+    if (std::holds_alternative<link_probe>(received.message)) {
+      received.kind = exchange_kind::kResponse;
+      channel->Write(EncodeFrame(received).value());
+      return;
+    }
+    if (received.kind == exchange_kind::kResponse) {
+      metrics_.Add(metric::kMessagesDropped, {"peer", "unexpected"});
+      return;
+    }
+    handler_(std::move(received.message), channel->peer(),
+             MakeReply(weak, received.kind, received.correlation));
+  }
+
+  peer_reply MakeReply(std::weak_ptr<frame_channel> weak,
+                       exchange_kind kind,
+                       std::uint64_t correlation) {
+    if (kind == exchange_kind::kOneWay) {
+      return [](const wire_message& /*unused*/) {};
+    }
+    return [self = shared_from_this(), weak = std::move(weak), correlation,
+            used = std::make_shared<std::atomic<bool>>(false)](
+               const wire_message& message) {
+      if (used->exchange(true)) {
+        return;
+      }
+      result<std::string> encoded =
+          EncodeFrame({exchange_kind::kResponse, correlation, message});
+      if (!encoded) {
+        self->metrics_.Add(metric::kMessagesDropped, {"peer", "too_large"});
+        return;
+      }
+      asio::dispatch(self->io_, [self, weak,
+                                 bytes = std::move(encoded).value()]() mutable {
+        const std::shared_ptr<frame_channel> channel = weak.lock();
+        if (!channel || !channel->open()) {
+          self->metrics_.Add(metric::kMessagesDropped, {"peer", "closed"});
+          return;
+        }
+        channel->Write(std::move(bytes));
+      });
+    };
+  }
+
+  asio::io_context& io_;
+  peer_handler handler_;
+  metrics_registry& metrics_;
+  asio::steady_timer sweep_;
+  std::unordered_set<std::shared_ptr<frame_channel>> channels_;
+  bool closed_ = false;
+};
+
+}  // namespace
+
+class peer_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(const std::vector<asio::io_context*>& workers,
+       const peer_handler& handler,
+       metrics_registry& metrics)
+      : acceptor_(*workers.front()), pause_(*workers.front()) {
+    for (asio::io_context* io : workers) {
+      workers_.push_back(std::make_shared<worker>(*io, handler, metrics));
+    }
+  }
+
+  const address& listen_address() const { return listen_address_; }
+
+  result<void> Open(const address& listen) {
+    const auto local = ToSocketAddress<tcp>(listen, step::kListen);
+    if (!local) {
+      return local.error();
+    }
+    try {
+      acceptor_.open(local.value().protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(local.value());
+      acceptor_.listen();
+      listen_address_ = FromSocketAddress(acceptor_.local_endpoint());
+    } catch (const boost::system::system_error& failure) {
+      return error(errc::kUnavailable, step::kListen, listen.ToString(),
+                   failure.code().message());
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void Start() {
+    for (const auto& entry : workers_) {
+      asio::post(entry->io(), [entry] { entry->SweepIdle(); });
+    }
+    asio::post(acceptor_.get_executor(),
+               [self = shared_from_this()] { self->Accept(); });
+  }
+
+  void StopAccepting() {
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+      boost::system::error_code ignored;
+      self->acceptor_.close(ignored);
+      self->pause_.cancel();
+    });
+  }
+
+  void Close() {
+    StopAccepting();
+    for (const auto& entry : workers_) {
+      asio::post(entry->io(), [entry] { entry->Close(); });
+    }
+  }
+
+ private:
+  void Accept() {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    const std::shared_ptr<worker>& chosen =
+        workers_[next_worker_++ % workers_.size()];
+    acceptor_.async_accept(
+        chosen->io(),
+        [self = shared_from_this(), chosen](
+            const boost::system::error_code& failure, tcp::socket socket) {
+          if (!self->acceptor_.is_open()) {
+            return;
+          }
+          if (failure) {
+            self->PauseAccepting(failure);
+            return;
+          }
+          asio::post(chosen->io(),
+                     [chosen, socket = std::move(socket)]() mutable {
+                       chosen->Adopt(std::move(socket));
+                     });
+          self->Accept();
+        });
+  }
+
+  void PauseAccepting(const boost::system::error_code& failure) {
+    log_event(log_level::kWarn, "can't accept a link")
+        .With(error(errc::kUnavailable, step::kListen,
+                    listen_address_.ToString(), failure.message()))
+        .Write();
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([self = shared_from_this()](
+                          const boost::system::error_code& cancelled) {
+      if (!cancelled) {
+        self->Accept();
+      }
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
+  address listen_address_;
+  std::vector<std::shared_ptr<worker>> workers_;
+  std::size_t next_worker_ = 0;
+};
+
+result<std::unique_ptr<peer_server>> peer_server::Make(
+    const std::vector<asio::io_context*>& workers,
+    const address& listen,
+    peer_handler handler,
+    metrics_registry& metrics) {
+  auto state = std::make_shared<impl>(workers, handler, metrics);
+  const result<void> opened = state->Open(listen);
+  if (!opened) {
+    return opened.error();
+  }
+  state->Start();
+  return std::unique_ptr<peer_server>(new peer_server(std::move(state)));
+}
+
+peer_server::peer_server(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+
+peer_server::~peer_server() {
+  impl_->Close();
+}
+
+void peer_server::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+const address& peer_server::listen_address() const {
+  return impl_->listen_address();
+}
+
+}  // namespace bluebell
