Add the command line bluebellctl

Cause: operators need to see the fleet and to change its configuration.

Names of exceptions may have 80 characters, room for "drain-" and an endpoint id.

Not yet run against a daemon.

--- a/bluebell/config/internal/exception_rules.cc
+++ b/bluebell/config/internal/exception_rules.cc
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 64;
+// Room for "drain-" and an endpoint id.
+constexpr std::size_t kMaxNameBytes = 80;
 
 error Mistake(const config_exception& added, std::string detail) {
   return {errc::kInvalidArgument, step::kChangeConfig,
@@ -59,7 +60,7 @@
        {&added.scope.service.value(), &added.scope.domain.value(),
         &added.scope.endpoint.value(), &added.scope.caller.value()}) {
     if (part->size() > kMaxNameBytes) {
-      return Mistake(added, "a name in its scope has more than 64 bytes");
+      return Mistake(added, "a name in its scope has more than 80 bytes");
     }
   }
   const bool is_place = !added.scope.endpoint.value().empty() ||
@@ -101,7 +102,7 @@
                                  const std::vector<config_exception>& present) {
   if (!IsName(added.name)) {
     return Mistake(added,
-                   "a name has 1 to 64 letters, digits, '.', '_' or '-'");
+                   "a name has 1 to 80 letters, digits, '.', '_' or '-'");
   }
   if (!IsWritten(added.reason)) {
     return Mistake(added, "a written reason is required");
--- /dev/null
+++ b/bluebell/ctl/run_command.h
@@ -0,0 +1,31 @@
+// Carries out the commands of bluebellctl.
+//
+//   const exit_status status = RunCommand(parsed, surroundings);
+
+#ifndef BLUEBELL_CTL_RUN_COMMAND_H_
+#define BLUEBELL_CTL_RUN_COMMAND_H_
+
+#include <functional>
+#include <ostream>
+
+#include "bluebell/core/time.h"
+#include "bluebell/ctl/admin_channel.h"
+#include "bluebell/ctl/command_line.h"
+#include "bluebell/ctl/exit_status.h"
+
+namespace bluebell::ctl {
+
+// All through which a command reaches the world.
+struct surroundings {
+  admin_channel channel;
+  std::function<instant()> now;
+  std::function<void(milliseconds)> sleep;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+exit_status RunCommand(const invocation& wanted, const surroundings& world);
+
+}  // namespace bluebell::ctl
+
+#endif  // BLUEBELL_CTL_RUN_COMMAND_H_
