Map HTTP messages to requests, orders and outcomes

Cause: callers and endpoints speak HTTP, decisions work on values. The caller's whole path is forwarded.

--- /dev/null
+++ b/bluebell/http/endpoint_protocol.cc
@@ -0,0 +1,186 @@
+#include "bluebell/http/endpoint_protocol.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <charconv>
+#include <chrono>
+#include <sstream>
+#include <system_error>
+#include <utility>
+
+#include "bluebell/http/header_names.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+// In the order of `order_refusal`.
+constexpr auto kRefusalNames = std::to_array<std::string_view>({
+    "not_owner",
+    "wrong_instance",
+    "draining",
+    "overloaded",
+    "expired",
+    "stale_dispatcher",
+});
+
+constexpr unsigned kHttp11 = 11;
+
+beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string_view FromBeast(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// What is left of the budget in whole milliseconds, rounded down so that the
+// endpoint gives up no later than the caller, and at least 1.
+std::string BudgetText(instant deadline, instant now) {
+  const auto left = std::chrono::floor<milliseconds>(deadline - now);
+  return std::to_string(std::max<std::int64_t>(1, left.count()));
+}
+
+std::string SliceText(const slice_range& range) {
+  std::ostringstream text;
+  text << range;
+  return text.str();
+}
+
+not_run NotRunFor(order_refusal refusal) {
+  const std::string detail =
+      "the endpoint refused: " + std::string(ToString(refusal));
+  switch (refusal) {
+    case order_refusal::kOverloaded:
+      return {not_run_reason::kOverloaded, detail, milliseconds(0)};
+    case order_refusal::kExpired:
+      return {not_run_reason::kDeadlineExpired, detail, milliseconds(0)};
+    default:
+      return {not_run_reason::kRefusedByEndpoint, detail, milliseconds(0)};
+  }
+}
+
+order_reply WrongInstance(std::optional<endpoint_instance> from,
+                          const endpoint_instance& asked) {
+  const std::string named =
+      from ? "instance " + InstanceText(*from) : "no instance";
+  return {unknown{unknown_reason::kConnectionLost, "the answer names " + named +
+                                                       " instead of " +
+                                                       InstanceText(asked)},
+          std::nullopt, std::move(from)};
+}
+
+}  // namespace
+
+std::string_view ToString(order_refusal value) {
+  return kRefusalNames.at(static_cast<std::size_t>(value));
+}
+
+std::optional<order_refusal> ParseOrderRefusal(std::string_view text) {
+  const auto* const found =
+      std::find(kRefusalNames.begin(), kRefusalNames.end(), text);
+  if (found == kRefusalNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<order_refusal>(found - kRefusalNames.begin());
+}
+
+std::string InstanceText(const endpoint_instance& instance) {
+  return instance.endpoint.value() + '/' + std::to_string(instance.run.value());
+}
+
+std::optional<endpoint_instance> ParseInstance(std::string_view text) {
+  const std::size_t slash = text.rfind('/');
+  if (slash == std::string_view::npos || slash == 0) {
+    return std::nullopt;
+  }
+  const std::string_view digits = text.substr(slash + 1);
+  std::uint64_t run = 0;
+  const char* end = digits.data() + digits.size();
+  const auto parsed = std::from_chars(digits.data(), end, run);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return endpoint_instance{endpoint_id(std::string(text.substr(0, slash))),
+                           incarnation(run)};
+}
+
+http_request OrderMessage(const caller_request& request,
+                          const order_target& target,
+                          instant now) {
+  http_request message;
+  message.version(kHttp11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(bhttp::field::host, target.endpoint.where.ToString());
+  for (const http_header& header : request.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.set(ToBeast(kInstanceHeader), InstanceText(target.endpoint.instance));
+  if (target.range) {
+    message.set(ToBeast(kSliceHeader), SliceText(*target.range));
+    message.set(ToBeast(kEpochHeader), std::to_string(target.at.value()));
+  }
+  if (request.key) {
+    message.set(ToBeast(kKeyHeader), *request.key);
+  }
+  message.set(ToBeast(kDeadlineHeader), BudgetText(request.deadline, now));
+  message.set(ToBeast(kIdempotencyKeyHeader), request.id.ToString());
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT" || request.method == "PATCH") {
+    message.content_length(request.body.size());
+    message.body() = request.body;
+  }
+  return message;
+}
+
+http_request CancelMessage(const request_id& id,
+                           const endpoint_instance& instance,
+                           const address& where) {
+  http_request message(bhttp::verb::post, "/bluebell/cancel", kHttp11);
+  message.set(bhttp::field::host, where.ToString());
+  message.set(bhttp::field::content_type, "application/json");
+  message.set(ToBeast(kInstanceHeader), InstanceText(instance));
+  message.set(ToBeast(kIdempotencyKeyHeader), id.ToString());
+  message.body() = R"({"id":")" + id.ToString() + R"("})";
+  message.prepare_payload();
+  return message;
+}
+
+order_reply ReadOrderReply(http_response response,
+                           const endpoint_instance& asked) {
+  const auto from =
+      ParseInstance(FromBeast(response[ToBeast(kInstanceHeader)]));
+  const auto refusal =
+      ParseOrderRefusal(FromBeast(response[ToBeast(kRefusedHeader)]));
+  if (refusal) {
+    return {NotRunFor(*refusal), refusal, from};
+  }
+  if (response.count(ToBeast(kRefusedHeader)) > 0) {
+    return {unknown{unknown_reason::kConnectionLost,
+                    "the endpoint refused for a reason that isn't defined"},
+            std::nullopt, from};
+  }
+  if (from != asked) {
+    return WrongInstance(from, asked);
+  }
+  answer whole;
+  whole.status = response.result_int();
+  whole.headers = EndToEndHeaders(response);
+  if (response.has_content_length()) {
+    // The answer to HEAD has a length and no body.
+    const auto length = response[bhttp::field::content_length];
+    if (response.body().empty() && length != "0") {
+      whole.headers.push_back({"Content-Length", std::string(length)});
+    }
+  }
+  whole.body = std::move(response.body());
+  return {std::move(whole), std::nullopt, from};
+}
+
+}  // namespace bluebell
