--- /dev/null
+++ b/bluebell/daemon/endpoint_connection.cc
@@ -0,0 +1,155 @@
+#include "bluebell/daemon/endpoint_connection.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "bluebell/daemon/clock.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+// Larger than any answer of the services in view; bounds the memory that one
+// endpoint can make a daemon hold.
+constexpr std::uint64_t kMaxAnswerBytes = 8U << 20U;
+constexpr std::uint32_t kMaxAnswerHeaderBytes = 64U << 10U;
+
+// True if the end of `response` was marked by a length or by the rules of
+// HTTP. Where the close of the connection is the only mark, a lost rest can't
+// be told from the end.
+bool EndIsMarked(const http_response& response, bool head) {
+  const unsigned status = response.result_int();
+  return head || status == 204 || status == 304 || response.chunked() ||
+         response.has_content_length();
+}
+
+}  // namespace
+
+endpoint_connection::endpoint_connection(asio::io_context& io,
+                                         const address& where)
+    : socket_(io),
+      where_(asio::ip::make_address(where.ip()), where.port()),
+      idle_since_(Now()) {}
+
+void endpoint_connection::WhenConnected(on_connected done) {
+  if (open_) {
+    done(error_code());
+    return;
+  }
+  socket_.async_connect(where_, [self = shared_from_this(),
+                                 done = std::move(done)](error_code failure) {
+    if (!failure && self->socket_.is_open()) {
+      self->open_ = true;
+      // Orders are small and each is written at once.
+      self->socket_.set_option(tcp::no_delay(true), failure);
+    } else if (!failure) {
+      failure = asio::error::operation_aborted;
+    }
+    done(failure);
+  });
+}
+
+void endpoint_connection::Exchange(http_request message, on_end done) {
+  busy_ = true;
+  message_ = std::move(message);
+  done_ = std::move(done);
+  bhttp::async_write(
+      socket_, message_,
+      [self = shared_from_this()](error_code failure, std::size_t bytes) {
+        self->OnWritten(failure, bytes);
+      });
+}
+
+void endpoint_connection::OnWritten(error_code failure, std::size_t bytes) {
+  if (failure) {
+    Fail(bytes > 0, unknown_reason::kConnectionLost,
+         "write: " + failure.message());
+    return;
+  }
+  Read();
+}
+
+void endpoint_connection::Read() {
+  parser_.emplace();
+  parser_->body_limit(kMaxAnswerBytes);
+  parser_->header_limit(kMaxAnswerHeaderBytes);
+  parser_->skip(message_.method() == bhttp::verb::head);
+  bhttp::async_read(socket_, buffer_, *parser_,
+                    [self = shared_from_this()](error_code failure,
+                                                std::size_t /*bytes*/) {
+                      self->OnRead(failure);
+                    });
+}
+
+void endpoint_connection::OnRead(error_code failure) {
+  if (failure) {
+    const bool partial = failure == bhttp::error::partial_message ||
+                         (parser_->got_some() &&
+                          failure != asio::error::operation_aborted);
+    Fail(true,
+         partial ? unknown_reason::kTruncatedAnswer
+                 : unknown_reason::kConnectionLost,
+         "read: " + failure.message());
+    return;
+  }
+  const bool head = message_.method() == bhttp::verb::head;
+  const bool interim = parser_->get().result_int() / 100 == 1;
+  if (interim) {
+    Read();
+    return;
+  }
+  if (!EndIsMarked(parser_->get(), head)) {
+    Fail(true, unknown_reason::kTruncatedAnswer,
+         "the answer has neither a length nor chunks");
+    return;
+  }
+  if (!parser_->keep_alive() || buffer_.size() > 0) {
+    Close();
+  }
+  End(parser_->release());
+}
+
+void endpoint_connection::Fail(bool first_byte_written,
+                               unknown_reason why,
+                               std::string detail) {
+  Close();
+  End(exchange_failure{first_byte_written, {why, std::move(detail)}});
+}
+
+void endpoint_connection::End(exchange_end end) {
+  busy_ = false;
+  idle_since_ = Now();
+  const on_end done = std::exchange(done_, nullptr);
+  done(std::move(end));
+}
+
+void endpoint_connection::Close() {
+  open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+bool endpoint_connection::IsReusable() {
+  if (!open_ || busy_) {
+    return false;
+  }
+  std::array<char, 1> byte{};
+  error_code state;
+  socket_.non_blocking(true, state);
+  socket_.receive(asio::buffer(byte), tcp::socket::message_peek, state);
+  return state == asio::error::would_block;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/endpoint_connection.h
@@ -0,0 +1,94 @@
+// One HTTP connection to an endpoint, for one exchange at a time. All functions
+// are called on the traffic thread that owns it.
+//
+//   auto connection = std::make_shared<endpoint_connection>(io, where);
+//   connection->WhenConnected([=](boost::system::error_code failure) {
+//     connection->Exchange(order, [](exchange_end end) { ... });
+//   });
+
+#ifndef BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
+#define BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/request_outcome.h"
+#include "bluebell/core/time.h"
+#include "bluebell/http/http_message.h"
+
+namespace bluebell {
+
+// The exchange ended without a whole response.
+struct exchange_failure {
+  // Exact: false proves that nothing of the message left this process.
+  bool first_byte_written = false;
+  unknown why;
+
+  friend bool operator==(const exchange_failure&,
+                         const exchange_failure&) = default;
+};
+
+using exchange_end = std::variant<http_response, exchange_failure>;
+
+class endpoint_connection
+    : public std::enable_shared_from_this<endpoint_connection> {
+ public:
+  using on_connected = std::function<void(boost::system::error_code)>;
+  using on_end = std::function<void(exchange_end)>;
+
+  endpoint_connection(boost::asio::io_context& io, const address& where);
+  endpoint_connection(const endpoint_connection&) = delete;
+  endpoint_connection& operator=(const endpoint_connection&) = delete;
+  ~endpoint_connection() = default;
+
+  // Calls `done` at once if the connection is open, else after it was opened.
+  void WhenConnected(on_connected done);
+
+  // Writes `message`, before it returns as far as the socket takes it, and
+  // reads the whole response. The connection is open and idle.
+  void Exchange(http_request message, on_end done);
+
+  // Closes the connection. A pending exchange ends with a failure.
+  void Close();
+
+  // True if another exchange may follow: open, idle, and nothing unasked for
+  // (bytes or the endpoint's close) has arrived.
+  bool IsReusable();
+
+  instant idle_since() const { return idle_since_; }
+
+ private:
+  using response_parser = boost::beast::http::response_parser<
+      boost::beast::http::string_body>;
+
+  void OnWritten(boost::system::error_code failure, std::size_t bytes);
+  void Read();
+  void OnRead(boost::system::error_code failure);
+  void Fail(bool first_byte_written, unknown_reason why, std::string detail);
+  void End(exchange_end end);
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::ip::tcp::endpoint where_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<response_parser> parser_;
+  http_request message_;
+  on_end done_;
+  bool open_ = false;
+  bool busy_ = false;
+  instant idle_since_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
--- /dev/null
+++ b/bluebell/daemon/endpoint_pool.cc
@@ -0,0 +1,75 @@
+#include "bluebell/daemon/endpoint_pool.h"
+
+#include <algorithm>
+
+#include "bluebell/daemon/endpoint_connection.h"
+
+namespace bluebell {
+
+namespace {
+
+constexpr std::size_t kShareDivisor = 8;
+constexpr std::size_t kSpareConnections = 4;
+constexpr std::size_t kMinConnections = 2;
+
+}  // namespace
+
+std::size_t ConnectionShare(const service_spec& spec) {
+  const std::size_t wanted = std::size_t{2} * spec.slots + kSpareConnections;
+  const std::size_t share = spec.connections / kShareDivisor;
+  return std::max(kMinConnections, std::min(wanted, share));
+}
+
+endpoint_pool::endpoint_pool(boost::asio::io_context& io,
+                             const address& where,
+                             std::size_t max_connections)
+    : io_(&io), where_(where), max_connections_(max_connections) {}
+
+std::shared_ptr<endpoint_connection> endpoint_pool::Take(instant now) {
+  CloseIdle(now);
+  while (!idle_.empty()) {
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->IsReusable()) {
+      ++taken_;
+      return connection;
+    }
+    connection->Close();
+  }
+  return TakeNew();
+}
+
+std::shared_ptr<endpoint_connection> endpoint_pool::TakeNew() {
+  if (taken_ + idle_.size() >= max_connections_) {
+    if (idle_.empty()) {
+      return nullptr;
+    }
+    idle_.front()->Close();
+    idle_.erase(idle_.begin());
+  }
+  ++taken_;
+  return std::make_shared<endpoint_connection>(*io_, where_);
+}
+
+void endpoint_pool::GiveBack(
+    const std::shared_ptr<endpoint_connection>& connection) {
+  --taken_;
+  if (connection->IsReusable()) {
+    idle_.push_back(connection);
+  } else {
+    connection->Close();
+  }
+}
+
+void endpoint_pool::CloseIdle(instant now) {
+  const auto is_old = [&](const auto& connection) {
+    return now - connection->idle_since() >= kConnectionIdleLimit;
+  };
+  // Sorted by age: the oldest come first.
+  const auto first_young = std::find_if_not(idle_.begin(), idle_.end(), is_old);
+  std::for_each(idle_.begin(), first_young,
+                [](const auto& connection) { connection->Close(); });
+  idle_.erase(idle_.begin(), first_young);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/order_cancel.cc
@@ -0,0 +1,98 @@
+#include "bluebell/daemon/order_cancel.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <string_view>
+#include <utility>
+
+#include "bluebell/core/time.h"
+#include "bluebell/daemon/clock.h"
+#include "bluebell/daemon/endpoint_connection.h"
+#include "bluebell/daemon/endpoint_pool.h"
+#include "bluebell/http/endpoint_protocol.h"
+
+namespace bluebell {
+
+namespace {
+
+// A cancellation that takes longer has lost its use.
+constexpr milliseconds kCancelTimeout{500};
+
+class cancellation : public std::enable_shared_from_this<cancellation> {
+ public:
+  cancellation(boost::asio::io_context& io,
+               std::shared_ptr<endpoint_pool> pool,
+               const endpoint_instance& instance,
+               std::function<void(bool)> done)
+      : pool_(std::move(pool)),
+        instance_(instance),
+        timer_(io),
+        done_(std::move(done)) {}
+
+  void Start(http_request message) {
+    connection_ = pool_->Take(Now());
+    if (!connection_) {
+      End(false);
+      return;
+    }
+    timer_.expires_after(kCancelTimeout);
+    timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code failure) {
+          if (!failure) {
+            self->End(false);
+          }
+        });
+    connection_->WhenConnected(
+        [self = shared_from_this(),
+         message = std::move(message)](boost::system::error_code failure) {
+          self->OnConnected(failure, message);
+        });
+  }
+
+ private:
+  void OnConnected(boost::system::error_code failure,
+                   const http_request& message) {
+    if (failure || !connection_) {
+      End(false);
+      return;
+    }
+    connection_->Exchange(message,
+                          [self = shared_from_this()](const exchange_end& end) {
+                            self->End(self->SaysUnrun(end));
+                          });
+  }
+
+  bool SaysUnrun(const exchange_end& end) const {
+    const auto* response = std::get_if<http_response>(&end);
+    return response != nullptr && IsUnrunReply(*response, instance_);
+  }
+
+  void End(bool unrun) {
+    timer_.cancel();
+    if (const auto connection = std::exchange(connection_, nullptr)) {
+      pool_->GiveBack(connection);
+    }
+    if (const auto done = std::exchange(done_, nullptr)) {
+      done(unrun);
+    }
+  }
+
+  std::shared_ptr<endpoint_pool> pool_;
+  endpoint_instance instance_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<endpoint_connection> connection_;
+  std::function<void(bool)> done_;
+};
+
+}  // namespace
+
+void CancelOrder(boost::asio::io_context& io,
+                 const std::shared_ptr<endpoint_pool>& pool,
+                 const request_id& id,
+                 const endpoint_instance& instance,
+                 const address& where,
+                 std::function<void(bool unrun)> done) {
+  std::make_shared<cancellation>(io, pool, instance, std::move(done))
+      ->Start(CancelMessage(id, instance, where));
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/order_cancel.h
@@ -0,0 +1,31 @@
+// Asks an endpoint to give up an order that nobody waits for.
+//
+//   CancelOrder(io, pool, id, instance, where, [](bool unrun) { ... });
+
+#ifndef BLUEBELL_DAEMON_ORDER_CANCEL_H_
+#define BLUEBELL_DAEMON_ORDER_CANCEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/ids.h"
+#include "bluebell/core/request_id.h"
+
+namespace bluebell {
+
+class endpoint_pool;
+
+// Calls `done` once, with true only if the instance itself says that it took
+// the order out of its queue and will never run it.
+void CancelOrder(boost::asio::io_context& io,
+                 const std::shared_ptr<endpoint_pool>& pool,
+                 const request_id& id,
+                 const endpoint_instance& instance,
+                 const address& where,
+                 std::function<void(bool unrun)> done);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_ORDER_CANCEL_H_
--- /dev/null
+++ b/bluebell/daemon/order_permission.h
@@ -0,0 +1,33 @@
+// Decides, immediately before a write, whether this daemon may send a request
+// to an endpoint instance, and under which ownership.
+//
+//   order_permission may = PermitOrder(*snapshot, instance, request, hash, now);
+
+#ifndef BLUEBELL_DAEMON_ORDER_PERMISSION_H_
+#define BLUEBELL_DAEMON_ORDER_PERMISSION_H_
+
+#include <optional>
+#include <variant>
+
+#include "bluebell/core/caller_request.h"
+#include "bluebell/core/ids.h"
+#include "bluebell/core/key_hash.h"
+#include "bluebell/core/request_outcome.h"
+#include "bluebell/core/time.h"
+#include "bluebell/routing/route.h"
+#include "bluebell/routing/routing_snapshot.h"
+
+namespace bluebell {
+
+using order_permission = std::variant<order_target, not_run>;
+
+// `where` is the hash of the request's key; empty for requests without one.
+order_permission PermitOrder(const routing_snapshot& snapshot,
+                             const endpoint_instance& instance,
+                             const caller_request& request,
+                             std::optional<key_hash> where,
+                             instant now);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_ORDER_PERMISSION_H_
--- /dev/null
+++ b/bluebell/daemon/outcome_sink.h
@@ -0,0 +1,49 @@
+// The obligation to end a request with exactly one outcome. Whoever holds the
+// sink must deliver; a sink that is destroyed before counts a violation and
+// delivers `unknown`, since whether the request ran is then not known.
+//
+//   outcome_sink sink(id, metrics, [](request_end end) { ... });
+//   std::move(sink).Deliver(outcome);
+
+#ifndef BLUEBELL_DAEMON_OUTCOME_SINK_H_
+#define BLUEBELL_DAEMON_OUTCOME_SINK_H_
+
+#include <functional>
+
+#include "bluebell/core/request_id.h"
+#include "bluebell/core/request_outcome.h"
+
+namespace bluebell {
+
+class metrics_registry;
+
+class outcome_sink {
+ public:
+  using receiver =
+      std::function<void(const request_id& id, request_outcome outcome)>;
+
+  outcome_sink(const request_id& id,
+               metrics_registry& metrics,
+               receiver receive);
+  outcome_sink(outcome_sink&& other) noexcept;
+  outcome_sink& operator=(outcome_sink&& other) = delete;
+  outcome_sink(const outcome_sink&) = delete;
+  outcome_sink& operator=(const outcome_sink&) = delete;
+  ~outcome_sink();
+
+  const request_id& id() const { return id_; }
+
+  // May be called once.
+  void Deliver(request_outcome outcome);
+
+ private:
+  request_id id_;
+  metrics_registry* metrics_;
+  // Empty once delivered or moved from.
+  receiver receive_;
+  bool owed_ = true;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_OUTCOME_SINK_H_
--- a/bluebell/http/endpoint_protocol.cc
+++ b/bluebell/http/endpoint_protocol.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
 #include <charconv>
 #include <chrono>
 #include <sstream>
@@ -152,6 +154,21 @@
   return message;
 }
 
+bool IsUnrunReply(const http_response& response,
+                  const endpoint_instance& asked) {
+  const auto from =
+      ParseInstance(FromBeast(response[ToBeast(kInstanceHeader)]));
+  boost::system::error_code failure;
+  const boost::json::value body =
+      boost::json::parse(ToBeast(response.body()), failure);
+  if (failure || !body.is_object() || from != asked) {
+    return false;
+  }
+  const boost::json::value* state = body.as_object().if_contains("state");
+  return state != nullptr && state->is_string() &&
+         state->as_string() == "cancelled";
+}
+
 order_reply ReadOrderReply(http_response response,
                            const endpoint_instance& asked) {
   const auto from =
--- a/bluebell/http/endpoint_protocol.h
+++ b/bluebell/http/endpoint_protocol.h
@@ -59,6 +59,11 @@
                            const endpoint_instance& instance,
                            const address& where);
 
+// True if the response to a cancellation comes from `asked` and states that the
+// order was taken out of its queue and will never run.
+bool IsUnrunReply(const http_response& response,
+                  const endpoint_instance& asked);
+
 // Reads a whole response to an order for `asked`. A response of another
 // instance that isn't a refusal leaves unknown whether the order ran where it
 // should have.
