Add the dispatcher of one endpoint

Cause: each endpoint needs one sender that knows its queue and its ids. Change: dispatcher joins endpoint_queue, request_ledger, retry_budget and the connections; it checks the permission right before each write and asserts that a request which isn't idempotent is written once and that not_run rests on a proof. dispatch_claim fences a former dispatcher by a dispatcher epoch at endpoints that check epochs.

--- /dev/null
+++ b/bluebell/daemon/dispatch_claim.cc
@@ -0,0 +1,46 @@
+#include "bluebell/daemon/dispatch_claim.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bluebell {
+
+namespace {
+
+constexpr seconds kLeastClaimInterval{1};
+
+std::uint64_t Micros(wall_instant when) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<microseconds>(when.time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+dispatch_claim::dispatch_claim(duration margin,
+                               wall_instant now,
+                               std::uint64_t least_epoch)
+    : margin_(margin),
+      made_at_(now),
+      epoch_(std::max(Micros(now), least_epoch)),
+      complete_from_(now + margin) {}
+
+dispatch_claim dispatch_claim::Make(const timing_settings& timing,
+                                    bool checks_epoch,
+                                    wall_instant now) {
+  // All daemons learn of the new dispatcher within `detection` and the age of
+  // their view; an endpoint that checks nothing may also get delayed orders.
+  const duration former = timing.detection + timing.table_freshness;
+  const duration delayed =
+      checks_epoch ? milliseconds(0) : timing.max_order_delay;
+  return {former + delayed + timing.max_clock_error, now, 0};
+}
+
+std::optional<dispatch_claim> dispatch_claim::Renewed(wall_instant now) const {
+  if (now - made_at_ < kLeastClaimInterval) {
+    return std::nullopt;
+  }
+  return dispatch_claim(margin_, now, epoch_ + 1);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/dispatcher.cc
@@ -0,0 +1,281 @@
+#include "bluebell/daemon/dispatcher.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/daemon/clock.h"
+#include "bluebell/daemon/endpoint_pool.h"
+#include "bluebell/daemon/order_attempt.h"
+
+namespace bluebell {
+
+namespace {
+
+ledger_limits LimitsOf(const policy_values& values,
+                       const timing_settings& timing) {
+  ledger_limits limits;
+  limits.max_entries = values.ledger_entries;
+  limits.max_clock_error = timing.max_clock_error;
+  return limits;
+}
+
+not_run RefusalOf(const rejected& verdict) {
+  const bool expired = verdict.cause == rejection_cause::kDeadlineExpired;
+  return {
+      expired ? not_run_reason::kDeadlineExpired : not_run_reason::kOverloaded,
+      std::string(ToString(verdict.cause)), verdict.retry_after};
+}
+
+not_run NotDispatcher() {
+  return {not_run_reason::kEndpointUnreachable,
+          "this daemon is no longer the endpoint's dispatcher",
+          milliseconds(0)};
+}
+
+}  // namespace
+
+result<std::shared_ptr<dispatcher>> dispatcher::Make(
+    const traffic_context& context,
+    const service_name& service,
+    const endpoint_instance& instance,
+    std::shared_ptr<const routing_snapshot> snapshot) {
+  const auto routes = snapshot->services.find(service);
+  const endpoint_entry* endpoint = routes == snapshot->services.end()
+                                       ? nullptr
+                                       : routes->second.FindEndpoint(instance);
+  if (endpoint == nullptr) {
+    return error(errc::kNotFound, step::kSendOrder, instance.endpoint.value(),
+                 "no such endpoint instance");
+  }
+  auto queue = endpoint_queue::Make(endpoint->slots, endpoint->values, Now());
+  if (!queue) {
+    return queue.error();
+  }
+  return std::shared_ptr<dispatcher>(
+      new dispatcher(context, service, *endpoint, routes->second.spec,
+                     std::move(queue.value()), std::move(snapshot)));
+}
+
+dispatcher::dispatcher(const traffic_context& context,
+                       const service_name& service,
+                       const endpoint_entry& endpoint,
+                       const service_spec& spec,
+                       endpoint_queue queue,
+                       std::shared_ptr<const routing_snapshot> snapshot)
+    : context_(context),
+      service_(service),
+      instance_(endpoint.instance),
+      where_(endpoint.where),
+      checks_epoch_(spec.checks_epoch),
+      snapshot_(std::move(snapshot)),
+      queue_(std::move(queue)),
+      budget_(endpoint.values.retry_budget_percent),
+      claim_(
+          dispatch_claim::Make(context.timing, spec.checks_epoch, WallNow())),
+      ledger_(LimitsOf(endpoint.values, context.timing),
+              claim_.complete_from()),
+      pool_(std::make_shared<endpoint_pool>(*context.io,
+                                            endpoint.where,
+                                            ConnectionShare(spec))),
+      wakeup_(*context.io) {}
+
+dispatcher::~dispatcher() {
+  // Attempts call back into this object until they are abandoned.
+  for (auto& [id, unfinished] : orders_) {
+    if (unfinished.attempt) {
+      unfinished.attempt->Abandon();
+    }
+  }
+}
+
+void dispatcher::Submit(dispatch_submission submission) {
+  if (retired_) {
+    submission.sink.Deliver(NotDispatcher());
+    return;
+  }
+  const caller_request& request = *submission.request;
+  const ledger_verdict verdict =
+      ledger_.Admit(request.id, request.idempotent, WallNow());
+  std::visit(
+      overloaded{
+          [&](const first_arrival&) { SubmitNew(std::move(submission)); },
+          [&](const already_running&) { Join(std::move(submission)); },
+          [&](const already_ended& ended) {
+            submission.sink.Deliver(ended.outcome);
+          },
+          [&](const may_have_run&) {
+            submission.sink.Deliver(
+                unknown{unknown_reason::kRepeatOfForgottenRequest,
+                        "the request may have run before; it was not sent"});
+          },
+          [&](const issued_in_future&) {
+            submission.sink.Deliver(not_run{
+                not_run_reason::kInvalidRequest,
+                "Idempotency-Key was issued in the future", milliseconds(0)});
+          }},
+      verdict);
+}
+
+void dispatcher::SubmitNew(dispatch_submission submission) {
+  const auto request = submission.request;
+  const instant now = Now();
+  order added;
+  added.request = request;
+  if (request->key) {
+    added.where = HashKey(service_, *request->key);
+  }
+  added.progress.idempotent = request->idempotent;
+  added.progress.deadline = request->deadline;
+  std::optional<not_run> refusal = Refusal(added, now);
+  if (!refusal) {
+    refusal = Enqueue(*request, now);
+  }
+  if (refusal) {
+    ledger_.End(request->id, *refusal);
+    submission.sink.Deliver(*refusal);
+    return;
+  }
+  added.waiters.push_back({submission.waiter, std::move(submission.sink)});
+  orders_.emplace(request->id, std::move(added));
+  Pump();
+}
+
+std::optional<not_run> dispatcher::Refusal(const order& waiting,
+                                           instant now) const {
+  const order_permission permission =
+      PermitOrder(*snapshot_, instance_, *waiting.request, waiting.where, now);
+  const auto* refusal = std::get_if<not_run>(&permission);
+  return refusal == nullptr ? std::nullopt : std::optional(*refusal);
+}
+
+std::optional<not_run> dispatcher::Enqueue(const caller_request& request,
+                                           instant now) {
+  const admission verdict = queue_.Submit(
+      {request.id, request.priority, request.caller, request.deadline, now},
+      now);
+  const auto* refused = std::get_if<rejected>(&verdict);
+  return refused == nullptr ? std::nullopt : std::optional(RefusalOf(*refused));
+}
+
+void dispatcher::Join(dispatch_submission submission) {
+  const auto found = orders_.find(submission.request->id);
+  if (found == orders_.end()) {
+    submission.sink.Deliver(unknown{unknown_reason::kDispatcherLost,
+                                    "the first copy ran elsewhere"});
+    return;
+  }
+  found->second.waiters.push_back(
+      {submission.waiter, std::move(submission.sink)});
+}
+
+void dispatcher::Abandon(const request_id& id, std::uint64_t waiter_id) {
+  const auto found = orders_.find(id);
+  if (found == orders_.end()) {
+    return;
+  }
+  std::vector<waiter>& waiters = found->second.waiters;
+  const auto gone = std::find_if(
+      waiters.begin(), waiters.end(),
+      [&](const waiter& candidate) { return candidate.id == waiter_id; });
+  if (gone == waiters.end()) {
+    return;
+  }
+  gone->sink.Deliver(
+      unknown{unknown_reason::kNoAnswerInTime, "the caller is gone"});
+  waiters.erase(gone);
+  if (!waiters.empty()) {
+    return;
+  }
+  if (found->second.progress.unproven > 0) {
+    CancelRunning(found->second);
+  } else {
+    // Frees the id, so that the caller may come back with it.
+    RefuseQueued(id, {not_run_reason::kDeadlineExpired,
+                      "the caller gave up waiting", milliseconds(0)});
+  }
+}
+
+request_standing dispatcher::Query(const request_id& id) {
+  if (orders_.contains(id)) {
+    return request_running{};
+  }
+  const ledger_record record = ledger_.Withdraw(id);
+  if (!record.outcome) {
+    return request_ended{unknown{unknown_reason::kDispatcherLost,
+                                 "the request ran at a former dispatcher"}};
+  }
+  const auto* refusal = std::get_if<not_run>(&*record.outcome);
+  if (refusal != nullptr && refusal->reason == not_run_reason::kWithdrawn) {
+    return request_withdrawn{};
+  }
+  return request_ended{*record.outcome};
+}
+
+void dispatcher::Adopt(std::shared_ptr<const routing_snapshot> snapshot) {
+  snapshot_ = std::move(snapshot);
+  const instant now = Now();
+  const auto routes = snapshot_->services.find(service_);
+  const endpoint_entry* endpoint = routes == snapshot_->services.end()
+                                       ? nullptr
+                                       : routes->second.FindEndpoint(instance_);
+  if (endpoint != nullptr) {
+    queue_.Configure(endpoint->values, now);
+    budget_.Configure(endpoint->values.retry_budget_percent);
+  }
+  std::vector<std::pair<request_id, not_run>> refused;
+  for (const auto& [id, waiting] : orders_) {
+    const auto refusal =
+        waiting.has_slot ? std::nullopt : Refusal(waiting, now);
+    if (refusal) {
+      refused.emplace_back(id, *refusal);
+    }
+  }
+  for (const auto& [id, why] : refused) {
+    RefuseQueued(id, why);
+  }
+  Pump();
+}
+
+void dispatcher::Retire() {
+  retired_ = true;
+  std::vector<request_id> queued;
+  for (const auto& [id, waiting] : orders_) {
+    if (!waiting.has_slot) {
+      queued.push_back(id);
+    }
+  }
+  for (const request_id& id : queued) {
+    RefuseQueued(id, NotDispatcher());
+  }
+}
+
+void dispatcher::Resume() {
+  if (std::exchange(retired_, false)) {
+    Claim(dispatch_claim::Make(context_.timing, checks_epoch_, WallNow()));
+  }
+}
+
+void dispatcher::Claim(const dispatch_claim& claim) {
+  claim_ = claim;
+  const std::vector<ledger_record> records = ledger_.Export();
+  const auto routes = snapshot_->services.find(service_);
+  const policy_values values = routes == snapshot_->services.end()
+                                   ? policy_values{}
+                                   : routes->second.values;
+  ledger_ =
+      request_ledger(LimitsOf(values, context_.timing), claim.complete_from());
+  ledger_.Adopt(records, claim.complete_from());
+}
+
+void dispatcher::AdoptLedger(const std::vector<ledger_record>& records,
+                             wall_instant complete_from) {
+  ledger_.Adopt(records, complete_from);
+}
+
+ledger_transfer dispatcher::ExportLedger() const {
+  return {service_, instance_, ledger_.Export(), ledger_.complete_from(), true};
+}
+
+}  // namespace bluebell
--- a/bluebell/daemon/endpoint_connection.cc
+++ b/bluebell/daemon/endpoint_connection.cc
@@ -86,18 +86,18 @@
   parser_->body_limit(kMaxAnswerBytes);
   parser_->header_limit(kMaxAnswerHeaderBytes);
   parser_->skip(message_.method() == bhttp::verb::head);
-  bhttp::async_read(socket_, buffer_, *parser_,
-                    [self = shared_from_this()](error_code failure,
-                                                std::size_t /*bytes*/) {
-                      self->OnRead(failure);
-                    });
+  bhttp::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code failure, std::size_t /*bytes*/) {
+        self->OnRead(failure);
+      });
 }
 
 void endpoint_connection::OnRead(error_code failure) {
   if (failure) {
-    const bool partial = failure == bhttp::error::partial_message ||
-                         (parser_->got_some() &&
-                          failure != asio::error::operation_aborted);
+    const bool partial =
+        failure == bhttp::error::partial_message ||
+        (parser_->got_some() && failure != asio::error::operation_aborted);
     Fail(true,
          partial ? unknown_reason::kTruncatedAnswer
                  : unknown_reason::kConnectionLost,
@@ -132,7 +132,7 @@
   busy_ = false;
   idle_since_ = Now();
   const on_end done = std::exchange(done_, nullptr);
-  done(std::move(end));
+  done(end);
 }
 
 void endpoint_connection::Close() {
--- a/bluebell/daemon/endpoint_connection.h
+++ b/bluebell/daemon/endpoint_connection.h
@@ -3,7 +3,7 @@
 //
 //   auto connection = std::make_shared<endpoint_connection>(io, where);
 //   connection->WhenConnected([=](boost::system::error_code failure) {
-//     connection->Exchange(order, [](exchange_end end) { ... });
+//     connection->Exchange(order, [](exchange_end& end) { ... });
 //   });
 
 #ifndef BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
@@ -45,7 +45,8 @@
     : public std::enable_shared_from_this<endpoint_connection> {
  public:
   using on_connected = std::function<void(boost::system::error_code)>;
-  using on_end = std::function<void(exchange_end)>;
+  // May take what it needs out of `end`.
+  using on_end = std::function<void(exchange_end& end)>;
 
   endpoint_connection(boost::asio::io_context& io, const address& where);
   endpoint_connection(const endpoint_connection&) = delete;
@@ -69,8 +70,8 @@
   instant idle_since() const { return idle_since_; }
 
  private:
-  using response_parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void OnWritten(boost::system::error_code failure, std::size_t bytes);
   void Read();
--- a/bluebell/daemon/order_attempt.cc
+++ b/bluebell/daemon/order_attempt.cc
@@ -17,25 +17,15 @@
 }  // namespace
 
 order_attempt::order_attempt(boost::asio::io_context& io,
-                             endpoint_pool& pool,
+                             std::shared_ptr<endpoint_pool> pool,
                              attempt_plan plan,
                              on_event notify)
-    : pool_(&pool),
+    : pool_(std::move(pool)),
       plan_(std::move(plan)),
       notify_(std::move(notify)),
       timer_(io) {}
 
-std::shared_ptr<order_attempt> order_attempt::Start(boost::asio::io_context& io,
-                                                    endpoint_pool& pool,
-                                                    attempt_plan plan,
-                                                    on_event notify) {
-  auto attempt = std::make_shared<order_attempt>(io, pool, std::move(plan),
-                                                 std::move(notify));
-  attempt->Connect();
-  return attempt;
-}
-
-void order_attempt::Connect() {
+void order_attempt::Begin() {
   const instant now = Now();
   silent_at_ = now + plan_.silence;
   connection_ = pool_->Take(now);
@@ -59,26 +49,27 @@
 void order_attempt::Write() {
   const instant now = Now();
   const order_permission permission = plan_.permit(now);
-  std::visit(
-      overloaded{
-          [&](const not_run& refusal) { Finish(not_permitted{refusal}); },
-          [&](const order_target& target) {
-            written_ = true;
-            written_at_ = now;
-            silent_at_ = now + plan_.silence;
-            asked_ = target.endpoint.instance;
-            connection_->Exchange(
-                OrderMessage(*plan_.request, target, now),
-                [self = shared_from_this()](exchange_end end) {
-                  if (self->connection_) {
-                    self->OnExchangeEnd(std::move(end));
-                  }
-                });
-          }},
-      permission);
+  std::visit(overloaded{[&](const not_run& refusal) {
+                          Finish(not_permitted{refusal});
+                        },
+                        [&](const order_target& target) {
+                          written_ = true;
+                          written_at_ = now;
+                          silent_at_ = now + plan_.silence;
+                          asked_ = target.endpoint.instance;
+                          connection_->Exchange(
+                              OrderMessage(*plan_.request, target,
+                                           plan_.dispatcher_epoch, now),
+                              [self = shared_from_this()](exchange_end& end) {
+                                if (self->connection_) {
+                                  self->OnExchangeEnd(end);
+                                }
+                              });
+                        }},
+             permission);
 }
 
-void order_attempt::OnExchangeEnd(exchange_end end) {
+void order_attempt::OnExchangeEnd(exchange_end& end) {
   std::visit(overloaded{[&](http_response& response) {
                           Finish(reply_read{
                               ReadOrderReply(std::move(response), asked_),
--- a/bluebell/daemon/order_attempt.h
+++ b/bluebell/daemon/order_attempt.h
@@ -1,14 +1,15 @@
 // One attempt to have an endpoint run an order: takes a connection, asks for
 // permission, writes, and waits for the answer until the deadline.
 //
-//   auto attempt = order_attempt::Start(io, pool, plan, on_event);
-//   attempt->Abandon();
+//   auto attempt = std::make_shared<order_attempt>(io, pool, plan, on_event);
+//   attempt->Begin();
 
 #ifndef BLUEBELL_DAEMON_ORDER_ATTEMPT_H_
 #define BLUEBELL_DAEMON_ORDER_ATTEMPT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -24,6 +25,8 @@
 
 struct attempt_plan {
   std::shared_ptr<const caller_request> request;
+  // The claim that the order carries.
+  std::uint64_t dispatcher_epoch = 0;
   // Asked immediately before the write, with nothing in between.
   std::function<order_permission(instant now)> permit;
   // How long an answer may be missing before the connection counts as silent.
@@ -36,33 +39,29 @@
   // unless the attempt is abandoned before.
   using on_event = std::function<void(attempt_end end)>;
 
-  // `pool` outlives the attempt's activity: it ends or is abandoned before.
-  static std::shared_ptr<order_attempt> Start(boost::asio::io_context& io,
-                                              endpoint_pool& pool,
-                                              attempt_plan plan,
-                                              on_event notify);
-
   order_attempt(boost::asio::io_context& io,
-                endpoint_pool& pool,
+                std::shared_ptr<endpoint_pool> pool,
                 attempt_plan plan,
                 on_event notify);
   order_attempt(const order_attempt&) = delete;
   order_attempt& operator=(const order_attempt&) = delete;
   ~order_attempt() = default;
 
+  // May report the end of the attempt before it returns.
+  void Begin();
+
   // Closes the connection and reports nothing from now on.
   void Abandon();
 
  private:
-  void Connect();
   void Write();
-  void OnExchangeEnd(exchange_end end);
+  void OnExchangeEnd(exchange_end& end);
   void ArmTimer();
   void OnTimer();
   void Finish(attempt_end end);
   void Release();
 
-  endpoint_pool* pool_;
+  std::shared_ptr<endpoint_pool> pool_;
   attempt_plan plan_;
   on_event notify_;
   boost::asio::steady_timer timer_;
--- a/bluebell/daemon/order_permission.h
+++ b/bluebell/daemon/order_permission.h
@@ -1,7 +1,8 @@
 // Decides, immediately before a write, whether this daemon may send a request
 // to an endpoint instance, and under which ownership.
 //
-//   order_permission may = PermitOrder(*snapshot, instance, request, hash, now);
+//   order_permission may = PermitOrder(*snapshot, instance, request, hash,
+//   now);
 
 #ifndef BLUEBELL_DAEMON_ORDER_PERMISSION_H_
 #define BLUEBELL_DAEMON_ORDER_PERMISSION_H_
--- a/bluebell/daemon/order_rules.cc
+++ b/bluebell/daemon/order_rules.cc
@@ -55,10 +55,10 @@
   if (MaySendAgain(progress, now, budget)) {
     return send_again{};
   }
-  return EndNotRun(progress,
-                   not_run{not_run_reason::kEndpointUnreachable, end.why,
-                           milliseconds(0)},
-                   failed{});
+  return EndNotRun(
+      progress,
+      not_run{not_run_reason::kEndpointUnreachable, end.why, milliseconds(0)},
+      failed{});
 }
 
 next_step AfterReplyMissing(const order_progress& progress,
@@ -111,11 +111,11 @@
           },
           [&](const deadline_passed&) { return AfterDeadline(progress); },
           [&](const cancelled_unrun&) {
-            return next_step(EndNotRun(
-                progress,
-                not_run{not_run_reason::kWithdrawn,
-                        "given up before it ran", milliseconds(0)},
-                failed{}));
+            return next_step(
+                EndNotRun(progress,
+                          not_run{not_run_reason::kWithdrawn,
+                                  "given up before it ran", milliseconds(0)},
+                          failed{}));
           }},
       end);
 }
--- /dev/null
+++ b/bluebell/daemon/traffic_context.h
@@ -0,0 +1,28 @@
+// What the parts on one traffic thread share.
+
+#ifndef BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
+#define BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+#include "bluebell/control/control_event.h"
+#include "bluebell/settings/timing_settings.h"
+
+namespace bluebell {
+
+class load_meter;
+class metrics_registry;
+
+struct traffic_context {
+  boost::asio::io_context* io = nullptr;
+  metrics_registry* metrics = nullptr;
+  load_meter* load = nullptr;
+  timing_settings timing;
+  // Tells the control thread how an exchange went. Never blocks.
+  std::function<void(const exchange_observed& seen)> observe;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
--- a/bluebell/http/caller_protocol_test.cc
+++ b/bluebell/http/caller_protocol_test.cc
@@ -73,11 +73,13 @@
   target.endpoint.instance = {endpoint_id("e"), incarnation(7)};
   target.range = slice_range{16, 31};
   target.at = epoch(3);
-  const http_request order = OrderMessage(request.value(), target, instant());
+  const http_request order =
+      OrderMessage(request.value(), target, 9, instant());
   CHECK(order.target() == "/v1/tracker/bins/7?x=1");
   CHECK(order["Bluebell-Instance"] == "e/7");
   CHECK(order["Bluebell-Slice"] == "0000000000000010");
   CHECK(order["Bluebell-Epoch"] == "3");
+  CHECK(order["Bluebell-Dispatcher-Epoch"] == "9");
   CHECK(order["Bluebell-Deadline-Ms"] == "250");
   CHECK(order["Idempotency-Key"] == kId);
 }
--- a/bluebell/http/endpoint_protocol.cc
+++ b/bluebell/http/endpoint_protocol.cc
@@ -114,6 +114,7 @@
 
 http_request OrderMessage(const caller_request& request,
                           const order_target& target,
+                          std::uint64_t dispatcher_epoch,
                           instant now) {
   http_request message;
   message.version(kHttp11);
@@ -128,6 +129,8 @@
     message.set(ToBeast(kSliceHeader), SliceText(*target.range));
     message.set(ToBeast(kEpochHeader), std::to_string(target.at.value()));
   }
+  message.set(ToBeast(kDispatcherEpochHeader),
+              std::to_string(dispatcher_epoch));
   if (request.key) {
     message.set(ToBeast(kKeyHeader), *request.key);
   }
--- a/bluebell/http/endpoint_protocol.h
+++ b/bluebell/http/endpoint_protocol.h
@@ -1,7 +1,7 @@
 // Maps requests to the orders that endpoints get and endpoints' responses to
 // outcomes.
 //
-//   http_request order = OrderMessage(request, target, now);
+//   http_request order = OrderMessage(request, target, claim, now);
 //   order_reply reply = ReadOrderReply(response, target.endpoint.instance);
 
 #ifndef BLUEBELL_HTTP_ENDPOINT_PROTOCOL_H_
@@ -50,8 +50,10 @@
 std::string InstanceText(const endpoint_instance& instance);
 std::optional<endpoint_instance> ParseInstance(std::string_view text);
 
+// `dispatcher_epoch` lets the endpoint refuse orders of a former dispatcher.
 http_request OrderMessage(const caller_request& request,
                           const order_target& target,
+                          std::uint64_t dispatcher_epoch,
                           instant now);
 
 // Asks the endpoint to give up an order.
--- a/bluebell/http/header_names.h
+++ b/bluebell/http/header_names.h
@@ -26,6 +26,8 @@
 inline constexpr std::string_view kInstanceHeader = "Bluebell-Instance";
 inline constexpr std::string_view kSliceHeader = "Bluebell-Slice";
 inline constexpr std::string_view kEpochHeader = "Bluebell-Epoch";
+inline constexpr std::string_view kDispatcherEpochHeader =
+    "Bluebell-Dispatcher-Epoch";
 inline constexpr std::string_view kRefusedHeader = "Bluebell-Refused";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
