Add the entry router, callers' sessions and the traffic plane

Cause: requests must get from callers to the dispatchers and back. Between threads everything is posted.

--- /dev/null
+++ b/bluebell/daemon/decision_log.h
@@ -0,0 +1,43 @@
+// Records routing decisions: in the log, one line each, and in the ring that
+// `explain` reads.
+//
+//   decision_log decisions(settings);
+//   decisions.Record(request, decision);
+
+#ifndef BLUEBELL_DAEMON_DECISION_LOG_H_
+#define BLUEBELL_DAEMON_DECISION_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "bluebell/core/caller_request.h"
+#include "bluebell/core/request_outcome.h"
+#include "bluebell/daemon/decision_ring.h"
+#include "bluebell/routing/route.h"
+
+namespace bluebell {
+
+class decision_log {
+ public:
+  // Logs one in `log_one_in` requests; 1 logs all. The ring holds all.
+  explicit decision_log(std::uint32_t log_one_in);
+
+  void Record(const caller_request& request, const route_decision& decision);
+  void RecordEnd(const caller_request& request, const request_outcome& outcome);
+
+  const decision_ring& ring() const { return ring_; }
+
+ private:
+  void Add(const caller_request& request,
+           std::string_view step,
+           const order_target* target,
+           std::string why);
+
+  std::uint32_t log_one_in_;
+  decision_ring ring_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_DECISION_LOG_H_
--- a/bluebell/daemon/dispatcher.cc
+++ b/bluebell/daemon/dispatcher.cc
@@ -269,9 +269,9 @@
   ledger_.Adopt(records, claim.complete_from());
 }
 
-void dispatcher::AdoptLedger(const std::vector<ledger_record>& records,
-                             wall_instant complete_from) {
-  ledger_.Adopt(records, complete_from);
+void dispatcher::AdoptLedger(const ledger_transfer& transfer) {
+  ledger_.Adopt(transfer.records, transfer.last_part ? transfer.complete_from
+                                                     : ledger_.complete_from());
 }
 
 ledger_transfer dispatcher::ExportLedger() const {
--- a/bluebell/daemon/dispatcher.h
+++ b/bluebell/daemon/dispatcher.h
@@ -81,8 +81,9 @@
   // Is the dispatcher again. Another one may have run requests in between.
   void Resume();
 
-  void AdoptLedger(const std::vector<ledger_record>& records,
-                   wall_instant complete_from);
+  // Takes over what a former dispatcher knows. Until the last part has arrived
+  // its records count, but not its completeness.
+  void AdoptLedger(const ledger_transfer& transfer);
   ledger_transfer ExportLedger() const;
 
   const service_name& service() const { return service_; }
--- /dev/null
+++ b/bluebell/daemon/dispatcher_set.h
@@ -0,0 +1,80 @@
+// The dispatchers on one traffic thread.
+//
+//   set.Adopt(snapshot);
+//   set.Submit(target, std::move(submission));
+
+#ifndef BLUEBELL_DAEMON_DISPATCHER_SET_H_
+#define BLUEBELL_DAEMON_DISPATCHER_SET_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/ids.h"
+#include "bluebell/daemon/dispatcher.h"
+#include "bluebell/daemon/traffic_context.h"
+#include "bluebell/routing/routing_snapshot.h"
+#include "bluebell/wire/ledger_transfer.h"
+#include "bluebell/wire/pressure_update.h"
+
+namespace bluebell {
+
+// The thread, of `threads`, on which the dispatcher of `instance` lives.
+std::size_t ThreadOf(const endpoint_instance& instance, std::size_t threads);
+
+// A ledger whose endpoint has another dispatcher now.
+struct ledger_handover {
+  address to;
+  ledger_transfer ledger;
+};
+
+class dispatcher_set {
+ public:
+  using on_handover = std::function<void(ledger_handover handover)>;
+
+  // Holds the endpoints for which ThreadOf gives `index`.
+  dispatcher_set(const traffic_context& context,
+                 std::size_t index,
+                 std::size_t threads,
+                 on_handover hand_over);
+
+  // Creates, updates, retires and removes dispatchers.
+  void Adopt(const std::shared_ptr<const routing_snapshot>& snapshot);
+
+  // Refuses as not run if this daemon isn't the endpoint's dispatcher.
+  void Submit(const endpoint_instance& instance,
+              dispatch_submission submission);
+  void Abandon(const endpoint_instance& instance,
+               const request_id& id,
+               std::uint64_t waiter);
+  request_standing Query(const request_query& query);
+  // False if this daemon isn't the endpoint's dispatcher.
+  bool AdoptLedger(const ledger_transfer& transfer);
+
+  std::vector<pressure_update> Pressures(instant now) const;
+
+  // True if no request is queued or running.
+  bool IsIdle() const;
+  // The ledgers of all dispatchers, for the daemons that take over.
+  std::vector<ledger_transfer> ExportAll() const;
+
+ private:
+  bool IsMine(const endpoint_entry& endpoint) const;
+  void Update(const service_name& service, const endpoint_entry& endpoint);
+  void RetireOthers();
+  void HandOver(const dispatcher& retired);
+
+  traffic_context context_;
+  std::size_t index_;
+  std::size_t threads_;
+  on_handover hand_over_;
+  std::shared_ptr<const routing_snapshot> snapshot_;
+  std::map<endpoint_instance, std::shared_ptr<dispatcher>> dispatchers_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_DISPATCHER_SET_H_
--- a/bluebell/daemon/outcome_sink.cc
+++ b/bluebell/daemon/outcome_sink.cc
@@ -17,7 +17,22 @@
       receive_(std::exchange(other.receive_, nullptr)),
       owed_(std::exchange(other.owed_, false)) {}
 
+outcome_sink& outcome_sink::operator=(outcome_sink&& other) noexcept {
+  if (this != &other) {
+    SettleIfOwed();
+    id_ = other.id_;
+    metrics_ = other.metrics_;
+    receive_ = std::exchange(other.receive_, nullptr);
+    owed_ = std::exchange(other.owed_, false);
+  }
+  return *this;
+}
+
 outcome_sink::~outcome_sink() {
+  SettleIfOwed();
+}
+
+void outcome_sink::SettleIfOwed() {
   if (owed_) {
     ReportViolation(*metrics_, invariant::kOneOutcome, id_,
                     "the request was dropped without an outcome");
--- a/bluebell/daemon/outcome_sink.h
+++ b/bluebell/daemon/outcome_sink.h
@@ -26,7 +26,7 @@
                metrics_registry& metrics,
                receiver receive);
   outcome_sink(outcome_sink&& other) noexcept;
-  outcome_sink& operator=(outcome_sink&& other) = delete;
+  outcome_sink& operator=(outcome_sink&& other) noexcept;
   outcome_sink(const outcome_sink&) = delete;
   outcome_sink& operator=(const outcome_sink&) = delete;
   ~outcome_sink();
@@ -37,6 +37,8 @@
   void Deliver(request_outcome outcome);
 
  private:
+  void SettleIfOwed();
+
   request_id id_;
   metrics_registry* metrics_;
   // Empty once delivered or moved from.
--- /dev/null
+++ b/bluebell/daemon/traffic_plane.h
@@ -0,0 +1,101 @@
+// The traffic side of a daemon: its traffic threads, the callers' acceptor and
+// the ways between them.
+//
+//   auto plane = traffic_plane::Start(settings, metrics, hooks).value();
+//   plane->Publish(snapshot);
+//   plane->Drain([] { ... });
+
+#ifndef BLUEBELL_DAEMON_TRAFFIC_PLANE_H_
+#define BLUEBELL_DAEMON_TRAFFIC_PLANE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bluebell/core/request_id.h"
+#include "bluebell/core/result.h"
+#include "bluebell/daemon/dispatch_gateway.h"
+#include "bluebell/daemon/traffic_shard.h"
+#include "bluebell/routing/routing_snapshot.h"
+#include "bluebell/settings/daemon_settings.h"
+#include "bluebell/wire/ledger_transfer.h"
+#include "bluebell/wire/request_query.h"
+
+namespace bluebell {
+
+class caller_acceptor;
+class metrics_registry;
+
+// What the control side needs to hear. Called on traffic threads; must not
+// block.
+struct plane_hooks {
+  std::function<void(const exchange_observed& seen)> observe;
+  // Once a second, for all threads together.
+  std::function<void(const load_report& load)> report_load;
+  // To the daemons that forward here.
+  std::function<void(const std::vector<pressure_update>& updates)> pressures;
+  std::function<void(ledger_handover handover)> hand_over;
+};
+
+class traffic_plane {
+ public:
+  static result<std::unique_ptr<traffic_plane>> Start(
+      const daemon_settings& settings,
+      metrics_registry& metrics,
+      const plane_hooks& hooks);
+  traffic_plane(const traffic_plane&) = delete;
+  traffic_plane& operator=(const traffic_plane&) = delete;
+  ~traffic_plane();
+
+  // All functions may be called from any thread.
+
+  void Publish(const std::shared_ptr<const routing_snapshot>& snapshot);
+
+  // Pressure at the endpoints of other dispatchers.
+  void OnPressure(const pressure_update& update);
+
+  // A request that another daemon forwarded. `sink` is called on a traffic
+  // thread.
+  void Submit(const endpoint_instance& instance,
+              dispatch_submission submission);
+  void Abandon(const endpoint_instance& instance,
+               const request_id& id,
+               std::uint64_t waiter);
+  void Query(const request_query& query,
+             std::function<void(request_standing standing)> done);
+  void AdoptLedger(const ledger_transfer& transfer,
+                   std::function<void(bool adopted)> done);
+
+  // The decisions on a request that this daemon remembers, as a JSON array.
+  void Explain(const request_id& id,
+               std::function<void(std::string json)> done);
+
+  // Stops accepting, lets all requests end, and calls `done` on a traffic
+  // thread with the ledgers of the dispatchers that remain.
+  void Drain(std::function<void(std::vector<ledger_transfer> ledgers)> done);
+
+  std::uint16_t caller_port() const;
+
+ private:
+  traffic_plane(const daemon_settings& settings,
+                metrics_registry& metrics,
+                const plane_hooks& hooks);
+
+  void OnLoad(std::size_t shard, const load_report& load);
+  void SharePressures(const std::vector<pressure_update>& updates);
+  void CheckDrained(
+      std::function<void(std::vector<ledger_transfer> ledgers)> done);
+
+  plane_hooks hooks_;
+  dispatch_gateway gateway_;
+  std::vector<std::unique_ptr<traffic_shard>> shards_;
+  std::shared_ptr<caller_acceptor> acceptor_;
+  // Touched on the first shard's thread only.
+  std::vector<load_report> loads_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_TRAFFIC_PLANE_H_
