Cut the cost of the control decisions and space lease renewals

Cause: duties and slices were worked out again for each endpoint on each tick and each lease reply; RankForRole hashed within its sort. Change: duties are chosen every 100 ms, slices indexed by endpoint on adoption, candidates weighed once; renewals every 200 ms; an endpoint counts as lost after two failed attempts and the detection time since it was last heard.

--- a/bluebell/control/endpoint_registry.cc
+++ b/bluebell/control/endpoint_registry.cc
@@ -83,11 +83,10 @@
 }
 
 void endpoint_registry::RecordFailure(const endpoint_id& endpoint,
-                                      instant sent_at,
-                                      instant now) {
+                                      instant sent_at) {
   const auto found = entries_.find(endpoint);
   if (found != entries_.end() && found->second.health) {
-    found->second.health->RecordFailure(sent_at, now);
+    found->second.health->RecordFailure(sent_at);
   }
 }
 
--- a/bluebell/control/endpoint_registry.h
+++ b/bluebell/control/endpoint_registry.h
@@ -35,7 +35,7 @@
   void RecordReply(const endpoint_id& endpoint,
                    const lease_reply& reply,
                    instant now);
-  void RecordFailure(const endpoint_id& endpoint, instant sent_at, instant now);
+  void RecordFailure(const endpoint_id& endpoint, instant sent_at);
 
   // An exchange of a traffic thread.
   void RecordExchange(const endpoint_instance& instance,
--- a/bluebell/control/internal/control_impl.cc
+++ b/bluebell/control/internal/control_impl.cc
@@ -83,7 +83,7 @@
 void control_state::impl::operator()(const tick& /*event*/) {
   NoticePause();
   last_tick_ = now_;
-  ChooseProbed();
+  ChooseDuties();
   endpoints_ = registry_.Known(view_, config_.config(), probed_, now_);
   SendHeartbeats();
   ReadStore();
--- a/bluebell/control/internal/control_impl.h
+++ b/bluebell/control/internal/control_impl.h
@@ -113,11 +113,16 @@
   heartbeat MakeHeartbeat(bool with_endpoints) const;
   void SendHeartbeat(const daemon_id& to, const heartbeat& message);
   void FetchState();
+  // Whom this daemon probes and for which tables it asks former owners to give
+  // slices up.
+  void ChooseDuties();
+  void IndexSlices(const service_name& service);
   void SendLeases();
-  void ChooseProbed();
-  wanted_leases Wanted(const host_entry& host, bool revoker) const;
+  void SendLease(const host_entry& host, instant renewable_until);
+  const std::vector<slice>& SlicesOf(const host_entry& host) const;
+  wanted_leases Wanted(const host_entry& host, bool may_renew) const;
   bool IsProber(const host_entry& host) const;
-  bool IsRevoker(const service_name& service) const;
+  bool IsRevoker(const table_keeper& keeper) const;
 
   daemon_settings settings_;
   daemon_instance self_;
@@ -134,8 +139,13 @@
   std::uint64_t changes_made_ = 0;
   bool leaving_ = false;
 
-  // Derived anew on each tick.
+  // Derived from the membership every kDutyInterval.
   std::set<endpoint_id> probed_;
+  std::set<service_name> revoking_;
+  std::optional<instant> duties_chosen_at_;
+  // Derived from the tables: the slices of an endpoint, owned or moving away.
+  std::map<service_name, std::map<endpoint_id, std::vector<slice>>> slices_of_;
+  // Derived anew on each tick.
   std::vector<endpoint_info> endpoints_;
 
   // Set by Handle for the length of one event.
--- a/bluebell/control/internal/peer_work.cc
+++ b/bluebell/control/internal/peer_work.cc
@@ -20,6 +20,9 @@
 constexpr seconds kLoadFetchInterval{3};
 // Heartbeats to other failure domains are this much rarer.
 constexpr int kCrossDomainFactor = 2;
+// How often the duties are chosen anew. Choosing costs some hashes for each
+// endpoint of the domain.
+constexpr milliseconds kDutyInterval{100};
 
 // Whether `from` may be the run that answers at the endpoint `seen`, of which
 // the run isn't known if it is zero.
@@ -193,41 +196,64 @@
   return std::find(live.begin(), live.end(), self_) != live.end();
 }
 
-void control_state::impl::ChooseProbed() {
+void control_state::impl::ChooseDuties() {
+  if (duties_chosen_at_ && now_ - *duties_chosen_at_ < kDutyInterval) {
+    return;
+  }
+  duties_chosen_at_ = now_;
   probed_.clear();
   for (const host_entry& host : registry_.hosts()) {
     if (IsProber(host)) {
       probed_.insert(endpoint_id(host.name));
     }
   }
+  revoking_.clear();
+  for (const auto& [service, keeper] : keepers_) {
+    if (IsRevoker(keeper)) {
+      revoking_.insert(service);
+    }
+  }
 }
 
-bool control_state::impl::IsRevoker(const service_name& service) const {
-  const auto keeper = keepers_.find(service);
-  if (keeper == keepers_.end() || !keeper->second.spec().checks_epoch) {
+bool control_state::impl::IsRevoker(const table_keeper& keeper) const {
+  if (!keeper.spec().checks_epoch) {
     return false;
   }
-  const std::string role = "propose/" + keeper->second.sync().key();
+  const std::string role = "propose/" + keeper.sync().key();
   return RankFor(role, view_.Live(now_)) < kRevokers;
 }
 
+void control_state::impl::IndexSlices(const service_name& service) {
+  auto& slices_of = slices_of_[service];
+  slices_of.clear();
+  for (const slice& current : keepers_.at(service).table().slices()) {
+    if (const auto* held = std::get_if<owned>(&current.state)) {
+      slices_of[held->owner.endpoint].push_back(current);
+    } else if (const auto* leaving = std::get_if<moving>(&current.state)) {
+      slices_of[leaving->from.endpoint].push_back(current);
+    }
+  }
+}
+
+const std::vector<slice>& control_state::impl::SlicesOf(
+    const host_entry& host) const {
+  static const std::vector<slice> none;
+  const auto service = slices_of_.find(host.service);
+  if (service == slices_of_.end()) {
+    return none;
+  }
+  const auto found = service->second.find(endpoint_id(host.name));
+  return found == service->second.end() ? none : found->second;
+}
+
 wanted_leases control_state::impl::Wanted(const host_entry& host,
-                                          bool revoker) const {
+                                          bool may_renew) const {
   wanted_leases wanted;
   wanted.to.endpoint = endpoint_id(host.name);
   wanted.to.run = registry_.SeenRun(wanted.to.endpoint).value_or(incarnation());
   wanted.where = host.where;
-  const auto found = keepers_.find(host.service);
-  if (found == keepers_.end() || !found->second.spec().checks_epoch) {
-    return wanted;
-  }
-  const table_keeper& keeper = found->second;
-  const renewal_limit limit =
-      RenewalLimit(keeper.replica(), keeper.peers(), self_, view_.domain(),
-                   settings_.timing, now_);
-  const bool may_renew =
-      host.domain == view_.domain() && now_ < limit.until && !leaving_;
-  for (const slice& current : keeper.table().slices()) {
+  const bool revoker = revoking_.contains(host.service);
+  for (const slice& current : SlicesOf(host)) {
     const auto* held = std::get_if<owned>(&current.state);
     const auto* leaving = std::get_if<moving>(&current.state);
     if (held && may_renew && held->owner == wanted.to) {
@@ -241,36 +267,63 @@
 }
 
 void control_state::impl::SendLeases() {
-  for (const host_entry& host : registry_.hosts()) {
-    if (host.role != host_role::kEndpoint) {
-      continue;
-    }
-    const bool prober = probed_.contains(endpoint_id(host.name));
-    const bool revoker = IsRevoker(host.service);
-    if (!prober && !revoker) {
-      continue;
+  std::map<service_name, instant> renewable;
+  for (const auto& [service, keeper] : keepers_) {
+    if (keeper.spec().checks_epoch && !leaving_) {
+      renewable[service] = RenewalLimit(keeper.replica(), keeper.peers(), self_,
+                                        view_.domain(), settings_.timing, now_)
+                               .until;
     }
-    const wanted_leases wanted = Wanted(host, revoker);
-    if (!prober && wanted.revoked.empty()) {
-      continue;
+  }
+  for (const host_entry& host : registry_.hosts()) {
+    if (host.role == host_role::kEndpoint) {
+      const auto limit = renewable.find(host.service);
+      SendLease(host,
+                limit == renewable.end() ? instant::min() : limit->second);
     }
-    if (auto request = leases_.Next(wanted, now_)) {
-      actions_.emplace_back(std::move(*request));
+  }
+}
+
+void control_state::impl::SendLease(const host_entry& host,
+                                    instant renewable_until) {
+  const endpoint_id id(host.name);
+  const bool prober = probed_.contains(id);
+  lease_basis basis;
+  basis.may_renew = prober && now_ < renewable_until;
+  if (revoking_.contains(host.service)) {
+    for (const slice& current : SlicesOf(host)) {
+      basis.revokes =
+          basis.revokes || std::holds_alternative<moving>(current.state);
     }
   }
+  const auto keeper = keepers_.find(host.service);
+  if (keeper != keepers_.end()) {
+    basis.version = keeper->second.table().version();
+  }
+  if ((!prober && !basis.revokes) || !leases_.IsDue(id, basis, now_)) {
+    return;
+  }
+  actions_.emplace_back(
+      leases_.Send(Wanted(host, basis.may_renew), basis, now_));
 }
 
 void control_state::impl::operator()(const lease_request_done& event) {
   leases_.Finish(event.endpoint, event.reply ? &event.reply.value() : nullptr);
   if (!event.reply) {
-    registry_.RecordFailure(event.endpoint, event.sent_at, now_);
+    registry_.RecordFailure(event.endpoint, event.sent_at);
     return;
   }
-  registry_.RecordReply(event.endpoint, event.reply.value(), now_);
-  for (auto& [service, keeper] : keepers_) {
-    WorkOnTable(service, keeper);
+  const lease_reply& reply = event.reply.value();
+  const bool new_run = registry_.SeenRun(event.endpoint) != reply.from.run;
+  registry_.RecordReply(event.endpoint, reply, now_);
+  if (!reply.revoked.empty()) {
+    for (auto& [service, keeper] : keepers_) {
+      WorkOnTable(service, keeper);
+    }
+  }
+  if (new_run) {
+    SendLeases();
   }
-  SendLeases();
 }
 
 }  // namespace bluebell
--- a/bluebell/control/internal/table_work.cc
+++ b/bluebell/control/internal/table_work.cc
@@ -126,6 +126,7 @@
   }
   if (change.result == adoption::kAdopted) {
     announce_ = true;
+    IndexSlices(service);
     SendLeases();
     Publish();
   }
--- a/bluebell/control/lease_book.cc
+++ b/bluebell/control/lease_book.cc
@@ -1,6 +1,7 @@
 #include "bluebell/control/lease_book.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bluebell {
 
@@ -12,25 +13,29 @@
 
 lease_book::lease_book(const timing_settings& timing) : timing_(timing) {}
 
-std::optional<send_lease_request> lease_book::Next(const wanted_leases& wanted,
-                                                   instant now) {
-  entry& known = entries_[wanted.to.endpoint];
+bool lease_book::IsDue(const endpoint_id& endpoint,
+                       const lease_basis& basis,
+                       instant now) const {
+  const auto found = entries_.find(endpoint);
+  if (found == entries_.end()) {
+    return true;
+  }
+  const entry& known = found->second;
   if (known.in_flight) {
-    return std::nullopt;
+    return false;
   }
-  const bool changed = known.last_wanted != wanted;
-  const bool due =
-      !known.last_sent || now - *known.last_sent >= timing_.lease_renewal;
   // A revocation is repeated until the endpoint has confirmed it.
-  const bool waits = std::any_of(
-      wanted.revoked.begin(), wanted.revoked.end(),
-      [&](const lease& revoked) { return !IsRevoked(wanted.to, revoked); });
-  if (!changed && !due && !waits) {
-    return std::nullopt;
-  }
+  return basis.revokes || known.last_basis != basis || !known.last_sent ||
+         now - *known.last_sent >= timing_.lease_renewal;
+}
+
+send_lease_request lease_book::Send(const wanted_leases& wanted,
+                                    const lease_basis& basis,
+                                    instant now) {
+  entry& known = entries_[wanted.to.endpoint];
   known.in_flight = true;
   known.last_sent = now;
-  known.last_wanted = wanted;
+  known.last_basis = basis;
   lease_request request;
   request.to = wanted.to;
   request.revoked = wanted.revoked;
@@ -40,7 +45,7 @@
     request.expires_at_ns =
         known.clock_ns + duration(timing_.lease_term).count();
   }
-  return send_lease_request{wanted.where, std::move(request)};
+  return {wanted.where, std::move(request)};
 }
 
 void lease_book::Finish(const endpoint_id& endpoint, const lease_reply* reply) {
@@ -51,6 +56,7 @@
   entry& known = found->second;
   known.in_flight = false;
   if (!reply) {
+    known.last_sent.reset();
     return;
   }
   if (known.instance != reply->from) {
--- a/bluebell/control/lease_book.h
+++ b/bluebell/control/lease_book.h
@@ -1,7 +1,9 @@
 // The lease requests that this daemon sends to endpoints: when the next one is
 // due and what the endpoint's clock showed.
 //
-//   std::optional<send_lease_request> next = book.Next(endpoint, wanted, now);
+//   if (book.IsDue(endpoint, basis, now)) {
+//     actions.push_back(book.Send(wanted, basis, now));
+//   }
 
 #ifndef BLUEBELL_CONTROL_LEASE_BOOK_H_
 #define BLUEBELL_CONTROL_LEASE_BOOK_H_
@@ -32,15 +34,32 @@
   friend bool operator==(const wanted_leases&, const wanted_leases&) = default;
 };
 
+// What the wanted leases of an endpoint follow from.
+struct lease_basis {
+  table_version version;
+  bool may_renew = false;
+  // True while the endpoint has revocations to confirm.
+  bool revokes = false;
+
+  friend bool operator==(const lease_basis&, const lease_basis&) = default;
+};
+
 class lease_book {
  public:
   explicit lease_book(const timing_settings& timing);
 
-  // The request to send now, if one is due: after the renewal interval, or at
-  // once if grants or revocations are new. At most one request to an endpoint
-  // is on its way.
-  std::optional<send_lease_request> Next(const wanted_leases& wanted,
-                                         instant now);
+  // Whether a request should be sent now: after the renewal interval, at once
+  // if `basis`, from which the wanted leases follow, isn't that of the last
+  // request, and at once after a failure. At most one request to an endpoint is
+  // on its way.
+  bool IsDue(const endpoint_id& endpoint,
+             const lease_basis& basis,
+             instant now) const;
+
+  // Precondition: IsDue.
+  send_lease_request Send(const wanted_leases& wanted,
+                          const lease_basis& basis,
+                          instant now);
 
   // Records the end of a request.
   void Finish(const endpoint_id& endpoint, const lease_reply* reply);
@@ -56,7 +75,7 @@
   struct entry {
     bool in_flight = false;
     std::optional<instant> last_sent;
-    std::optional<wanted_leases> last_wanted;
+    std::optional<lease_basis> last_basis;
     // The instance that answered last and its clock.
     std::optional<endpoint_instance> instance;
     std::int64_t clock_ns = 0;
--- a/bluebell/health/endpoint_health.cc
+++ b/bluebell/health/endpoint_health.cc
@@ -9,6 +9,7 @@
 
 // How long a refusal counts for more than the endpoint's reports.
 constexpr seconds kRefusalHold{5};
+constexpr int kMinFailures = 2;
 
 }  // namespace
 
@@ -18,19 +19,16 @@
 void endpoint_health::RecordSuccess(instant now) {
   last_success_ = now;
   failing_since_.reset();
-  last_failure_.reset();
+  failures_ = 0;
 }
 
-void endpoint_health::RecordFailure(instant sent_at, instant now) {
+void endpoint_health::RecordFailure(instant sent_at) {
   // An attempt that began before the last success says nothing new.
   if (last_success_ && sent_at < *last_success_) {
     return;
   }
-  if (!failing_since_) {
-    failing_since_ =
-        last_success_ ? std::max(*last_success_, sent_at) : sent_at;
-  }
-  last_failure_ = now;
+  failing_since_ = failing_since_.value_or(last_success_.value_or(sent_at));
+  ++failures_;
 }
 
 void endpoint_health::ReportDraining(bool draining) {
@@ -55,7 +53,7 @@
 }
 
 endpoint_condition endpoint_health::Condition(instant now) const {
-  if (failing_since_ && last_failure_ && now - *failing_since_ >= detection_) {
+  if (failures_ >= kMinFailures && now - *failing_since_ >= detection_) {
     return endpoint_condition::kLost;
   }
   const bool refused = refused_at_ && now - *refused_at_ < kRefusalHold;
--- a/bluebell/health/endpoint_health.h
+++ b/bluebell/health/endpoint_health.h
@@ -2,11 +2,12 @@
 //
 // Own exchanges go before the endpoint's report, and that before the
 // platform's list. Draining counts as soon as one source says so. An endpoint
-// is lost when attempts have failed for the detection time and none has
-// succeeded meanwhile: silence alone, without attempts, proves nothing.
+// is lost when nothing has come from it for the detection time and at least two
+// attempts in that time have failed: silence without attempts proves nothing,
+// and one failure may be due to a connection that went silent.
 //
 //   endpoint_health health(instance, detection);
-//   health.RecordFailure(now);
+//   health.RecordFailure(sent_at);
 //   endpoint_condition condition = health.Condition(now);
 
 #ifndef BLUEBELL_HEALTH_ENDPOINT_HEALTH_H_
@@ -29,7 +30,7 @@
   void RecordSuccess(instant now);
 
   // Records an attempt that began at `sent_at` and got no answer.
-  void RecordFailure(instant sent_at, instant now);
+  void RecordFailure(instant sent_at);
 
   // The endpoint's report says so.
   void ReportDraining(bool draining);
@@ -50,9 +51,10 @@
   endpoint_instance instance_;
   duration detection_;
   std::optional<instant> last_success_;
-  // The first failure since the last success.
+  // Since the last success: when the first failed attempt began, and how many
+  // attempts failed.
   std::optional<instant> failing_since_;
-  std::optional<instant> last_failure_;
+  int failures_ = 0;
   std::optional<instant> refused_at_;
   bool reported_draining_ = false;
   bool listed_draining_ = false;
--- a/bluebell/membership/member_view.cc
+++ b/bluebell/membership/member_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <utility>
 
 #include "bluebell/core/key_hash.h"
@@ -166,13 +167,17 @@
 std::vector<daemon_instance> RankForRole(
     std::string_view role,
     std::vector<daemon_instance> candidates) {
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [&](const daemon_instance& a, const daemon_instance& b) {
-        const std::uint64_t weight_a = RendezvousWeight(role, a.id.value());
-        const std::uint64_t weight_b = RendezvousWeight(role, b.id.value());
-        return std::pair(weight_a, a) > std::pair(weight_b, b);
-      });
+  std::vector<std::pair<std::uint64_t, daemon_instance>> weighted;
+  weighted.reserve(candidates.size());
+  for (daemon_instance& candidate : candidates) {
+    const std::uint64_t weight = RendezvousWeight(role, candidate.id.value());
+    weighted.emplace_back(weight, std::move(candidate));
+  }
+  std::sort(weighted.begin(), weighted.end(), std::greater<>());
+  candidates.clear();
+  for (auto& [weight, candidate] : weighted) {
+    candidates.push_back(std::move(candidate));
+  }
   return candidates;
 }
 
--- a/bluebell/ownership/renewal_limit.cc
+++ b/bluebell/ownership/renewal_limit.cc
@@ -86,7 +86,9 @@
   renewal_limit limit{renewal_basis::kFresh, *proven + timing.table_freshness};
   const auto extend = [&](renewal_basis basis, instant until) {
     if (until > limit.until) {
-      limit = {basis, until};
+      // A fresh proof stays the basis while it lasts.
+      limit.basis = now < limit.until ? limit.basis : basis;
+      limit.until = until;
     }
   };
   const limit_finder find(replica, peers, self, now);
--- a/bluebell/settings/timing_settings.h
+++ b/bluebell/settings/timing_settings.h
@@ -11,8 +11,10 @@
 struct timing_settings {
   // How long a lease lasts on the endpoint's clock.
   milliseconds lease_term{500};
-  // How often a daemon renews the leases of an endpoint.
-  milliseconds lease_renewal{150};
+  // How often a daemon renews the leases of an endpoint. Two daemons do so. The
+  // expiry counts from the clock reading of the previous answer, so less than
+  // half of lease_term keeps a lease in force between two renewals.
+  milliseconds lease_renewal{200};
   // How old the proof that a table is current may be.
   milliseconds table_freshness{600};
   // How often a store reader reads the tables.
--- a/testing/decision_run.cc
+++ b/testing/decision_run.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <map>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -255,6 +256,9 @@
   auto& violations = world.counts().violations;
   for (const key_hash where : decision_world::ObservedKeys()) {
     if (world.Holders(decision_world::kChecked, where).empty()) {
+      std::ostringstream text;
+      text << "no lease for the slice of " << slice_range{where, where};
+      world.Trace("end", text.str());
       violations.push_back("a key has no owner long after recovery");
     }
   }
