--- /dev/null
+++ b/bluebell/store/memory_platform.cc
@@ -0,0 +1,113 @@
+#include "bluebell/store/memory_platform.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace bluebell {
+
+namespace {
+
+constexpr const char* kPeer = "memory";
+
+error Outage(step at) {
+  return {errc::kTimeout, at, kPeer, "outage"};
+}
+
+}  // namespace
+
+memory_platform::memory_platform(boost::asio::io_context& io) : io_(io) {}
+
+template <typename Action>
+void memory_platform::After(milliseconds wait, Action action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, wait);
+  timer->async_wait(
+      [timer, self = shared_from_this(), action = std::move(action)](
+          const boost::system::error_code& /*cancelled*/) { action(); });
+}
+
+result<store_value> memory_platform::Get(const std::string& key,
+                                         step at) const {
+  if (faults_.outage) {
+    return Outage(at);
+  }
+  const auto found = values_.find(key);
+  return found == values_.end() ? store_value{} : found->second;
+}
+
+void memory_platform::Read(const std::string& key, read_handler done) {
+  After(faults_.latency, [this, key, done = std::move(done)] {
+    done(Get(key, step::kReadStore));
+  });
+}
+
+void memory_platform::Watch(const std::string& key,
+                            store_version after,
+                            milliseconds wait,
+                            read_handler done) {
+  const result<store_value> present = Get(key, step::kWatchStore);
+  if (!present || present.value().version > after) {
+    After(faults_.latency,
+          [present, done = std::move(done)] { done(present); });
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  auto answer = [this, key, answered, done = std::move(done)] {
+    if (!std::exchange(*answered, true)) {
+      done(Get(key, step::kWatchStore));
+    }
+  };
+  watchers_.push_back({key, answer});
+  After(faults_.latency + wait, answer);
+}
+
+write_result memory_platform::Apply(const std::string& key,
+                                    const std::string& value,
+                                    store_version expected) {
+  store_value& stored = values_[key];
+  if (stored.version != expected) {
+    return write_conflict{stored.version};
+  }
+  stored = {value, store_version(stored.version.value() + 1)};
+  auto waiting = std::exchange(watchers_, {});
+  for (watcher& entry : waiting) {
+    if (entry.key == key) {
+      After(milliseconds(0), std::move(entry.wake));
+    } else {
+      watchers_.push_back(std::move(entry));
+    }
+  }
+  return write_applied{stored.version};
+}
+
+void memory_platform::Write(const std::string& key,
+                            const std::string& value,
+                            store_version expected,
+                            write_handler done) {
+  After(faults_.latency, [this, key, value, expected, done = std::move(done)] {
+    if (faults_.outage) {
+      done(write_in_doubt{Outage(step::kWriteStore)});
+      return;
+    }
+    const write_result outcome = Apply(key, value, expected);
+    if (faults_.lose_answers) {
+      done(write_in_doubt{
+          error(errc::kTimeout, step::kWriteStore, kPeer, "answer lost")});
+      return;
+    }
+    done(outcome);
+  });
+}
+
+void memory_platform::ListHosts(hosts_handler done) {
+  After(faults_.latency, [this, done = std::move(done)] {
+    if (faults_.outage) {
+      done(Outage(step::kReadHosts));
+    } else {
+      done(hosts_);
+    }
+  });
+}
+
+}  // namespace bluebell
