--- a/bluebell/store/host_json.h
+++ b/bluebell/store/host_json.h
@@ -15,7 +15,7 @@
 // Reads an array of objects with "name", "role" ("daemon" or "endpoint"),
 // "state" ("live" or "leaving"), "domain", "address" and, for endpoints,
 // "service". One broken entry makes the whole list an error.
-result<std::vector<host_entry>> ParseHosts(std::string_view json);
+result<std::vector<host_entry>> ParseHosts(std::string_view text);
 
 std::string HostsToJson(const std::vector<host_entry>& hosts);
 
