Add the operators' HTTP server

GET /status, /config, /placement, /explain and /metrics, POST /config and /domain-lost are read into operator commands; the answers may come from any thread. Broken requests are refused with a reason and reach no command.

--- /dev/null
+++ b/bluebell/daemon/admin_server.cc
@@ -0,0 +1,305 @@
+#include "bluebell/daemon/admin_server.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/daemon/internal/admin_request.h"
+#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/http/http_message.h"
+#include "bluebell/telemetry/log_event.h"
+#include "bluebell/telemetry/metrics_registry.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint64_t kMaxBodyBytes = 1U << 20U;
+constexpr std::size_t kMaxSessions = 256;
+constexpr seconds kReadTimeout{60};
+// A configuration change waits for the store; it is answered or refused well
+// within this time.
+constexpr seconds kAnswerTimeout{15};
+constexpr milliseconds kAcceptPause{50};
+constexpr unsigned kGatewayTimeout = 504;
+constexpr unsigned kPayloadTooLarge = 413;
+constexpr unsigned kBadRequest = 400;
+
+// True if the operator's bytes aren't HTTP, rather than cut off.
+bool IsMalformed(const boost::system::error_code& failure) {
+  static const bhttp::error kAnyHttpError = bhttp::error::body_limit;
+  return failure.category() == make_error_code(kAnyHttpError).category() &&
+         failure != bhttp::error::end_of_stream &&
+         failure != bhttp::error::partial_message;
+}
+
+struct page {
+  operator_reply reply;
+  std::string content_type = "application/json";
+};
+
+// One connection of an operator.
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket,
+          std::shared_ptr<const admin_handlers> handlers,
+          metrics_registry& metrics,
+          std::shared_ptr<std::size_t> open)
+      : stream_(std::move(socket)),
+        handlers_(std::move(handlers)),
+        metrics_(metrics),
+        open_(std::move(open)),
+        timer_(stream_.get_executor()) {
+    ++*open_;
+  }
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+  ~session() { --*open_; }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxBodyBytes);
+    stream_.expires_after(kReadTimeout);
+    bhttp::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const boost::system::error_code& failure,
+                                    std::size_t /*count*/) {
+          self->FinishRead(failure);
+        });
+  }
+
+ private:
+  void FinishRead(const boost::system::error_code& failure) {
+    if (!failure) {
+      request_ = parser_->release();
+      keep_alive_ = request_.keep_alive();
+      Serve(ReadAdminRequest(request_));
+      return;
+    }
+    keep_alive_ = false;
+    if (failure == bhttp::error::body_limit) {
+      Write({AdminError(kPayloadTooLarge, "body over 1 MB")});
+    } else if (IsMalformed(failure)) {
+      Write({AdminError(kBadRequest, failure.message())});
+    }
+  }
+
+  void Serve(const admin_request& wanted) {
+    std::visit(
+        overloaded{
+            [&](const operator_command& command) {
+              handlers_->command(command, ReplyHandler());
+            },
+            [&](const show_metrics&) {
+              Write({{200, metrics_.Expose()}, "text/plain; version=0.0.4"});
+            },
+            [&](const explain_request& asked) {
+              handlers_->explain_request(asked.id, ReplyHandler());
+            },
+            [&](const admin_refusal& refusal) { Write({refusal.reply}); },
+        },
+        wanted);
+  }
+
+  // The answer may come on any thread, and never if its maker stops.
+  admin_handlers::reply_handler ReplyHandler() {
+    stream_.expires_never();
+    const std::uint64_t number = ++asked_;
+    timer_.expires_after(kAnswerTimeout);
+    timer_.async_wait([self = shared_from_this(),
+                       number](const boost::system::error_code& cancelled) {
+      if (!cancelled) {
+        self->Answer(number, AdminError(kGatewayTimeout, "no answer in time"));
+      }
+    });
+    return [self = shared_from_this(), number](operator_reply reply) {
+      asio::post(self->stream_.get_executor(),
+                 [self, number, reply = std::move(reply)] {
+                   self->Answer(number, reply);
+                 });
+    };
+  }
+
+  void Answer(std::uint64_t number, const operator_reply& reply) {
+    if (number != asked_ || answered_ == number) {
+      return;
+    }
+    answered_ = number;
+    timer_.cancel();
+    Write({reply});
+  }
+
+  void Write(page shown) {
+    response_ = http_response(bhttp::int_to_status(shown.reply.status),
+                              request_.version());
+    response_.set(bhttp::field::content_type, shown.content_type);
+    response_.body() = std::move(shown.reply.json);
+    response_.keep_alive(keep_alive_);
+    response_.prepare_payload();
+    stream_.expires_after(kReadTimeout);
+    bhttp::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const boost::system::error_code& failure,
+                                    std::size_t /*count*/) {
+          if (!failure && self->keep_alive_) {
+            self->Read();
+          } else {
+            boost::system::error_code ignored;
+            self->stream_.socket().shutdown(tcp::socket::shutdown_send,
+                                            ignored);
+          }
+        });
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<const admin_handlers> handlers_;
+  metrics_registry& metrics_;
+  std::shared_ptr<std::size_t> open_;
+  asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
+  http_request request_;
+  http_response response_;
+  std::uint64_t asked_ = 0;
+  std::uint64_t answered_ = 0;
+  bool keep_alive_ = false;
+};
+
+}  // namespace
+
+class admin_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context& io,
+       const admin_handlers& handlers,
+       metrics_registry& metrics)
+      : handlers_(std::make_shared<admin_handlers>(handlers)),
+        metrics_(metrics),
+        acceptor_(io),
+        pause_(io) {}
+
+  const address& listen_address() const { return listen_address_; }
+
+  result<void> Open(const address& listen) {
+    const auto local = ToSocketAddress<tcp>(listen, step::kListen);
+    if (!local) {
+      return local.error();
+    }
+    try {
+      acceptor_.open(local.value().protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(local.value());
+      acceptor_.listen();
+      listen_address_ = FromSocketAddress(acceptor_.local_endpoint());
+    } catch (const boost::system::system_error& failure) {
+      return error(errc::kUnavailable, step::kListen, listen.ToString(),
+                   failure.code().message());
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void Start() {
+    asio::post(acceptor_.get_executor(),
+               [self = shared_from_this()] { self->Accept(); });
+  }
+
+  void Close() {
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+      boost::system::error_code ignored;
+      self->acceptor_.close(ignored);
+      self->pause_.cancel();
+    });
+  }
+
+ private:
+  void Accept() {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    acceptor_.async_accept(
+        [self = shared_from_this()](const boost::system::error_code& failure,
+                                    tcp::socket socket) {
+          if (!self->acceptor_.is_open()) {
+            return;
+          }
+          if (failure) {
+            self->PauseAccepting(failure);
+            return;
+          }
+          if (*self->open_ < kMaxSessions) {
+            std::make_shared<session>(std::move(socket), self->handlers_,
+                                      self->metrics_, self->open_)
+                ->Read();
+          }
+          self->Accept();
+        });
+  }
+
+  // A lack of file descriptors must not make the thread spin.
+  void PauseAccepting(const boost::system::error_code& failure) {
+    log_event(log_level::kWarn, "can't accept an operator's connection")
+        .With(error(errc::kUnavailable, step::kListen,
+                    listen_address_.ToString(), failure.message()))
+        .Write();
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([self = shared_from_this()](
+                          const boost::system::error_code& cancelled) {
+      if (!cancelled) {
+        self->Accept();
+      }
+    });
+  }
+
+  std::shared_ptr<const admin_handlers> handlers_;
+  metrics_registry& metrics_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer pause_;
+  address listen_address_;
+  std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
+};
+
+result<std::unique_ptr<admin_server>> admin_server::Make(
+    asio::io_context& io,
+    const address& listen,
+    const admin_handlers& handlers,
+    metrics_registry& metrics) {
+  auto state = std::make_shared<impl>(io, handlers, metrics);
+  const result<void> opened = state->Open(listen);
+  if (!opened) {
+    return opened.error();
+  }
+  state->Start();
+  return std::unique_ptr<admin_server>(new admin_server(std::move(state)));
+}
+
+admin_server::admin_server(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+
+admin_server::~admin_server() {
+  impl_->Close();
+}
+
+const address& admin_server::listen_address() const {
+  return impl_->listen_address();
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/daemon/internal/admin_request.h
@@ -0,0 +1,43 @@
+// Reads what an operator's HTTP request asks for.
+
+#ifndef BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
+#define BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
+
+#include <string>
+#include <variant>
+
+#include "bluebell/control/operator_command.h"
+#include "bluebell/core/request_id.h"
+#include "bluebell/http/http_message.h"
+
+namespace bluebell {
+
+struct show_metrics {
+  friend bool operator==(const show_metrics&, const show_metrics&) = default;
+};
+
+struct explain_request {
+  request_id id;
+
+  friend bool operator==(const explain_request&,
+                         const explain_request&) = default;
+};
+
+// The request asks for nothing that exists; this is the answer.
+struct admin_refusal {
+  operator_reply reply;
+
+  friend bool operator==(const admin_refusal&, const admin_refusal&) = default;
+};
+
+using admin_request = std::
+    variant<operator_command, show_metrics, explain_request, admin_refusal>;
+
+admin_request ReadAdminRequest(const http_request& request);
+
+// A JSON object with the one field "error".
+operator_reply AdminError(unsigned status, const std::string& text);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
