Report names given twice in settings, and group what status lists

Cause: a trial of bluebellctl against a scripted admin page showed that a lost failure domain fills the list of problems with one line for each endpoint, and that "0 to 1" stood for true or false. A second occurrence of a name in a settings file silently replaced the first.

Change: status groups daemons and endpoints by domain and state; config get shows the allowed values as the daemon words them; daemon_settings::Parse reports names that occur twice in one object.

--- a/bluebell/ctl/internal/config_commands.cc
+++ b/bluebell/ctl/internal/config_commands.cc
@@ -189,14 +189,11 @@
             << (scope.empty() ? "fleet-wide defaults"
                               : "values in force for " + scope)
             << "\n\n";
-  text_table table({"SETTING", "VALUE", "UNIT", "ALLOWED", "MEANING"});
+  text_table table({"SETTING", "VALUE", "ALLOWED", "MEANING"});
   for (const setting& which : AllSettings()) {
     if (wanted.setting.empty() || which.name == wanted.setting) {
       table.Add({std::string(which.name), TextOf(values, which),
-                 std::string(which.unit),
-                 std::to_string(which.least) + " to " +
-                     std::to_string(which.greatest),
-                 std::string(which.meaning)});
+                 AllowedText(which), std::string(which.meaning)});
     }
   }
   world.out << table.ToString();
--- a/bluebell/ctl/internal/status_report.cc
+++ b/bluebell/ctl/internal/status_report.cc
@@ -96,6 +96,41 @@
   return bound_ms < 1 ? "1 ms" : std::to_string(std::llround(bound_ms)) + " ms";
 }
 
+// The first few names, so that the loss of a domain doesn't hide the rest.
+std::string SomeOf(const std::vector<std::string>& names) {
+  constexpr std::size_t kShown = 3;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(names.size(), kShown); ++i) {
+    text += (i == 0 ? "" : ", ") + names[i];
+  }
+  return names.size() <= kShown
+             ? text
+             : text + " and " + std::to_string(names.size() - kShown) +
+                   " more; `bluebellctl status --all` lists them";
+}
+
+// One line for all daemons or endpoints of a domain in the same state.
+void FindHostProblems(const status_page& status,
+                      std::vector<std::string>& problems) {
+  std::map<std::pair<std::string, std::string>, std::vector<std::string>> hosts;
+  for (const daemon_row& daemon : status.daemons) {
+    const std::string state = DaemonState(daemon, status);
+    if (state == "not heard" || state == "config behind") {
+      hosts[{"daemon " + state, daemon.domain}].push_back(daemon.id);
+    }
+  }
+  for (const endpoint_row& endpoint : status.endpoints) {
+    if (endpoint.condition != "serving") {
+      hosts[{"endpoint " + endpoint.condition, endpoint.domain}].push_back(
+          endpoint.id);
+    }
+  }
+  for (const auto& [what, names] : hosts) {
+    problems.push_back(what.first + " in " + what.second + ": " +
+                       SomeOf(names));
+  }
+}
+
 void FindServiceProblems(const service_row& service,
                          std::vector<std::string>& problems) {
   if (!service.keyed) {
@@ -230,22 +265,12 @@
     if (DomainState(counts) == "SILENT") {
       problems.push_back(
           "failure domain " + name +
-          ": no daemon is heard; its keys move after domain_autonomy if it is "
-          "cut off from the store, too");
-    }
-  }
-  for (const daemon_row& daemon : status.daemons) {
-    const std::string state = DaemonState(daemon, status);
-    if (state == "not heard" || state == "config behind") {
-      problems.push_back("daemon " + daemon.id + ": " + state + ", heard " +
-                         AgeText(daemon.last_heard_ms));
-    }
-  }
-  for (const endpoint_row& endpoint : status.endpoints) {
-    if (endpoint.condition != "serving") {
-      problems.push_back("endpoint " + endpoint.id + ": " + endpoint.condition);
+          ": no daemon is heard; its keys get new owners after "
+          "domain_autonomy_ms, sooner if you know that its hosts are off and "
+          "use `bluebellctl domain-lost`");
     }
   }
+  FindHostProblems(status, problems);
   for (const service_row& service : status.services) {
     FindServiceProblems(service, problems);
   }
--- a/bluebell/settings/daemon_settings.cc
+++ b/bluebell/settings/daemon_settings.cc
@@ -5,6 +5,7 @@
 
 #include <boost/json/parser.hpp>
 
+#include "bluebell/settings/internal/duplicate_names.h"
 #include "bluebell/settings/internal/object_reader.h"
 #include "bluebell/settings/internal/problem_list.h"
 #include "bluebell/settings/internal/settings_rules.h"
@@ -148,6 +149,9 @@
     return std::vector{SyntaxProblem(text, 0, "the file is one object")};
   }
   problem_list problems;
+  for (const std::string& path : internal::FindDuplicateNames(text)) {
+    problems.Add(path, "given twice", "each name once");
+  }
   object_reader reader(root.get_object(), "", problems);
   daemon_settings settings = ReadAll(reader);
   reader.Finish();
--- a/bluebell/settings/daemon_settings_test.cc
+++ b/bluebell/settings/daemon_settings_test.cc
@@ -111,6 +111,15 @@
   CHECK(ProblemsOf(std::string(kSmall) + " {}").size() == 1);
 }
 
+TEST_CASE("a name given twice is reported, since only one would count") {
+  std::string text(kSmall);
+  text.replace(text.find(R"("slots": 2)"), 10,
+               "\"slots\": 2, // \"slots\"\n\"keyed\": true, \"slots\": 3");
+  const problems found = ProblemsOf(text);
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].path == "services[0].slots");
+}
+
 TEST_CASE("ids and addresses that collide are refused") {
   CHECK(Names(ProblemsWith("/peers/0/id", R"("a-1")"), "peers[0].id"));
   CHECK(Names(ProblemsWith("/peers/0/peer_address", R"("127.0.0.1:8082")"),
