--- a/bluebell/config/internal/value_rules.cc
+++ b/bluebell/config/internal/value_rules.cc
@@ -114,12 +114,8 @@
       return broken ? std::optional(scope) : std::nullopt;
     }
     for (const candidate& next : candidates_[numbers_.size()]) {
-      const auto both = Intersect(scope, next.scope);
-      if (!both) {
-        continue;
-      }
       numbers_.push_back(next.number);
-      auto found = Extend(*both);
+      auto found = ExtendBy(scope, next.scope);
       numbers_.pop_back();
       if (found) {
         return found;
@@ -128,6 +124,18 @@
     return std::nullopt;
   }
 
+  std::optional<config_scope> ExtendBy(const config_scope& scope,
+                                       const config_scope& next) {
+    // Most combinations keep the rule, and numbers are compared faster than
+    // scopes.
+    const bool complete = numbers_.size() == candidates_.size();
+    if (complete && Holds(rule_, numbers_)) {
+      return std::nullopt;
+    }
+    const auto both = Intersect(scope, next);
+    return both ? Extend(*both) : std::nullopt;
+  }
+
   bool HoldsIn(const config_scope& scope) const {
     const policy_values values = ValuesIn(scope, defaults_, relevant_);
     std::vector<std::int64_t> numbers;
