Queue by rank shares and callers' slot time, with a virtual-time bench

Cause: the first queue shared by starts and let one caller fill a rank. Change: guaranteed shares of slot time per rank (rank_shares), start-time fair queuing between callers (caller_queues), refusal on arrival from an estimate per caller, expiry, warm-up and a limit from shed answers and rising service times (slot_limit); fifo and per_host_limit as baselines. testing/policy_bench measures them in virtual time; testing/queue_bench_test holds the targets.

--- a/bluebell/dispatch/endpoint_queue.h
+++ b/bluebell/dispatch/endpoint_queue.h
@@ -1,8 +1,8 @@
 // The queue and the slots of one endpoint, held by its dispatcher.
 //
 // Urgent work goes first, each lower rank keeps its guaranteed share of slot
-// time, callers share within a rank, and what can't start before its deadline
-// is refused on arrival.
+// time, callers share within a rank, and what can't be served before its
+// deadline is refused on arrival. Other policies serve as baselines.
 //
 //   endpoint_queue queue = endpoint_queue::Make(slots, values, now).value();
 //   admission verdict = queue.Submit(request, now);
@@ -23,6 +23,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/dispatch/admission.h"
 #include "bluebell/dispatch/completion.h"
+#include "bluebell/dispatch/queue_policy.h"
 #include "bluebell/dispatch/queue_pressure.h"
 #include "bluebell/dispatch/queued_request.h"
 
@@ -32,9 +33,11 @@
  public:
   // `slots` is the number of requests that the endpoint runs at a time when it
   // is warm. The endpoint is cold at `now`.
-  static result<endpoint_queue> Make(std::uint32_t slots,
-                                     const policy_values& values,
-                                     instant now);
+  static result<endpoint_queue> Make(
+      std::uint32_t slots,
+      const policy_values& values,
+      instant now,
+      const queue_policy& policy = ranked_policy{});
 
   endpoint_queue(endpoint_queue&& other) noexcept;
   endpoint_queue& operator=(endpoint_queue&& other) noexcept;
--- /dev/null
+++ b/bluebell/dispatch/internal/rank_usage.cc
@@ -0,0 +1,32 @@
+#include "bluebell/dispatch/internal/rank_usage.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace bluebell {
+
+namespace {
+
+// Long against a service time, short against a change of the load.
+constexpr std::chrono::duration<double, std::nano> kTimeConstant = seconds(1);
+
+}  // namespace
+
+void rank_usage::Add(rank value, duration slot_time, instant now) {
+  const double kept = Kept(now);
+  for (double& sum : sums_) {
+    sum *= kept;
+  }
+  updated_at_ = now;
+  sums_[RankIndex(value)] += static_cast<double>(slot_time.count());
+}
+
+double rank_usage::Of(rank value, instant now) const {
+  return sums_[RankIndex(value)] * Kept(now) / kTimeConstant.count();
+}
+
+double rank_usage::Kept(instant now) const {
+  return std::exp(-((now - updated_at_) / kTimeConstant));
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/dispatch/slot_limit.h
@@ -0,0 +1,72 @@
+// How many requests an endpoint gets at a time.
+//
+// The limit rises from one to all slots while the endpoint warms up. After
+// that it falls when the endpoint sheds requests or its service times rise,
+// and rises again slowly while requests complete. It rests on the dispatcher's
+// own measurements, since the endpoint's reports are delayed or misleading.
+//
+//   slot_limit limit(6, values.warm_up, now);
+//   if (in_flight < limit.Current(now)) { ... }
+
+#ifndef BLUEBELL_DISPATCH_SLOT_LIMIT_H_
+#define BLUEBELL_DISPATCH_SLOT_LIMIT_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+#include "bluebell/core/rank.h"
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+class slot_limit {
+ public:
+  // `slots` is at least 1.
+  slot_limit(std::uint32_t slots, duration warm_up, instant now);
+
+  // At least 1, so that a recovered endpoint is noticed.
+  std::uint32_t Current(instant now) const;
+
+  // `at_limit`: as many requests ran as the limit allowed.
+  void OnCompleted(rank priority,
+                   duration service_time,
+                   bool at_limit,
+                   instant now);
+  void OnShed(instant now);
+
+  void Configure(duration warm_up) { warm_up_ = warm_up; }
+
+  // When the limit next rises by itself.
+  std::optional<instant> next_rise(instant now) const;
+
+  friend bool operator==(const slot_limit&, const slot_limit&) = default;
+
+ private:
+  // Moving means of a rank's service time over few and over many requests.
+  struct service_trend {
+    double recent = 0;
+    double usual = 0;
+    std::uint32_t samples = 0;
+
+    void Add(double sample);
+    bool HasRisen() const;
+    friend bool operator==(const service_trend&,
+                           const service_trend&) = default;
+  };
+
+  std::uint32_t WarmUpLimit(instant now) const;
+  void Cut(double factor, instant now);
+
+  std::uint32_t slots_;
+  duration warm_up_;
+  instant started_at_;
+  double limit_;
+  instant cut_at_;
+  duration service_time_{0};
+  std::array<service_trend, kRanks.size()> trends_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DISPATCH_SLOT_LIMIT_H_
