--- a/bluebell/dispatch/request_ledger.cc
+++ b/bluebell/dispatch/request_ledger.cc
@@ -1,7 +1,7 @@
 #include "bluebell/dispatch/request_ledger.h"
 
 #include <algorithm>
-#include <deque>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -18,8 +18,8 @@
 const request_outcome kForgotten =
     unknown{unknown_reason::kRepeatOfForgottenRequest, ""};
 
-const request_outcome kWithdrawn = not_run{
-    not_run_reason::kWithdrawn, "withdrawn before arrival", milliseconds(0)};
+const request_outcome kWithdrawn =
+    not_run{not_run_reason::kWithdrawn, "", milliseconds(0)};
 
 bool IsWithdrawn(const request_outcome& outcome) {
   const auto* refusal = std::get_if<not_run>(&outcome);
@@ -141,6 +141,8 @@
     // Empty while the request is queued or running here.
     std::optional<request_outcome> outcome;
     std::size_t bytes = 0;
+    // Its place in `by_end_` if it takes bytes.
+    std::uint64_t ended_as = 0;
   };
   using entry_map = std::map<request_id, entry>;
 
@@ -168,8 +170,7 @@
     while (!entries_.empty() && entries_.size() >= limits_.max_entries) {
       DropOldest();
     }
-    return entries_.insert_or_assign(id, entry{idempotent, std::nullopt, 0})
-        .first;
+    return entries_.insert_or_assign(id, entry{idempotent, std::nullopt}).first;
   }
 
   // Ended entries go first: a running one still receives its outcome. With the
@@ -182,40 +183,43 @@
   }
 
   void Erase(entry_map::iterator where) {
-    bytes_ -= where->second.bytes;
-    ended_.erase(where->first);
+    ClearOutcome(where);
     entries_.erase(where);
   }
 
   void Reopen(entry_map::iterator where, bool idempotent) {
-    bytes_ -= where->second.bytes;
+    ClearOutcome(where);
+    where->second.idempotent = idempotent;
+  }
+
+  void ClearOutcome(entry_map::iterator where) {
+    entry& kept = where->second;
+    if (kept.bytes > 0) {
+      by_end_.erase(kept.ended_as);
+    }
+    bytes_ -= kept.bytes;
+    kept.bytes = 0;
+    kept.outcome.reset();
     ended_.erase(where->first);
-    where->second = entry{idempotent, std::nullopt, 0};
   }
 
   void SetOutcome(entry_map::iterator where, const request_outcome& outcome) {
+    ClearOutcome(where);
     entry& kept = where->second;
-    bytes_ -= kept.bytes;
     kept.outcome = outcome;
     kept.bytes = BytesOf(outcome);
     bytes_ += kept.bytes;
     ended_.insert(where->first);
     if (kept.bytes > 0) {
-      by_end_.push_back(where->first);
+      kept.ended_as = ends_++;
+      by_end_.emplace(kept.ended_as, where->first);
     }
   }
 
   // Drops the outcomes that ended first until the rest fits.
   void DropAnswers() {
     while (bytes_ > limits_.max_answer_bytes && !by_end_.empty()) {
-      const auto found = entries_.find(by_end_.front());
-      by_end_.pop_front();
-      if (found != entries_.end() && found->second.bytes > 0) {
-        SetOutcome(found, kForgotten);
-      }
-    }
-    while (!by_end_.empty() && !entries_.contains(by_end_.front())) {
-      by_end_.pop_front();
+      SetOutcome(entries_.find(by_end_.begin()->second), kForgotten);
     }
   }
 
@@ -225,9 +229,9 @@
   wall_instant dropped_;
   entry_map entries_;
   std::set<request_id> ended_;
-  // Entries with an outcome that takes room, in the order in which they ended.
-  // May name entries that are gone.
-  std::deque<request_id> by_end_;
+  // The entries whose outcomes take bytes, in the order in which they ended.
+  std::map<std::uint64_t, request_id> by_end_;
+  std::uint64_t ends_ = 0;
   std::size_t bytes_ = 0;
 };
 
