Plan placement by measured load

Cause: slices had no owners to start with and nothing kept endpoints even. Change: PlanRebalance (hot keys out first, draining endpoints emptied, busy ones relieved within bounds, slices too heavy to move split, cold neighbours merged), AssignOwners, load_smoother (smoothing is outside the planner, time constant 5 s), consistent_hash as a baseline, placement_policy by name. slice_load.h moves from control to placement, on which it depends.

--- a/bluebell/control/control_event.h
+++ b/bluebell/control/control_event.h
@@ -10,12 +10,12 @@
 #include <vector>
 
 #include "bluebell/control/operator_command.h"
-#include "bluebell/control/slice_load.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
 #include "bluebell/membership/heartbeat.h"
 #include "bluebell/ownership/lease_reply.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/store/host_entry.h"
 #include "bluebell/store/store_value.h"
 #include "bluebell/store/write_result.h"
--- /dev/null
+++ b/bluebell/placement/internal/load_board.cc
@@ -0,0 +1,153 @@
+#include "bluebell/placement/internal/load_board.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <variant>
+
+#include "bluebell/core/key_hash.h"
+#include "bluebell/core/overloaded.h"
+
+namespace bluebell {
+
+namespace {
+
+// Each slice counts for this much of its share of the hash space in addition to
+// its measured load, so that slices without load are spread, too.
+constexpr double kPrior = 0.001;
+
+std::optional<std::size_t> FindInstance(const rebalance_input& input,
+                                        const endpoint_instance& instance) {
+  const auto found = std::find_if(
+      input.endpoints.begin(), input.endpoints.end(),
+      [&](const usable_endpoint& e) { return e.instance == instance; });
+  if (found == input.endpoints.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - input.endpoints.begin());
+}
+
+std::optional<std::size_t> FindTarget(const rebalance_input& input,
+                                      const moving& state) {
+  const auto found =
+      std::find_if(input.endpoints.begin(), input.endpoints.end(),
+                   [&](const usable_endpoint& e) {
+                     return e.instance.endpoint == state.to && !e.draining;
+                   });
+  if (found == input.endpoints.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - input.endpoints.begin());
+}
+
+// Who bears the load of the slice now or as soon as it has moved.
+std::optional<std::size_t> BearerOf(const rebalance_input& input,
+                                    const slice& which) {
+  return std::visit(
+      overloaded{[](const unassigned&) -> std::optional<std::size_t> {
+                   return std::nullopt;
+                 },
+                 [&](const owned& s) { return FindInstance(input, s.owner); },
+                 [&](const moving& s) { return FindTarget(input, s); }},
+      which.state);
+}
+
+std::vector<double> SliceLoads(const rebalance_input& input) {
+  std::map<key_hash, double> measured;
+  double total = 0;
+  for (const slice_load& each : input.loads) {
+    const auto amount = static_cast<double>(each.slot_time.count());
+    measured[each.first] += amount;
+    total += amount;
+  }
+  const double prior = total > 0 ? kPrior * total : 1;
+  std::vector<double> loads;
+  loads.reserve(input.slices.size());
+  for (const slice& each : input.slices) {
+    const auto found = measured.find(each.range.first);
+    const double own = found == measured.end() ? 0 : found->second;
+    loads.push_back(own + prior * each.range.Share());
+  }
+  return loads;
+}
+
+}  // namespace
+
+bool NeedsOwner(const rebalance_input& input, const slice& which) {
+  return !std::holds_alternative<owned>(which.state) && !BearerOf(input, which);
+}
+
+load_board::load_board(const rebalance_input& input)
+    : input_(input),
+      load_(SliceLoads(input)),
+      owner_(input.slices.size()),
+      busy_(input.endpoints.size(), 0.0) {
+  double slots = 0;
+  for (const usable_endpoint& endpoint : input.endpoints) {
+    slots += endpoint.draining ? 0 : endpoint.slots;
+  }
+  const double total = std::accumulate(load_.begin(), load_.end(), 0.0);
+  mean_per_slot_ = slots > 0 ? total / slots : 0;
+  for (std::size_t i = 0; i < input.slices.size(); ++i) {
+    owner_[i] = BearerOf(input, input.slices[i]);
+    if (owner_[i]) {
+      busy_[*owner_[i]] += load_[i];
+    }
+  }
+}
+
+double load_board::Relative(std::size_t endpoint) const {
+  return busy_[endpoint] / MeanLoad(endpoint);
+}
+
+double load_board::RelativeLoad(std::size_t slice, std::size_t endpoint) const {
+  return load_[slice] / MeanLoad(endpoint);
+}
+
+double load_board::MeanLoad(std::size_t endpoint) const {
+  const double mean = mean_per_slot_ * input_.endpoints[endpoint].slots;
+  return std::max(mean, 1e-12);
+}
+
+std::optional<std::size_t> load_board::LeastLoaded() const {
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < busy_.size(); ++i) {
+    if (!input_.endpoints[i].draining && (!best || IsBetter(i, *best))) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+bool load_board::IsBetter(std::size_t candidate, std::size_t best) const {
+  const double difference = Relative(candidate) - Relative(best);
+  // Sums of the same loads in another order differ by rounding.
+  if (std::abs(difference) > 1e-9) {
+    return difference < 0;
+  }
+  return DomainLoadPerSlot(input_.endpoints[candidate].domain) <
+         DomainLoadPerSlot(input_.endpoints[best].domain);
+}
+
+void load_board::Place(std::size_t slice, std::size_t endpoint) {
+  if (owner_[slice]) {
+    busy_[*owner_[slice]] -= load_[slice];
+  }
+  owner_[slice] = endpoint;
+  busy_[endpoint] += load_[slice];
+}
+
+double load_board::DomainLoadPerSlot(const domain_name& domain) const {
+  double load = 0;
+  double slots = 0;
+  for (std::size_t i = 0; i < busy_.size(); ++i) {
+    if (input_.endpoints[i].domain == domain && !input_.endpoints[i].draining) {
+      load += busy_[i];
+      slots += input_.endpoints[i].slots;
+    }
+  }
+  return slots > 0 ? load / slots : 0;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/placement/placement_policy.h
@@ -0,0 +1,51 @@
+// How slices are placed: this system's policy, or a baseline that measurements
+// compare it with.
+//
+//   result<placement_policy> policy = ParsePlacementPolicy("consistent_hash");
+//   std::vector<planned_step> steps = Plan(policy.value(), input, limits);
+
+#ifndef BLUEBELL_PLACEMENT_PLACEMENT_POLICY_H_
+#define BLUEBELL_PLACEMENT_PLACEMENT_POLICY_H_
+
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "bluebell/core/result.h"
+#include "bluebell/placement/planned_step.h"
+#include "bluebell/placement/rebalance_input.h"
+
+namespace bluebell {
+
+// "bluebell": by measured load, see rebalance_planner.h.
+struct measured_load_placement {
+  friend bool operator==(const measured_load_placement&,
+                         const measured_load_placement&) = default;
+};
+
+// "consistent_hash": each slice goes to the endpoint with the highest
+// rendezvous weight, whatever its load.
+struct consistent_hash_placement {
+  friend bool operator==(const consistent_hash_placement&,
+                         const consistent_hash_placement&) = default;
+};
+
+using placement_policy =
+    std::variant<measured_load_placement, consistent_hash_placement>;
+
+// Reads the setting `placement_policy`.
+result<placement_policy> ParsePlacementPolicy(std::string_view name);
+
+// Owners for all slices that have none: those that are unassigned, and those on
+// the way without an endpoint that can take them.
+std::vector<move_slice> PlanOwners(const placement_policy& policy,
+                                   const rebalance_input& input);
+
+// Changes that improve the balance, most important first.
+std::vector<planned_step> Plan(const placement_policy& policy,
+                               const rebalance_input& input,
+                               const rebalance_limits& limits);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_PLACEMENT_PLACEMENT_POLICY_H_
--- a/bluebell/control/slice_load.h
+++ b/bluebell/placement/slice_load.h
@@ -1,8 +1,8 @@
 // Slot time spent on a slice or a single key within a period, as the traffic
 // threads measure it.
 
-#ifndef BLUEBELL_CONTROL_SLICE_LOAD_H_
-#define BLUEBELL_CONTROL_SLICE_LOAD_H_
+#ifndef BLUEBELL_PLACEMENT_SLICE_LOAD_H_
+#define BLUEBELL_PLACEMENT_SLICE_LOAD_H_
 
 #include <vector>
 
@@ -40,4 +40,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_CONTROL_SLICE_LOAD_H_
+#endif  // BLUEBELL_PLACEMENT_SLICE_LOAD_H_
--- a/testing/policy_bench_main.cc
+++ b/testing/policy_bench_main.cc
@@ -1,4 +1,4 @@
-// Measures queue policies against each other in virtual time.
+// Measures queue and placement policies against each other in virtual time.
 
 #include <array>
 #include <cstdio>
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "testing/placement_bench.h"
 #include "testing/queue_bench.h"
 #include "testing/queue_scenarios.h"
 
@@ -47,10 +48,46 @@
   }
 }
 
+void MeasurePlacement(const std::string& name,
+                      const placement_policy& policy,
+                      const placement_bench_setup& setup) {
+  placement_bench bench(setup);
+  constexpr std::size_t kRounds = 60;
+  const placement_result settled = bench.Run(policy, kRounds);
+  const placement_result later = bench.Run(policy, kRounds);
+  bench.Drain(3);
+  const double least = bench.LeastMove(1.15) + bench.RoomForHeaviest(3, 1.15);
+  const placement_result drained = bench.Run(policy, kRounds);
+  std::ignore = std::printf(
+      "placement %s endpoints %u zipf %.1f noise %.1f heaviest key %.2f: "
+      "imbalance %.3f moves %zu, 60 s later %zu, slices %zu; drain: moved "
+      "%.3f least %.3f imbalance %.3f\n",
+      name.c_str(), setup.endpoints, setup.zipf_exponent, setup.noise,
+      bench.HeaviestKey(), settled.imbalance, settled.moves, later.moves,
+      settled.slices, drained.moved_load, least, drained.imbalance);
+}
+
+void MeasurePlacements() {
+  for (const std::uint32_t slots : {2U, 6U}) {
+    for (const double exponent : {0.6, 0.9, 1.1}) {
+      for (const double noise : {0.0, 0.2}) {
+        placement_bench_setup setup;
+        setup.endpoints = slots == 2 ? 15 : 13;
+        setup.slots = slots;
+        setup.zipf_exponent = exponent;
+        setup.noise = noise;
+        MeasurePlacement("bluebell", measured_load_placement{}, setup);
+        MeasurePlacement("consistent_hash", consistent_hash_placement{}, setup);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bluebell
 
 int main() {
+  bluebell::MeasurePlacements();
   using bluebell::service_spread;
   const std::vector<bluebell::named_policy> policies = {
       {"bluebell", bluebell::ranked_policy{0}},
