Follow shed answers at once and pause while an endpoint sheds all

Cause: the limit fell at most once in a service time, so that one shed answer led to the next request at once, until the whole queue was shed. Change: the limit falls to what ran beside the shed request; if none ran, the queue pauses for a service time. The bench can shed. Conclusion: goodput and shares hold when an endpoint has less room than set.

--- a/bluebell/dispatch/internal/ranked_queue.cc
+++ b/bluebell/dispatch/internal/ranked_queue.cc
@@ -50,7 +50,7 @@
 }
 
 std::optional<queued_request> ranked_queue::StartNext(instant now) {
-  if (started_.size() >= limit_.Current(now)) {
+  if (started_.size() >= limit_.Current(now) || now < limit_.paused_until()) {
     return std::nullopt;
   }
   SetAsideExpired(now);
@@ -96,7 +96,7 @@
     service_.Observe(priority, done->service_time);
     limit_.OnCompleted(priority, done->service_time, at_limit, now);
   } else if (std::holds_alternative<shed>(how)) {
-    limit_.OnShed(now);
+    limit_.OnShed(static_cast<std::uint32_t>(started_.size()), now);
   }
   const duration difference = (now - ended.started_at) - ended.charged;
   shares_.Correct(priority, difference);
@@ -138,11 +138,13 @@
       next = std::min(next.value_or(*expiry), *expiry);
     }
   }
-  const std::optional<instant> rise = limit_.next_rise(now);
-  if (next && rise) {
-    next = std::min(*next, *rise);
+  if (!next) {
+    return std::nullopt;
   }
-  return next;
+  if (now < limit_.paused_until()) {
+    return std::min(*next, limit_.paused_until());
+  }
+  return std::min(*next, limit_.next_rise(now).value_or(*next));
 }
 
 rank_flags ranked_queue::Waiting() const {
--- a/bluebell/dispatch/slot_limit.cc
+++ b/bluebell/dispatch/slot_limit.cc
@@ -7,17 +7,21 @@
 
 namespace {
 
-constexpr double kCutOnShed = 0.7;
 constexpr double kCutOnRise = 0.9;
 
 // A completed request lifts the limit by this over the limit itself. With two
-// slots, a limit that was cut to one is tried again after 12 to 20 requests.
+// slots, a limit that was cut to one is tried again after about 30 requests.
 constexpr double kRaise = 0.05;
 
 // Service times count as risen at twice the usual: with 32 samples this is far
 // outside the noise of exponential service times.
+// The limit is cut once for each run of samples.
 constexpr double kRisenRatio = 2;
-constexpr double kRecentSamples = 32;
+constexpr int kRecentCount = 32;
+constexpr double kRecentSamples = kRecentCount;
+
+// Between tries while the endpoint sheds all.
+constexpr duration kMinPause = milliseconds(5);
 
 // The usual value follows, so that an endpoint that is slower for good gets all
 // its slots back.
@@ -30,7 +34,8 @@
       warm_up_(warm_up),
       started_at_(now),
       limit_(slots),
-      cut_at_(now) {}
+      cut_at_(now),
+      paused_until_(now) {}
 
 std::uint32_t slot_limit::Current(instant now) const {
   const auto measured = static_cast<std::uint32_t>(limit_ + 1e-9);
@@ -48,14 +53,20 @@
     return;
   }
   if (trend.HasRisen()) {
-    Cut(kCutOnRise, now);
+    if (now >= cut_at_ + kRecentCount * service_time_) {
+      limit_ = std::max(1.0, limit_ * kCutOnRise);
+      cut_at_ = now;
+    }
     return;
   }
   limit_ = std::min<double>(slots_, limit_ + kRaise / limit_);
 }
 
-void slot_limit::OnShed(instant now) {
-  Cut(kCutOnShed, now);
+void slot_limit::OnShed(std::uint32_t others, instant now) {
+  limit_ = std::max(1.0, std::min<double>(limit_, others));
+  if (others == 0) {
+    paused_until_ = now + std::max(kMinPause, service_time_);
+  }
 }
 
 std::optional<instant> slot_limit::next_rise(instant now) const {
@@ -76,16 +87,6 @@
   return std::max(1U, static_cast<std::uint32_t>(std::ceil(part * slots_)));
 }
 
-// Requests of one overload are shed together, so the limit falls at most once
-// in a service time.
-void slot_limit::Cut(double factor, instant now) {
-  if (now < cut_at_ + service_time_) {
-    return;
-  }
-  limit_ = std::max(1.0, limit_ * factor);
-  cut_at_ = now;
-}
-
 void slot_limit::service_trend::Add(double sample) {
   ++samples;
   const double count = samples;
--- a/bluebell/dispatch/slot_limit.h
+++ b/bluebell/dispatch/slot_limit.h
@@ -33,7 +33,13 @@
                    duration service_time,
                    bool at_limit,
                    instant now);
-  void OnShed(instant now);
+  // The endpoint shed a request while it ran `others`: it has no room for more
+  // than those.
+  void OnShed(std::uint32_t others, instant now);
+
+  // No request is sent before this: the endpoint shed one while it ran none, so
+  // that no end of another request will show that it has room.
+  instant paused_until() const { return paused_until_; }
 
   void Configure(duration warm_up) { warm_up_ = warm_up; }
 
@@ -56,13 +62,13 @@
   };
 
   std::uint32_t WarmUpLimit(instant now) const;
-  void Cut(double factor, instant now);
 
   std::uint32_t slots_;
   duration warm_up_;
   instant started_at_;
   double limit_;
   instant cut_at_;
+  instant paused_until_;
   duration service_time_{0};
   std::array<service_trend, kRanks.size()> trends_;
 };
--- a/testing/queue_bench.cc
+++ b/testing/queue_bench.cc
@@ -147,9 +147,8 @@
     }
     while (const auto next = queues_[queue].StartNext(now_)) {
       requests_.at(next->id).sent_at = now_;
-      backlog_.push_back(next->id);
+      Send(next->id);
     }
-    StartAtEndpoint();
     ScheduleWakeup(queue);
   }
 
@@ -169,6 +168,18 @@
     });
   }
 
+  void Send(const request_id& id) {
+    if (setup_.sheds && busy_ >= setup_.actual_slots) {
+      const bench_request& refused = requests_.at(id);
+      Count(refused, &stream_result::shed_by_endpoint);
+      queues_[refused.queue].Finish(id, shed{}, now_);
+      requests_.erase(id);
+      return;
+    }
+    backlog_.push_back(id);
+    StartAtEndpoint();
+  }
+
   void StartAtEndpoint() {
     while (busy_ < setup_.actual_slots && !backlog_.empty()) {
       const request_id id = backlog_.front();
@@ -242,6 +253,7 @@
   late += other.late;
   refused += other.refused;
   expired += other.expired;
+  shed_by_endpoint += other.shed_by_endpoint;
   used_share += other.used_share;
   good_share += other.good_share;
   latency_ms.insert(latency_ms.end(), other.latency_ms.begin(),
--- a/testing/queue_bench.h
+++ b/testing/queue_bench.h
@@ -35,6 +35,8 @@
   std::uint32_t slots = 2;
   // How many slots the endpoint has in fact.
   std::uint32_t actual_slots = 2;
+  // True: the endpoint sheds what it has no slot for. False: it queues that.
+  bool sheds = false;
   queue_policy policy;
   policy_values values;
   std::vector<bench_stream> streams;
@@ -51,6 +53,7 @@
   std::uint64_t late = 0;
   std::uint64_t refused = 0;
   std::uint64_t expired = 0;
+  std::uint64_t shed_by_endpoint = 0;
   // Slot time used within the measured time over that of all slots.
   double used_share = 0;
   double good_share = 0;
--- a/testing/queue_bench_test.cc
+++ b/testing/queue_bench_test.cc
@@ -53,6 +53,19 @@
   CHECK(flood.all.good_share >= 0.95);
 }
 
+TEST_CASE("an endpoint that lost half of its slots still does useful work") {
+  const std::uint32_t slots = GENERATE(2U, 6U);
+  const std::uint64_t seed = GENERATE(1, 2, 3);
+  queue_scenario scenario = UrgentFlood(slots);
+  scenario.setup.actual_slots = slots / 2;
+  scenario.setup.sheds = true;
+  const queue_bench_result flood = Run(scenario, seed);
+  INFO("slots " << slots << " seed " << seed);
+  CHECK(flood.all.good_share >= 0.95);
+  CHECK(flood.by_rank.at(rank::kNormal).used_share >= 0.95 * 0.30);
+  CHECK(flood.by_rank.at(rank::kDeferrable).used_share >= 0.95 * 0.10);
+}
+
 TEST_CASE("a caller that floods doesn't take the share of others") {
   const std::uint32_t slots = GENERATE(2U, 6U);
   const std::uint64_t seed = GENERATE(1, 2, 3);
