--- a/bluebell/daemon/dispatch_gateway.cc
+++ b/bluebell/daemon/dispatch_gateway.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bluebell/daemon/dispatcher_set.h"
+#include "bluebell/daemon/peer_forwarder.h"
 
 namespace bluebell {
 
@@ -61,13 +62,10 @@
                     });
 }
 
-void dispatch_gateway::Forward(std::size_t /*from*/,
+void dispatch_gateway::Forward(std::size_t from,
                                const order_target& target,
                                dispatch_submission submission) {
-  submission.sink.Deliver(
-      not_run{not_run_reason::kNoEndpoint,
-              "no link to daemon " + target.endpoint.dispatcher.value(),
-              milliseconds(0)});
+  lanes_[from].forwarder->Forward(target, std::move(submission));
 }
 
 }  // namespace bluebell
--- a/bluebell/daemon/dispatch_gateway.h
+++ b/bluebell/daemon/dispatch_gateway.h
@@ -22,6 +22,7 @@
 
 class dispatcher_set;
 class metrics_registry;
+class peer_forwarder;
 
 class dispatch_gateway {
  public:
@@ -29,6 +30,7 @@
   struct lane {
     boost::asio::io_context* io = nullptr;
     dispatcher_set* dispatchers = nullptr;
+    peer_forwarder* forwarder = nullptr;
   };
 
   explicit dispatch_gateway(metrics_registry& metrics);
--- a/bluebell/daemon/traffic_shard.cc
+++ b/bluebell/daemon/traffic_shard.cc
@@ -15,6 +15,8 @@
 // Entry routers choose between endpoints by these reports; 20 ms is a few
 // service times.
 constexpr milliseconds kPressureInterval{20};
+// Other daemons hear of the pressure every 100 ms.
+constexpr unsigned kPressuresPerRemote = 5;
 // One load report each second.
 constexpr unsigned kPressuresPerLoad = 50;
 
@@ -37,11 +39,17 @@
       thread_("traffic " + std::to_string(index)),
       load_(Now()),
       context_{&thread_.io(), &metrics, &load_, settings.timing, hooks.observe},
-      dispatchers_(context_, index, settings.traffic_threads, hooks.hand_over),
+      dispatchers_(context_,
+                   index,
+                   settings.traffic_threads,
+                   [this](const ledger_handover& handover) {
+                     forwarder_.SendLedger(handover.to, handover.ledger);
+                   }),
+      forwarder_(context_),
       router_(context_, index, gateway, 1),
       callers_(context_, LimitsOf(settings), router_),
       reports_(thread_.io()) {
-  gateway.AddLane({&thread_.io(), &dispatchers_});
+  gateway.AddLane({&thread_.io(), &dispatchers_, &forwarder_});
 }
 
 void traffic_shard::Start() {
@@ -64,6 +72,9 @@
   const std::vector<pressure_update> updates = dispatchers_.Pressures(now);
   if (!updates.empty()) {
     hooks_.pressures(updates);
+    if (reports_made_ % kPressuresPerRemote == 0) {
+      forwarder_.SharePressures(updates);
+    }
   }
   if (++reports_made_ % kPressuresPerLoad == 0) {
     hooks_.report_load(index_, load_.Take(now));
--- a/bluebell/daemon/traffic_shard.h
+++ b/bluebell/daemon/traffic_shard.h
@@ -20,6 +20,7 @@
 #include "bluebell/daemon/dispatcher_set.h"
 #include "bluebell/daemon/entry_router.h"
 #include "bluebell/daemon/load_meter.h"
+#include "bluebell/daemon/peer_forwarder.h"
 #include "bluebell/daemon/traffic_context.h"
 #include "bluebell/daemon/traffic_thread.h"
 #include "bluebell/settings/daemon_settings.h"
@@ -35,7 +36,6 @@
   std::function<void(const exchange_observed& seen)> observe;
   std::function<void(std::size_t shard, const load_report& load)> report_load;
   std::function<void(const std::vector<pressure_update>& updates)> pressures;
-  std::function<void(ledger_handover handover)> hand_over;
 };
 
 class traffic_shard {
@@ -51,6 +51,7 @@
 
   boost::asio::io_context& io() { return thread_.io(); }
   dispatcher_set& dispatchers() { return dispatchers_; }
+  peer_forwarder& forwarder() { return forwarder_; }
 
   void Start();
   // From any thread.
@@ -77,6 +78,7 @@
   load_meter load_;
   traffic_context context_;
   dispatcher_set dispatchers_;
+  peer_forwarder forwarder_;
   entry_router router_;
   caller_server callers_;
   boost::asio::steady_timer reports_;
