--- a/bluebell/daemon/peer_link_test.cc
+++ b/bluebell/daemon/peer_link_test.cc
@@ -1,5 +1,6 @@
 #include "bluebell/daemon/peer_link.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -86,8 +87,9 @@
                    });
   }
   REQUIRE(RunUntil(test.io, [&] { return replies.size() == 3; }));
-  for (auto reply = replies.rbegin(); reply != replies.rend(); ++reply) {
-    (*reply)();
+  std::reverse(replies.begin(), replies.end());
+  for (const auto& reply : replies) {
+    reply();
   }
   REQUIRE(RunUntil(test.io, [&] { return seen.size() == 3; }));
   CHECK(seen == std::vector<std::string>{"c", "b", "a"});
--- a/bluebell/daemon/peer_server.cc
+++ b/bluebell/daemon/peer_server.cc
@@ -255,7 +255,7 @@
 result<std::unique_ptr<peer_server>> peer_server::Make(
     const std::vector<asio::io_context*>& workers,
     const address& listen,
-    peer_handler handler,
+    const peer_handler& handler,
     metrics_registry& metrics) {
   auto state = std::make_shared<impl>(workers, handler, metrics);
   const result<void> opened = state->Open(listen);
--- a/bluebell/daemon/peer_server.h
+++ b/bluebell/daemon/peer_server.h
@@ -40,7 +40,7 @@
   static result<std::unique_ptr<peer_server>> Make(
       const std::vector<boost::asio::io_context*>& workers,
       const address& listen,
-      peer_handler handler,
+      const peer_handler& handler,
       metrics_registry& metrics);
 
   peer_server(const peer_server&) = delete;
