Keep the address of a peer that the settings name

A daemon took the address that a peer announces in its heartbeats in place of the one in the settings. So it passed by any proxy or address translation between the two, and a test could not partition two daemons. An address from the settings now stays; daemons learnt from heartbeats or the host list are reached at the announced address as before.

--- a/bluebell/control/internal/control_impl.cc
+++ b/bluebell/control/internal/control_impl.cc
@@ -35,7 +35,7 @@
       now_(now),
       last_tick_(now) {
   for (const peer_settings& peer : settings.peers) {
-    view_.Learn(peer.id, peer.domain, peer.peer_address);
+    view_.LearnFromSettings(peer.id, peer.domain, peer.peer_address);
   }
   for (const service_spec& spec : settings.services) {
     if (!spec.keyed) {
--- a/bluebell/control/internal/peer_work.cc
+++ b/bluebell/control/internal/peer_work.cc
@@ -116,7 +116,8 @@
   }
   if (behind && !fetch_sent_at_) {
     fetch_sent_at_ = now_;
-    actions_.emplace_back(fetch_state{message.sender, message.peer_address});
+    actions_.emplace_back(fetch_state{
+        message.sender, view_.members().at(message.sender).peer_address});
   }
 }
 
--- a/bluebell/membership/member.h
+++ b/bluebell/membership/member.h
@@ -19,6 +19,9 @@
   daemon_instance instance;
   domain_name domain;
   address peer_address;
+  // True if the settings give `peer_address`; what the peer announces then
+  // doesn't change it.
+  bool address_from_settings = false;
   address admin_address;
   bool leaving = false;
   config_version config;
--- a/bluebell/membership/member_view.cc
+++ b/bluebell/membership/member_view.cc
@@ -36,6 +36,16 @@
   }
 }
 
+void member_view::LearnFromSettings(const daemon_id& id,
+                                    const domain_name& domain,
+                                    const address& peer_address) {
+  Learn(id, domain, peer_address);
+  const auto found = members_.find(id);
+  if (found != members_.end()) {
+    found->second.address_from_settings = true;
+  }
+}
+
 std::optional<heartbeat_receipt> member_view::Receive(const heartbeat& message,
                                                       instant now) {
   if (message.sender == self_.id) {
@@ -56,12 +66,18 @@
     // Ping numbers go on across runs of the peer, so that the echo of a ping
     // to its former run is never taken for that of a later one.
     const ping_log pings = known.pings;
+    const bool pinned = known.address_from_settings;
+    const address pinned_address = known.peer_address;
     known = member{};
+    known.address_from_settings = pinned;
+    known.peer_address = pinned_address;
     known.instance = receipt.sender;
     known.pings = pings;
   }
   known.domain = message.domain;
-  known.peer_address = message.peer_address;
+  if (!known.address_from_settings) {
+    known.peer_address = message.peer_address;
+  }
   known.admin_address = message.admin_address;
   known.leaving = message.leaving;
   known.config = std::max(known.config, message.config);
--- a/bluebell/membership/member_view.h
+++ b/bluebell/membership/member_view.h
@@ -41,6 +41,12 @@
              const domain_name& domain,
              const address& peer_address);
 
+  // Like Learn, for a peer that the settings name. Its address stays, so that
+  // hosts reach it behind a proxy or address translation.
+  void LearnFromSettings(const daemon_id& id,
+                         const domain_name& domain,
+                         const address& peer_address);
+
   // Takes in a heartbeat. Nothing if it comes from this daemon or from an
   // earlier run of a daemon whose present run is live.
   std::optional<heartbeat_receipt> Receive(const heartbeat& message,
