--- a/bluebell/control/placement_inputs.h
+++ b/bluebell/control/placement_inputs.h
@@ -9,7 +9,7 @@
 
 #include "bluebell/config/policy_values.h"
 #include "bluebell/control/endpoint_info.h"
-#include "bluebell/control/slice_load.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/control/table_keeper.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
--- a/bluebell/daemon/load_meter.h
+++ b/bluebell/daemon/load_meter.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "bluebell/control/slice_load.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/key_hash.h"
 #include "bluebell/core/time.h"
--- a/bluebell/wire/internal/value_archives.h
+++ b/bluebell/wire/internal/value_archives.h
@@ -8,7 +8,7 @@
 
 #include <cereal/cereal.hpp>
 
-#include "bluebell/control/slice_load.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/request_outcome.h"
 #include "bluebell/core/time.h"
 #include "bluebell/dispatch/ledger_record.h"
--- a/bluebell/wire/state_exchange.h
+++ b/bluebell/wire/state_exchange.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "bluebell/control/slice_load.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/store/host_entry.h"
 
