--- a/bluebell/daemon/traffic_plane.cc
+++ b/bluebell/daemon/traffic_plane.cc
@@ -27,8 +27,7 @@
       },
       [this](const std::vector<pressure_update>& updates) {
         SharePressures(updates);
-      },
-      hooks.hand_over};
+      }};
   for (std::size_t i = 0; i < settings.traffic_threads; ++i) {
     shards_.push_back(std::make_unique<traffic_shard>(settings, i, gateway_,
                                                       metrics, shard_hooks));
@@ -94,7 +93,6 @@
       }
     });
   }
-  hooks_.pressures(updates);
 }
 
 void traffic_plane::OnLoad(std::size_t shard, const load_report& load) {
@@ -196,6 +194,22 @@
       });
 }
 
+void traffic_plane::SendLedger(const address& to,
+                               const ledger_transfer& ledger) {
+  traffic_shard* shard = shards_.front().get();
+  boost::asio::post(shard->io(), [shard, to, ledger] {
+    shard->forwarder().SendLedger(to, ledger);
+  });
+}
+
+std::vector<boost::asio::io_context*> traffic_plane::loops() const {
+  std::vector<boost::asio::io_context*> loops;
+  for (const auto& shard : shards_) {
+    loops.push_back(&shard->io());
+  }
+  return loops;
+}
+
 std::uint16_t traffic_plane::caller_port() const {
   return acceptor_->port();
 }
--- a/bluebell/daemon/traffic_plane.h
+++ b/bluebell/daemon/traffic_plane.h
@@ -34,9 +34,6 @@
   std::function<void(const exchange_observed& seen)> observe;
   // Once a second, for all threads together.
   std::function<void(const load_report& load)> report_load;
-  // To the daemons that forward here.
-  std::function<void(const std::vector<pressure_update>& updates)> pressures;
-  std::function<void(ledger_handover handover)> hand_over;
 };
 
 class traffic_plane {
@@ -76,7 +73,12 @@
   // thread with the ledgers of the dispatchers that remain.
   void Drain(std::function<void(std::vector<ledger_transfer> ledgers)> done);
 
+  // Sends a ledger to the daemon that takes over.
+  void SendLedger(const address& to, const ledger_transfer& ledger);
+
   std::uint16_t caller_port() const;
+  // The threads' event loops, for the peer server. They end with the plane.
+  std::vector<boost::asio::io_context*> loops() const;
 
  private:
   traffic_plane(const daemon_settings& settings,
