--- /dev/null
+++ b/bluebell/daemon/peer_requests.h
@@ -0,0 +1,24 @@
+// Serves what other daemons ask for: requests that they forward, questions
+// after lost links, ledgers that they hand over, and state.
+//
+//   peer_handler handler = ServePeers(plane, control, metrics);
+
+#ifndef BLUEBELL_DAEMON_PEER_REQUESTS_H_
+#define BLUEBELL_DAEMON_PEER_REQUESTS_H_
+
+#include "bluebell/daemon/peer_server.h"
+
+namespace bluebell {
+
+class control_loop;
+class metrics_registry;
+class traffic_plane;
+
+// All arguments outlive the handler.
+peer_handler ServePeers(traffic_plane& plane,
+                        control_loop& control,
+                        metrics_registry& metrics);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_DAEMON_PEER_REQUESTS_H_
