--- a/bluebell/daemon/control_loop.cc
+++ b/bluebell/daemon/control_loop.cc
@@ -199,7 +199,7 @@
 result<std::unique_ptr<control_loop>> control_loop::Make(
     const daemon_settings& settings,
     control_decisions decisions,
-    control_loop_options options,
+    const control_loop_options& options,
     metrics_registry& metrics) {
   auto io = std::make_unique<asio::io_context>(1);
   const result<platform_client> platform = MakePlatform(settings, options, *io);
--- a/bluebell/daemon/control_loop.h
+++ b/bluebell/daemon/control_loop.h
@@ -55,7 +55,7 @@
   static result<std::unique_ptr<control_loop>> Make(
       const daemon_settings& settings,
       control_decisions decisions,
-      control_loop_options options,
+      const control_loop_options& options,
       metrics_registry& metrics);
 
   control_loop(const control_loop&) = delete;
