Wait for the ledgers before a region counts as ready

A dispatcher answers requests that must not run twice as unknown for max_order_delay + max_clock_error after it starts, since it can't know whether they ran. WaitReady now probes every service with such requests.

--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -7,10 +7,12 @@
 #include <boost/json/serialize.hpp>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <stdexcept>
 #include <thread>
 #include <utility>
 
+#include "bluebell/core/request_id.h"
 #include "testing/http_call.h"
 
 namespace bluebell {
@@ -154,16 +156,24 @@
 }
 
 bool deployment::WaitReady(milliseconds limit) const {
-  const auto answers = [&](std::size_t daemon, const std::string& service) {
-    http_request request(verb::get, "/v1/" + service + "/ready", kHttp11);
-    request.set("Bluebell-Key", "ready-" + std::to_string(daemon));
-    const auto reply = HttpCall(layout_.CallerAddress(daemon), request);
+  std::mt19937_64 random(std::random_device{}());
+  const auto answers = [&](std::size_t probe, const std::string& service) {
+    http_request request(verb::post, "/v1/" + service + "/ready", kHttp11);
+    request.set("Bluebell-Key", "ready-" + std::to_string(probe));
+    request.set(
+        "Idempotency-Key",
+        request_id::Make(std::chrono::system_clock::now(), {random(), random()})
+            .ToString());
+    const auto reply = HttpCall(layout_.CallerAddress(probe % daemon_count()),
+                                request, seconds(2));
     return reply && reply.value()["Bluebell-Outcome"] == "answer";
   };
   return WaitUntil(limit, [&] {
-    for (std::size_t daemon = 0; daemon < daemon_count(); ++daemon) {
-      for (const deployed_service& service : plan().services) {
-        if (!answers(daemon, service.spec.name.value())) {
+    for (const deployed_service& service : plan().services) {
+      // Enough keys to reach every endpoint with high probability.
+      const std::size_t probes = daemon_count() + 4 * service.endpoints;
+      for (std::size_t probe = 0; probe < probes; ++probe) {
+        if (!answers(probe, service.spec.name.value())) {
           return false;
         }
       }
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -31,7 +31,9 @@
                                                    const std::string& build,
                                                    const std::string& folder);
 
-  // True once every daemon answers requests to every service.
+  // True once requests that must not run twice are answered at every daemon and
+  // for every service. For about two seconds after a dispatcher starts it can't
+  // know whether they ran, and answers `unknown`.
   bool WaitReady(milliseconds limit) const;
 
   const deployment_layout& layout() const { return layout_; }
