Format the includes after the move of slice_load.h

Cause: the header moved to placement; its includes were no longer in order. Change: formatting only. Conclusion: the format check passes.

--- a/bluebell/control/placement_inputs.h
+++ b/bluebell/control/placement_inputs.h
@@ -9,11 +9,11 @@
 
 #include "bluebell/config/policy_values.h"
 #include "bluebell/control/endpoint_info.h"
-#include "bluebell/placement/slice_load.h"
 #include "bluebell/control/table_keeper.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/membership/member_view.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/settings/timing_settings.h"
 
 namespace bluebell {
--- a/bluebell/daemon/load_meter.h
+++ b/bluebell/daemon/load_meter.h
@@ -12,10 +12,10 @@
 #include <utility>
 #include <vector>
 
-#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/key_hash.h"
 #include "bluebell/core/time.h"
+#include "bluebell/placement/slice_load.h"
 
 namespace bluebell {
 
--- a/bluebell/wire/internal/value_archives.h
+++ b/bluebell/wire/internal/value_archives.h
@@ -8,11 +8,11 @@
 
 #include <cereal/cereal.hpp>
 
-#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/request_outcome.h"
 #include "bluebell/core/time.h"
 #include "bluebell/dispatch/ledger_record.h"
 #include "bluebell/membership/endpoint_status.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/store/host_entry.h"
 #include "bluebell/wire/internal/bounded_archive.h"
 
--- a/bluebell/wire/state_exchange.h
+++ b/bluebell/wire/state_exchange.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "bluebell/placement/slice_load.h"
 #include "bluebell/core/ids.h"
+#include "bluebell/placement/slice_load.h"
 #include "bluebell/store/host_entry.h"
 
 namespace bluebell {
