--- a/bluebell/daemon/daemon.cc
+++ b/bluebell/daemon/daemon.cc
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-daemon::daemon(boost::asio::io_context& io, const daemon_settings& settings)
-    : io_(io), settings_(settings) {}
+daemon::daemon(boost::asio::io_context& io, daemon_settings settings)
+    : io_(io), settings_(std::move(settings)) {}
 
 result<std::unique_ptr<daemon>> daemon::Start(boost::asio::io_context& io,
                                               const daemon_settings& settings) {
@@ -102,9 +102,8 @@
       [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
         plane_->Publish(snapshot);
       };
-  auto control =
-      control_loop::Make(settings_, DecisionsOf(std::move(state.value())),
-                         std::move(options), metrics_);
+  auto control = control_loop::Make(
+      settings_, DecisionsOf(std::move(state.value())), options, metrics_);
   if (!control) {
     return control.error();
   }
--- a/bluebell/daemon/daemon.h
+++ b/bluebell/daemon/daemon.h
@@ -41,7 +41,7 @@
   void Shutdown(std::function<void()> done);
 
  private:
-  daemon(boost::asio::io_context& io, const daemon_settings& settings);
+  daemon(boost::asio::io_context& io, daemon_settings settings);
 
   result<bool> Open();
   result<bool> OpenControl();
--- a/bluebell/daemon/dispatcher.cc
+++ b/bluebell/daemon/dispatcher.cc
@@ -59,13 +59,13 @@
                      std::move(queue.value()), std::move(snapshot)));
 }
 
-dispatcher::dispatcher(const traffic_context& context,
+dispatcher::dispatcher(traffic_context context,
                        const service_name& service,
                        const endpoint_entry& endpoint,
                        const service_spec& spec,
                        endpoint_queue queue,
                        std::shared_ptr<const routing_snapshot> snapshot)
-    : context_(context),
+    : context_(std::move(context)),
       service_(service),
       instance_(endpoint.instance),
       where_(endpoint.where),
--- a/bluebell/daemon/dispatcher.h
+++ b/bluebell/daemon/dispatcher.h
@@ -111,7 +111,7 @@
   };
   using order_map = std::unordered_map<request_id, order>;
 
-  dispatcher(const traffic_context& context,
+  dispatcher(traffic_context context,
              const service_name& service,
              const endpoint_entry& endpoint,
              const service_spec& spec,
@@ -144,7 +144,7 @@
   void EndOrder(const request_id& id, const end_order& end);
   void RefuseQueued(const request_id& id, not_run why);
   void CancelRunning(const order& unwanted);
-  request_outcome Proven(const order& ended, request_outcome outcome);
+  request_outcome Proven(const order& ended, request_outcome outcome) const;
 
   traffic_context context_;
   service_name service_;
--- a/bluebell/daemon/dispatcher_orders.cc
+++ b/bluebell/daemon/dispatcher_orders.cc
@@ -233,7 +233,7 @@
 }
 
 request_outcome dispatcher::Proven(const order& ended,
-                                   request_outcome outcome) {
+                                   request_outcome outcome) const {
   if (KindOf(outcome) != outcome_kind::kNotRun ||
       ended.progress.unproven == 0) {
     return outcome;
--- a/bluebell/daemon/dispatcher_set.cc
+++ b/bluebell/daemon/dispatcher_set.cc
@@ -25,11 +25,11 @@
   return std::hash<endpoint_instance>()(instance) % threads;
 }
 
-dispatcher_set::dispatcher_set(const traffic_context& context,
+dispatcher_set::dispatcher_set(traffic_context context,
                                std::size_t index,
                                std::size_t threads,
                                on_handover hand_over)
-    : context_(context),
+    : context_(std::move(context)),
       index_(index),
       threads_(threads),
       hand_over_(std::move(hand_over)) {}
--- a/bluebell/daemon/dispatcher_set.h
+++ b/bluebell/daemon/dispatcher_set.h
@@ -36,7 +36,7 @@
   using on_handover = std::function<void(ledger_handover handover)>;
 
   // Holds the endpoints for which ThreadOf gives `index`.
-  dispatcher_set(const traffic_context& context,
+  dispatcher_set(traffic_context context,
                  std::size_t index,
                  std::size_t threads,
                  on_handover hand_over);
--- a/bluebell/daemon/endpoint_pool.cc
+++ b/bluebell/daemon/endpoint_pool.cc
@@ -1,6 +1,7 @@
 #include "bluebell/daemon/endpoint_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "bluebell/daemon/endpoint_connection.h"
 
@@ -21,9 +22,9 @@
 }
 
 endpoint_pool::endpoint_pool(boost::asio::io_context& io,
-                             const address& where,
+                             address where,
                              std::size_t max_connections)
-    : io_(&io), where_(where), max_connections_(max_connections) {}
+    : io_(&io), where_(std::move(where)), max_connections_(max_connections) {}
 
 std::shared_ptr<endpoint_connection> endpoint_pool::Take(instant now) {
   CloseIdle(now);
--- a/bluebell/daemon/endpoint_pool.h
+++ b/bluebell/daemon/endpoint_pool.h
@@ -34,7 +34,7 @@
 class endpoint_pool {
  public:
   endpoint_pool(boost::asio::io_context& io,
-                const address& where,
+                address where,
                 std::size_t max_connections);
 
   // An open idle connection or a new one that isn't open yet. Empty if the
--- a/bluebell/daemon/peer_forwarder.cc
+++ b/bluebell/daemon/peer_forwarder.cc
@@ -37,11 +37,11 @@
  public:
   forwarded(traffic_context context,
             peer_link& link,
-            const endpoint_instance& endpoint,
+            endpoint_instance endpoint,
             dispatch_submission submission)
       : context_(std::move(context)),
         link_(&link),
-        endpoint_(endpoint),
+        endpoint_(std::move(endpoint)),
         request_(std::move(submission.request)),
         sink_(std::move(submission.sink)),
         timer_(*context.io) {}
--- a/testing/capacity_main.cc
+++ b/testing/capacity_main.cc
@@ -176,7 +176,9 @@
   void set_now(instant now) { now_ = now; }
 
  private:
-  daemon_id Id(int i) const { return daemon_id("daemon-" + std::to_string(i)); }
+  static daemon_id Id(int i) {
+    return daemon_id("daemon-" + std::to_string(i));
+  }
   domain_name Domain(int i) const {
     return domain_name("domain-" + std::to_string(i % size_.domains));
   }
--- a/testing/control_cost_main.cc
+++ b/testing/control_cost_main.cc
@@ -30,7 +30,7 @@
   --platform=ADDRESS  Where the platform listens.
   --daemons=N         Control loops, spread over three domains [default: 13].
   --port=N            Peer port of the first loop [default: 17900].
-  --seconds=N         How long to measure [default: 10].
+  --seconds=N         How std::int64_t to measure [default: 10].
   --settle=N          Seconds before the measurement begins [default: 5].
 )";
 
@@ -39,15 +39,15 @@
   std::unique_ptr<control_loop> loop;
 };
 
-address Local(long port) {
+address Local(std::int64_t port) {
   return address::Parse("127.0.0.1:" + std::to_string(port)).value();
 }
 
-daemon_settings SettingsOf(long index,
-                           long count,
-                           long port,
+daemon_settings SettingsOf(std::int64_t index,
+                           std::int64_t count,
+                           std::int64_t port,
                            const address& platform) {
-  const auto domain_of = [](long i) {
+  const auto domain_of = [](std::int64_t i) {
     return domain_name("lk-west-" +
                        std::string(1, static_cast<char>('a' + i % 3)));
   };
@@ -61,7 +61,7 @@
   settings.services = {{service_name("tracker"), true, true, 2, 130, 64},
                        {service_name("booker"), true, true, 2, 130, 64},
                        {service_name("manifest"), false, true, 2, 130, 64}};
-  for (long i = 0; i < count; ++i) {
+  for (std::int64_t i = 0; i < count; ++i) {
     if (i != index) {
       settings.peers.push_back(
           {daemon_id("d" + std::to_string(i)), domain_of(i), Local(port + i)});
@@ -136,11 +136,11 @@
     std::cerr << platform.error() << '\n';
     return 2;
   }
-  const long count = options["--daemons"].asLong();
-  const long port = options["--port"].asLong();
+  const std::int64_t count = options["--daemons"].asLong();
+  const std::int64_t port = options["--port"].asLong();
   ConfigureLog(log_level::kWarn, "");
   std::vector<std::unique_ptr<member>> members;
-  for (long i = 0; i < count; ++i) {
+  for (std::int64_t i = 0; i < count; ++i) {
     members.push_back(StartMember(SettingsOf(i, count, port, platform.value()),
                                   static_cast<std::uint64_t>(i) + 1));
   }
--- a/testing/decision_run.cc
+++ b/testing/decision_run.cc
@@ -233,21 +233,22 @@
     final_config = fleet_config::Parse(stored->second.value).value();
   }
   auto& violations = world.counts().violations;
-  for (const auto& [number, reason] : faults.accepted()) {
+  for (const auto& accepted : faults.accepted()) {
+    const std::string& reason = accepted.second;
     const auto& history = final_config.history();
     const auto count = std::count_if(
         history.begin(), history.end(),
         [&](const auto& entry) { return entry.reason == reason; });
     if (count != 1) {
-      violations.push_back("accepted " + reason + " stands " +
-                           std::to_string(count) + " times in the history");
+      violations.emplace_back("accepted " + reason + " stands " +
+                              std::to_string(count) + " times in the history");
     }
   }
   for (const sim_daemon& daemon : world.daemons()) {
     if (!daemon.snapshot ||
         daemon.snapshot->config.version() != final_config.version()) {
-      violations.push_back("configuration is not in force at " +
-                           daemon.settings.id.value());
+      violations.emplace_back("configuration is not in force at " +
+                              daemon.settings.id.value());
     }
   }
 }
@@ -259,19 +260,19 @@
       std::ostringstream text;
       text << "no lease for the slice of " << slice_range{where, where};
       world.Trace("end", text.str());
-      violations.push_back("a key has no owner long after recovery");
+      violations.emplace_back("a key has no owner long after recovery");
     }
   }
   const auto& stored =
       world.store().values[TableKey(decision_world::kUnchecked, 0)];
   const result<placement_table> table = ParseTable(stored.value);
   if (!table) {
-    violations.push_back("no readable table long after recovery");
+    violations.emplace_back("no readable table long after recovery");
     return;
   }
   for (const slice& current : table.value().slices()) {
     if (!OwnerOf(current.state)) {
-      violations.push_back("a slice has no owner long after recovery");
+      violations.emplace_back("a slice has no owner long after recovery");
     }
   }
 }
--- a/testing/decision_world.h
+++ b/testing/decision_world.h
@@ -157,7 +157,7 @@
              const std::function<void(std::optional<lease_reply>)>& answer);
   void Observe();
   void SendRequest();
-  void RunOrder(std::size_t endpoint,
+  void RunOrder(std::size_t target,
                 endpoint_instance to,
                 key_hash where,
                 slice_claim claim);
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -171,7 +171,8 @@
   return WaitUntil(limit, [&] {
     for (const deployed_service& service : plan().services) {
       // Enough keys to reach every endpoint with high probability.
-      const std::size_t probes = daemon_count() + 4 * service.endpoints;
+      const std::size_t probes =
+          daemon_count() + std::size_t{4} * service.endpoints;
       for (std::size_t probe = 0; probe < probes; ++probe) {
         if (!answers(probe, service.spec.name.value())) {
           return false;
--- a/testing/load_run.cc
+++ b/testing/load_run.cc
@@ -179,7 +179,7 @@
 
   void OnEnd(const shared_request& request,
              const std::shared_ptr<load_connection>& connection,
-             load_exchange ended) {
+             const load_exchange& ended) {
     target_pool& pool = pools_[request->target];
     if (connection->IsOpen()) {
       pool.idle.push_back(connection);
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -82,9 +82,9 @@
     auto server = http_server::Start(
         io_, {listen, 20'000, milliseconds(0)},
         [weak = weak_from_this()](const http_request& request,
-                                  http_responder respond) {
+                                  const http_responder& respond) {
           if (const auto self = weak.lock()) {
-            self->Handle(request, std::move(respond));
+            self->Handle(request, respond);
           }
         });
     if (!server) {
@@ -109,7 +109,7 @@
     http_responder respond;
   };
 
-  void Handle(const http_request& request, http_responder respond) {
+  void Handle(const http_request& request, const http_responder& respond) {
     const parsed_target target =
         ParseTarget({request.target().data(), request.target().size()});
     if (target.kind == "/faults") {
--- a/testing/proxy_link.cc
+++ b/testing/proxy_link.cc
@@ -30,11 +30,11 @@
 
 proxy_link::proxy_link(asio::io_context& io,
                        tcp::socket client,
-                       const tcp::endpoint& target,
+                       tcp::endpoint target,
                        std::shared_ptr<const proxy_fault> fault)
     : client_(std::move(client)),
       server_(io),
-      target_(target),
+      target_(std::move(target)),
       fault_(std::move(fault)),
       up_(io, true),
       down_(io, false) {}
--- a/testing/proxy_link.h
+++ b/testing/proxy_link.h
@@ -27,7 +27,7 @@
   // `fault` is shared with the route, which may change it at any time.
   proxy_link(boost::asio::io_context& io,
              boost::asio::ip::tcp::socket client,
-             const boost::asio::ip::tcp::endpoint& target,
+             boost::asio::ip::tcp::endpoint target,
              std::shared_ptr<const proxy_fault> fault);
 
   void Start(std::function<void()> on_end);
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -79,7 +79,7 @@
   totals sum;
   std::atomic<std::uint64_t> next = first;
   std::vector<std::thread> threads;
-  for (long i = 0; i < options["--threads"].asLong(); ++i) {
+  for (std::int64_t i = 0; i < options["--threads"].asLong(); ++i) {
     threads.emplace_back([&] {
       for (std::uint64_t seed = next++; seed <= last; seed = next++) {
         Add(sum, seed, bluebell::RunDecisions(seed, run));
