Open listening sockets in one place; don't parse unchanged store values

Cause: the admin server and the peer server opened their acceptors with the same lines, and each freshness proof (every 200 ms) and configuration read parsed a document that had not changed. Change: OpenAcceptor serves both; a read whose text is the one held only proves the version. Behaviour stays as it is. Conclusion: caller_acceptor.cc opens its socket itself still, with another error code; the status commands of bluebellctl share a preamble still.

--- a/bluebell/control/config_keeper.cc
+++ b/bluebell/control/config_keeper.cc
@@ -53,7 +53,10 @@
   read_once_ = true;
   const store_value& stored = event.value.value();
   change_id last_change;
-  if (stored.version != store_version()) {
+  if (stored.version != store_version() && stored.value == text_) {
+    // The usual case: nothing to parse.
+    last_change = config_.last_change();
+  } else if (stored.version != store_version()) {
     const result<fleet_config> parsed = fleet_config::Parse(stored.value);
     if (!parsed) {
       return;
--- a/bluebell/control/table_keeper.cc
+++ b/bluebell/control/table_keeper.cc
@@ -70,6 +70,13 @@
     outcome.own_write = sync_.Settle(stored.version, change_id());
     return outcome;
   }
+  if (!sync_.writing() && stored_ == table().version() &&
+      stored.value == text_) {
+    // The usual case: nothing to parse, the read only proves the version.
+    sync_.Settle(stored.version, table().change());
+    replica_.Prove(table().version(), sent_at);
+    return {};
+  }
   const result<placement_table> parsed = ParseTable(stored.value);
   if (!parsed) {
     update outcome;
--- a/bluebell/daemon/admin_server.cc
+++ b/bluebell/daemon/admin_server.cc
@@ -20,7 +20,7 @@
 
 #include "bluebell/core/overloaded.h"
 #include "bluebell/daemon/internal/admin_request.h"
-#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/daemon/internal/open_acceptor.h"
 #include "bluebell/http/http_message.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/telemetry/metrics_registry.h"
@@ -200,20 +200,11 @@
   const address& listen_address() const { return listen_address_; }
 
   result<void> Open(const address& listen) {
-    const auto local = ToSocketAddress<tcp>(listen, step::kListen);
-    if (!local) {
-      return local.error();
-    }
-    try {
-      acceptor_.open(local.value().protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(local.value());
-      acceptor_.listen();
-      listen_address_ = FromSocketAddress(acceptor_.local_endpoint());
-    } catch (const boost::system::system_error& failure) {
-      return error(errc::kUnavailable, step::kListen, listen.ToString(),
-                   failure.code().message());
+    const result<address> opened = OpenAcceptor(acceptor_, listen);
+    if (!opened) {
+      return opened.error();
     }
+    listen_address_ = opened.value();
     return boost::outcome_v2::success();
   }
 
