--- a/bluebell/dispatch/retry_budget.cc
+++ b/bluebell/dispatch/retry_budget.cc
@@ -7,16 +7,13 @@
 
 namespace {
 
-// Retries that a service without traffic may do at once.
-constexpr double kReserve = 3;
-
 // First attempts and spent retries are forgotten with this time constant.
 constexpr std::chrono::duration<double> kWindow{10};
 
 }  // namespace
 
-retry_budget::retry_budget(std::uint32_t percent)
-    : percent_(percent), tokens_(kReserve) {}
+retry_budget::retry_budget(std::uint32_t percent, double reserve)
+    : percent_(percent), reserve_(reserve), tokens_(reserve) {}
 
 void retry_budget::CountFirstAttempt(instant now) {
   Decay(now);
@@ -32,8 +29,9 @@
   return true;
 }
 
-void retry_budget::Configure(std::uint32_t percent) {
+void retry_budget::Configure(std::uint32_t percent, double reserve) {
   percent_ = percent;
+  reserve_ = reserve;
 }
 
 void retry_budget::Decay(instant now) {
@@ -42,7 +40,7 @@
   }
   const std::chrono::duration<double> elapsed = now - updated_at_;
   const double kept = std::exp(-elapsed / kWindow);
-  tokens_ = kReserve + (tokens_ - kReserve) * kept;
+  tokens_ = reserve_ + (tokens_ - reserve_) * kept;
   updated_at_ = now;
 }
 
--- /dev/null
+++ b/bluebell/fleet/fleet_service.h
@@ -0,0 +1,24 @@
+// What the configuration says of one service.
+
+#ifndef BLUEBELL_FLEET_FLEET_SERVICE_H_
+#define BLUEBELL_FLEET_FLEET_SERVICE_H_
+
+#include <cstdint>
+
+#include "bluebell/core/ids.h"
+
+namespace bluebell {
+
+struct fleet_service {
+  service_name name;
+  // Each key belongs to one endpoint at a time.
+  bool keyed = false;
+  // Connections that one endpoint accepts from all daemons together.
+  std::uint32_t connections = 1;
+
+  friend bool operator==(const fleet_service&, const fleet_service&) = default;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_FLEET_FLEET_SERVICE_H_
--- /dev/null
+++ b/bluebell/fleet/fleet_state.cc
@@ -0,0 +1,184 @@
+#include "bluebell/fleet/fleet_state.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/fleet/store_keys.h"
+
+namespace bluebell {
+
+namespace {
+
+// Living endpoints have written their entries again within this time after the
+// store's return.
+constexpr milliseconds kEntryReturn{2'000};
+
+}  // namespace
+
+fleet_state::fleet_state(fleet_decoders decoders)
+    : decoders_(std::move(decoders)) {}
+
+void fleet_state::Reset(const std::vector<kv_item>& items,
+                        const store_version& revision,
+                        instant now) {
+  std::set<std::string, std::less<>> present;
+  for (const kv_item& item : items) {
+    present.insert(item.key);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, known] : revisions_) {
+    if (!present.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    Remove(key, now);
+  }
+  for (const kv_item& item : items) {
+    // A page may be older than what a watch has told since.
+    if (RevisionOf(item.key) < item.revision) {
+      Put(item);
+    }
+  }
+  SetRevision(revision);
+}
+
+void fleet_state::Apply(const kv_event& event, instant now) {
+  std::visit(
+      overloaded{[&](const kv_item& item) { Put(item); },
+                 [&](const kv_deletion& gone) { Remove(gone.key, now); }},
+      event);
+}
+
+void fleet_state::SetRevision(const store_version& revision) {
+  current_.revision = std::max(current_.revision, revision);
+}
+
+void fleet_state::OnStoreBack(instant now) {
+  lapses_count_from_ = now + kEntryReturn;
+}
+
+bool fleet_state::DropLapsed(instant now) {
+  const auto erased = std::erase_if(lapsing_, [&](const auto& entry) {
+    if (now < entry.second) {
+      return false;
+    }
+    current_.endpoints.erase(entry.first);
+    return true;
+  });
+  return erased > 0;
+}
+
+std::optional<instant> fleet_state::NextLapse() const {
+  std::optional<instant> next;
+  for (const auto& [id, at] : lapsing_) {
+    next = next ? std::min(*next, at) : at;
+  }
+  return next;
+}
+
+store_version fleet_state::RevisionOf(std::string_view key) const {
+  const auto found = revisions_.find(key);
+  return found == revisions_.end() ? store_version() : found->second;
+}
+
+std::vector<error> fleet_state::TakeProblems() {
+  return std::exchange(problems_, {});
+}
+
+void fleet_state::Put(const kv_item& item) {
+  revisions_.insert_or_assign(item.key, item.revision);
+  if (item.key.starts_with(decoders_.endpoint_prefix)) {
+    PutEndpoint(item);
+  } else if (item.key == decoders_.config_key) {
+    PutConfig(item);
+  } else if (item.key.starts_with(kOwnPrefix)) {
+    PutOwn(item);
+  }
+}
+
+void fleet_state::PutEndpoint(const kv_item& item) {
+  result<fleet_endpoint> entry = decoders_.endpoint(item.key, item.value);
+  const endpoint_id id(item.key.substr(decoders_.endpoint_prefix.size()));
+  lapsing_.erase(id);
+  if (!entry) {
+    problems_.push_back(entry.error());
+    // Whatever stood there before, the entry names no endpoint now.
+    current_.endpoints.erase(id);
+    return;
+  }
+  current_.endpoints.insert_or_assign(id, std::move(entry).value());
+}
+
+void fleet_state::PutConfig(const kv_item& item) {
+  result<route_config> config = decoders_.config(item.value);
+  if (!config) {
+    problems_.push_back(config.error());
+    return;
+  }
+  if (current_.config &&
+      config.value().version() < current_.config->version()) {
+    problems_.emplace_back(errc::kConflict, step::kParseConfig, item.key,
+                           "an older version than the one in force");
+    return;
+  }
+  current_.config =
+      std::make_shared<const route_config>(std::move(config).value());
+}
+
+void fleet_state::PutOwn(const kv_item& item) {
+  const auto note = [this](const error& problem) {
+    problems_.push_back(problem);
+  };
+  if (item.key.starts_with(kMemberPrefix)) {
+    result<fleet_member> member = DecodeMember(item.key, item.value);
+    if (!member) {
+      note(member.error());
+      return;
+    }
+    const daemon_id id = member.value().instance.id;
+    current_.members.insert_or_assign(id, std::move(member).value());
+  } else if (item.key.starts_with(kTablePrefix)) {
+    result<key_table> table = key_table::FromJson(item.value);
+    if (!table) {
+      note(table.error());
+      return;
+    }
+    current_.tables.insert_or_assign(
+        service_name(item.key.substr(kTablePrefix.size())),
+        std::move(table).value());
+  } else if (item.key == kCoordinatorKey || item.key == kLastCoordinatorKey) {
+    const result<daemon_instance> daemon = DecodeDaemon(item.key, item.value);
+    if (!daemon) {
+      note(daemon.error());
+      return;
+    }
+    last_coordinator_ = daemon.value();
+    if (item.key == kCoordinatorKey) {
+      current_.coordinator = daemon.value();
+    }
+  }
+}
+
+void fleet_state::Remove(const std::string& key, instant now) {
+  revisions_.erase(key);
+  if (key.starts_with(decoders_.endpoint_prefix)) {
+    const endpoint_id id(key.substr(decoders_.endpoint_prefix.size()));
+    if (now < lapses_count_from_ && current_.endpoints.contains(id)) {
+      lapsing_.insert_or_assign(id, lapses_count_from_);
+    } else {
+      current_.endpoints.erase(id);
+    }
+  } else if (key.starts_with(kMemberPrefix)) {
+    current_.members.erase(daemon_id(key.substr(kMemberPrefix.size())));
+  } else if (key.starts_with(kTablePrefix)) {
+    current_.tables.erase(service_name(key.substr(kTablePrefix.size())));
+  } else if (key == kCoordinatorKey) {
+    current_.coordinator.reset();
+  }
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/fleet/store_keys.h
@@ -0,0 +1,40 @@
+// The daemons' own values in the platform's store, and how they are written.
+//
+//   members/<daemon>   a daemon's announcement, under its lease
+//   coordinator        the daemon that assigns keys, under its lease
+//   last-coordinator   the same without a lease, so that a successor knows whom
+//                      it follows
+//   keys/<service>     the key table of a keyed service
+
+#ifndef BLUEBELL_FLEET_STORE_KEYS_H_
+#define BLUEBELL_FLEET_STORE_KEYS_H_
+
+#include <string>
+#include <string_view>
+
+#include "bluebell/core/ids.h"
+#include "bluebell/core/result.h"
+#include "bluebell/fleet/fleet_member.h"
+
+namespace bluebell {
+
+inline constexpr std::string_view kOwnPrefix = "bluebell/";
+inline constexpr std::string_view kMemberPrefix = "bluebell/members/";
+inline constexpr std::string_view kTablePrefix = "bluebell/keys/";
+inline constexpr std::string_view kCoordinatorKey = "bluebell/coordinator";
+inline constexpr std::string_view kLastCoordinatorKey =
+    "bluebell/last-coordinator";
+
+std::string MemberKey(const daemon_id& id);
+std::string TableKey(const service_name& service);
+
+std::string EncodeMember(const fleet_member& member);
+result<fleet_member> DecodeMember(std::string_view key, std::string_view value);
+
+std::string EncodeDaemon(const daemon_instance& daemon);
+result<daemon_instance> DecodeDaemon(std::string_view key,
+                                     std::string_view value);
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_FLEET_STORE_KEYS_H_
--- /dev/null
+++ b/bluebell/gateway/coordinator_role.cc
@@ -0,0 +1,633 @@
+#include "bluebell/gateway/coordinator_role.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/core/overloaded.h"
+#include "bluebell/fleet/store_keys.h"
+#include "bluebell/gateway/store_watcher.h"
+#include "bluebell/http/async_call.h"
+#include "bluebell/http/http_client.h"
+#include "bluebell/kv/kv_client.h"
+#include "bluebell/proxy/traffic_side.h"
+#include "bluebell/telemetry/log_event.h"
+#include "platform/key_orders.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+constexpr milliseconds kTickHolding{50};
+constexpr milliseconds kTickVacant{100};
+// Short, so that a successor renews the grants before they end.
+constexpr milliseconds kLeaseTerm{1'500};
+constexpr milliseconds kLeaseRenewal{400};
+// The k-th in line waits k times this, so that not all claim at once.
+constexpr milliseconds kPlaceStep{150};
+constexpr milliseconds kClaimMessageInterval{100};
+constexpr milliseconds kMeasureInterval{500};
+constexpr milliseconds kPauseAfterWriteFailure{200};
+// After giving the role up for lack of reach, others get the chance.
+constexpr milliseconds kResignTime{10'000};
+constexpr milliseconds kGrantConnectionIdle{6'000};
+
+}  // namespace
+
+coordinator_role::coordinator_role(asio::io_context& io,
+                                   const key_timing& timing,
+                                   const daemon_instance& self,
+                                   kv_client& store,
+                                   store_watcher& watcher,
+                                   traffic_side& traffic)
+    : io_(io),
+      timing_(timing),
+      self_(self),
+      store_(store),
+      watcher_(watcher),
+      traffic_(traffic),
+      tick_(io) {}
+
+coordinator_role::~coordinator_role() = default;
+
+void coordinator_role::Start() {
+  ScheduleTick();
+}
+
+void coordinator_role::ScheduleTick() {
+  tick_.expires_after(holding_ ? kTickHolding : kTickVacant);
+  tick_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      Tick(BootNow());
+      ScheduleTick();
+    }
+  });
+}
+
+void coordinator_role::OnView(const fleet_view& view) {
+  view_ = view;
+  const instant now = BootNow();
+  if (holding_ && view_->coordinator && *view_->coordinator != self_ &&
+      watcher_.state().RevisionOf(kCoordinatorKey) > claim_revision_) {
+    StopHolding("another daemon coordinates");
+  }
+  if (holding_) {
+    SyncServices(now);
+    TickHolding(now);
+  }
+}
+
+bool coordinator_role::HasKeyedService() const {
+  if (!view_ || !view_->config) {
+    return false;
+  }
+  const auto& services = view_->config->services();
+  return std::any_of(services.begin(), services.end(),
+                     [](const fleet_service& each) { return each.keyed; });
+}
+
+std::size_t coordinator_role::PlaceInLine() const {
+  const auto own = view_->members.find(self_.id);
+  const auto place = [](const fleet_member& member) {
+    return std::tuple(member.leaving, ~member.cpu_millis,
+                      member.instance.run.value());
+  };
+  return static_cast<std::size_t>(std::count_if(
+      view_->members.begin(), view_->members.end(), [&](const auto& entry) {
+        return place(entry.second) < place(own->second);
+      }));
+}
+
+void coordinator_role::Tick(instant now) {
+  if (holding_) {
+    TickHolding(now);
+  } else {
+    TickVacant(now);
+  }
+}
+
+void coordinator_role::TickVacant(instant now) {
+  const bool candidate = !leaving_ && !claiming_ && HasKeyedService() &&
+                         view_->members.contains(self_.id) &&
+                         now >= resigned_until_ && watcher_.store_is_well();
+  if (!candidate) {
+    vacant_since_.reset();
+    return;
+  }
+  // A former run of this daemon has ended, since this one has its address.
+  const bool own_former = view_->coordinator &&
+                          view_->coordinator->id == self_.id &&
+                          view_->coordinator->run != self_.run;
+  if (view_->coordinator && !own_former) {
+    vacant_since_.reset();
+    return;
+  }
+  if (!vacant_since_) {
+    vacant_since_ = now;
+  }
+  if (own_former ||
+      now - *vacant_since_ >= kPlaceStep * static_cast<int>(PlaceInLine())) {
+    claiming_ = true;
+    asio::co_spawn(
+        io_,
+        [this]() -> asio::awaitable<void> {
+          co_await Claim();
+          claiming_ = false;
+        },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> coordinator_role::Claim() {
+  const std::optional<daemon_instance> former =
+      watcher_.state().last_coordinator();
+  const store_version expected = watcher_.state().RevisionOf(kCoordinatorKey);
+  const instant started = BootNow();
+  const result<kv_granted_lease> lease = co_await store_.StartLease(kLeaseTerm);
+  if (!lease) {
+    watcher_.NoteFailure(lease.error(), BootNow());
+    co_return;
+  }
+  const bool claimed = co_await WriteClaim(expected, lease.value().lease);
+  if (!claimed || leaving_) {
+    vacant_since_.reset();
+    co_return;
+  }
+  lease_ = lease.value().lease;
+  proof_ = started;
+  claimed_at_ = BootNow();
+  const bool taken = co_await TakeOver(former);
+  if (!taken) {
+    vacant_since_.reset();
+    co_return;
+  }
+  holding_ = true;
+  ++term_;
+  log_event(log_level::kInfo, "coordinates keys")
+      .With("revision", claim_revision_)
+      .With("former", former ? former->id.value() : std::string())
+      .Write();
+  asio::co_spawn(io_, KeepLease(), asio::detached);
+}
+
+asio::awaitable<bool> coordinator_role::WriteClaim(
+    const store_version& expected,
+    kv_lease lease) {
+  const std::string value = EncodeDaemon(self_);
+  const kv_write write{{{std::string(kCoordinatorKey), expected}},
+                       {{std::string(kCoordinatorKey), value, lease},
+                        {std::string(kLastCoordinatorKey), value, kv_lease()}}};
+  const result<kv_write_result> written = co_await store_.Write(write);
+  if (written) {
+    const auto* done = std::get_if<kv_written>(&written.value());
+    if (done != nullptr) {
+      claim_revision_ = done->revision;
+    }
+    co_return done != nullptr;
+  }
+  watcher_.NoteFailure(written.error(), BootNow());
+  // The write may have taken effect without an answer.
+  const result<kv_listing> found =
+      co_await store_.List(std::string(kCoordinatorKey));
+  if (!found) {
+    co_return false;
+  }
+  for (const kv_item& item : found.value().items) {
+    if (item.key == kCoordinatorKey && item.value == value &&
+        item.lease == lease) {
+      claim_revision_ = item.revision;
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> coordinator_role::TakeOver(
+    const std::optional<daemon_instance>& former) {
+  // Only tables read after the claim count: a former coordinator can't write
+  // any more.
+  const result<kv_listing> tables =
+      co_await store_.List(std::string(kTablePrefix));
+  if (!tables) {
+    watcher_.NoteFailure(tables.error(), BootNow());
+    co_return false;
+  }
+  const instant now = BootNow();
+  const bool continues = former == self_ && !services_.empty();
+  former_.reset();
+  former_excluded_ = true;
+  std::optional<instant> former_until = now;
+  if (former && former->id != self_.id) {
+    former_ = former;
+    former_excluded_ = false;
+    former_until.reset();
+    next_claim_message_ = now;
+  }
+  if (!continues) {
+    services_.clear();
+  }
+  for (const kv_item& item : tables.value().items) {
+    const service_name service(item.key.substr(kTablePrefix.size()));
+    result<key_table> table = key_table::FromJson(item.value);
+    if (!table) {
+      log_event(log_level::kError, "key table can't be read")
+          .With(table.error())
+          .Write();
+      co_return false;
+    }
+    std::unique_ptr<service_keys>& unit = services_[service];
+    const bool unchanged =
+        unit && continues && unit->keys.revision() == item.revision;
+    if (!unchanged) {
+      unit = std::make_unique<service_keys>(timing_);
+      unit->keys.TakeOver(std::move(table).value(), item.revision, former_until,
+                          now);
+    }
+  }
+  SyncServices(now);
+  co_return true;
+}
+
+void coordinator_role::SyncServices(instant now) {
+  if (!view_ || !view_->config) {
+    return;
+  }
+  for (const fleet_service& service : view_->config->services()) {
+    if (!service.keyed) {
+      continue;
+    }
+    std::unique_ptr<service_keys>& unit = services_[service.name];
+    if (!unit) {
+      unit = std::make_unique<service_keys>(timing_);
+      unit->keys.TakeOver(key_table(), store_version(), now, now);
+    }
+    std::vector<fleet_endpoint> endpoints;
+    for (const auto& [id, endpoint] : view_->endpoints) {
+      if (endpoint.service == service.name) {
+        endpoints.push_back(endpoint);
+      }
+    }
+    unit->keys.SetEndpoints(std::move(endpoints), now);
+  }
+}
+
+asio::awaitable<void> coordinator_role::KeepLease() {
+  const std::uint64_t term = term_;
+  asio::steady_timer timer(io_);
+  while (holding_ && term_ == term) {
+    timer.expires_after(kLeaseRenewal);
+    co_await timer.async_wait(kAwait);
+    if (!holding_ || term_ != term) {
+      break;
+    }
+    const instant sent = BootNow();
+    const result<bool> renewed = co_await store_.RenewLease(lease_);
+    if (!holding_ || term_ != term) {
+      break;
+    }
+    if (!renewed) {
+      watcher_.NoteFailure(renewed.error(), BootNow());
+    } else if (renewed.value()) {
+      watcher_.NoteSuccess(BootNow());
+      proof_ = sent;
+    } else {
+      // The lease lapsed in an outage. The role is taken again unless another
+      // daemon was faster.
+      const result<kv_granted_lease> lease =
+          co_await store_.StartLease(kLeaseTerm);
+      if (lease && co_await WriteClaim(store_version(), lease.value().lease)) {
+        lease_ = lease.value().lease;
+        proof_ = sent;
+        log_event(log_level::kInfo, "coordinates keys again")
+            .With("revision", claim_revision_)
+            .Write();
+      }
+    }
+  }
+}
+
+void coordinator_role::StopHolding(const std::string& reason) {
+  holding_ = false;
+  ++term_;
+  services_.clear();
+  vacant_since_.reset();
+  log_event(log_level::kInfo, "stops coordinating keys")
+      .With("reason", reason)
+      .Write();
+}
+
+void coordinator_role::Leave() {
+  leaving_ = true;
+  if (!holding_) {
+    return;
+  }
+  StopHolding("the daemon is leaving");
+  asio::co_spawn(
+      io_,
+      [this]() -> asio::awaitable<void> {
+        const result<bool> ended = co_await store_.EndLease(lease_);
+        if (!ended) {
+          // It ends by itself.
+          log_event(log_level::kWarn, "coordinator lease not ended")
+              .With(ended.error())
+              .Write();
+        }
+      },
+      asio::detached);
+}
+
+void coordinator_role::OnClaim(const address& from,
+                               const coordinator_claim& claim) {
+  if (holding_ && claim.revision <= claim_revision_.value()) {
+    return;
+  }
+  if (holding_) {
+    StopHolding("another daemon has claimed the role");
+  }
+  traffic_.SendPeer(from, coordinator_yield{claim.revision});
+}
+
+void coordinator_role::OnYield(const address& from,
+                               const coordinator_yield& yield) {
+  if (!holding_ || former_excluded_ || !former_ ||
+      yield.revision != claim_revision_.value()) {
+    return;
+  }
+  const auto member = view_->members.find(former_->id);
+  if (member != view_->members.end() && member->second.peer == from) {
+    ExcludeFormer(BootNow(), "it has yielded");
+  }
+}
+
+void coordinator_role::ExcludeFormer(instant until, const std::string& reason) {
+  former_excluded_ = true;
+  for (auto& [service, unit] : services_) {
+    unit->keys.SetFormerUntil(until);
+  }
+  log_event(log_level::kInfo, "former coordinator is excluded")
+      .With("former", former_ ? former_->id.value() : std::string())
+      .With("reason", reason)
+      .Write();
+}
+
+void coordinator_role::CheckFormer(instant now) {
+  if (former_excluded_ || !former_) {
+    return;
+  }
+  const auto member = view_->members.find(former_->id);
+  if (member != view_->members.end() &&
+      member->second.instance.run != former_->run) {
+    ExcludeFormer(now, "its process has ended");
+    return;
+  }
+  if (now >= claimed_at_ + timing_.authority) {
+    ExcludeFormer(now, "its authority has run out");
+    return;
+  }
+  if (now >= next_claim_message_ && member != view_->members.end()) {
+    next_claim_message_ = now + kClaimMessageInterval;
+    traffic_.SendPeer(member->second.peer,
+                      coordinator_claim{claim_revision_.value()});
+  }
+}
+
+void coordinator_role::TickHolding(instant now) {
+  CheckFormer(now);
+  const instant authority_until = proof_ + timing_.authority;
+  for (auto& [service, unit] : services_) {
+    Measure(service, *unit, now);
+    const bool may_write =
+        !unit->writing && now >= unit->next_write && watcher_.store_is_well();
+    const auto actions = unit->keys.Advance(authority_until, may_write, now);
+    Execute(service, actions);
+    if (!holding_) {
+      return;
+    }
+  }
+}
+
+void coordinator_role::Measure(const service_name& service,
+                               service_keys& unit,
+                               instant now) {
+  if (now < unit.next_measure) {
+    return;
+  }
+  unit.next_measure = now + kMeasureInterval;
+  traffic_.Measure(service, [this](measured_load load) {
+    asio::post(io_, [this, load = std::move(load)] {
+      if (service_keys* found = FindKeys(load.service)) {
+        found->keys.SetLoads(load.keys, load.capacities, BootNow());
+      }
+    });
+  });
+}
+
+coordinator_role::service_keys* coordinator_role::FindKeys(
+    const service_name& service) {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : found->second.get();
+}
+
+void coordinator_role::Execute(const service_name& service,
+                               const std::vector<coordinator_action>& actions) {
+  const auto spawn = [this](asio::awaitable<void> work) {
+    asio::co_spawn(io_, std::move(work), asio::detached);
+  };
+  for (const coordinator_action& action : actions) {
+    std::visit(
+        overloaded{
+            [&](const send_grant& order) { spawn(Grant(service, order)); },
+            [&](const send_release& order) { spawn(Release(service, order)); },
+            [&](const write_key_table& order) {
+              services_.at(service)->writing = true;
+              spawn(WriteTable(service, order));
+            },
+            [&](const resign_coordinator&) {
+              resigned_until_ = BootNow() + kResignTime;
+              StopHolding("most owners of keys can't be reached");
+              asio::co_spawn(
+                  io_,
+                  [this]() -> asio::awaitable<void> {
+                    co_await store_.EndLease(lease_);
+                  },
+                  asio::detached);
+            }},
+        action);
+    if (!holding_) {
+      return;
+    }
+  }
+}
+
+http_client* coordinator_role::ClientOf(const address& where) {
+  std::unique_ptr<http_client>& client = clients_[where];
+  if (!client) {
+    http_client_options options;
+    options.idle = kGrantConnectionIdle;
+    auto made = http_client::Make(io_, where, options);
+    if (!made) {
+      return nullptr;
+    }
+    client = std::move(made.value());
+  }
+  return client.get();
+}
+
+asio::awaitable<void> coordinator_role::Grant(service_name service,
+                                              send_grant order) {
+  const std::uint64_t term = term_;
+  http_client* client = ClientOf(order.where);
+  if (client == nullptr) {
+    co_return;
+  }
+  const instant sent = BootNow();
+  const result<http_response> response =
+      co_await AsyncCall(*client, platform::EncodeGrant(order.grant),
+                         timing_.call_timeout, step::kGrantLease);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  grant_reply reply;
+  if (response) {
+    reply.verdict = platform::DecodeGrantReply(response.value());
+  } else {
+    reply.sent = response.error().code() != errc::kUnavailable;
+  }
+  if (!reply.verdict || *reply.verdict != grant_verdict::kAccepted) {
+    log_event line(log_level::kWarn, "grant failed");
+    line.With("service", service)
+        .With("endpoint", order.endpoint.endpoint)
+        .With("first", order.grant.range.first)
+        .With("last", order.grant.range.last)
+        .With("fence", order.grant.fence);
+    if (response) {
+      line.With("status", response.value().result_int()).Write();
+    } else {
+      line.With(response.error()).Write();
+    }
+  }
+  unit->keys.OnGrantReply(order, sent, reply, BootNow());
+}
+
+asio::awaitable<void> coordinator_role::Release(service_name service,
+                                                send_release order) {
+  const std::uint64_t term = term_;
+  http_client* client = ClientOf(order.where);
+  if (client == nullptr) {
+    co_return;
+  }
+  const result<http_response> response =
+      co_await AsyncCall(*client, platform::EncodeRelease(order.release),
+                         timing_.release_timeout, step::kGrantLease);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  std::optional<std::string> handover;
+  if (response) {
+    const result<std::string> read =
+        platform::DecodeReleaseReply(response.value());
+    if (read) {
+      handover = read.value();
+    }
+  }
+  log_event(log_level::kInfo, "keys released")
+      .With("service", service)
+      .With("endpoint", order.endpoint.endpoint)
+      .With("first", order.release.range.first)
+      .With("last", order.release.range.last)
+      .With("confirmed", handover.has_value())
+      .Write();
+  const instant now = BootNow();
+  unit->keys.OnReleaseReply(order, std::move(handover), now);
+  TickHolding(now);
+}
+
+asio::awaitable<void> coordinator_role::WriteTable(service_name service,
+                                                   write_key_table order) {
+  const std::uint64_t term = term_;
+  const kv_write write{{{std::string(kCoordinatorKey), claim_revision_},
+                        {TableKey(service), order.expected}},
+                       {{TableKey(service), order.table.ToJson(), kv_lease()}}};
+  const result<kv_write_result> written = co_await store_.Write(write);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  unit->writing = false;
+  const instant now = BootNow();
+  if (!written) {
+    watcher_.NoteFailure(written.error(), now);
+    unit->next_write = now + kPauseAfterWriteFailure;
+    // It may have taken effect; writing the same again tells.
+    unit->keys.OnWriteUnknown();
+    co_return;
+  }
+  std::visit(overloaded{[&](const kv_written& done) {
+                          unit->keys.OnWritten(done.revision, now);
+                          log_event(log_level::kInfo, "keys assigned")
+                              .With("service", service)
+                              .With("ranges", order.table.assignments().size())
+                              .With("highest_fence",
+                                    order.table.highest_fence())
+                              .With("revision", done.revision)
+                              .Write();
+                        },
+                        [&](const kv_conflict& conflict) {
+                          OnTableConflict(service, *unit, order, conflict);
+                        },
+                        [&](const kv_lease_ended&) {}},
+             written.value());
+  TickHolding(now);
+}
+
+void coordinator_role::OnTableConflict(const service_name& service,
+                                       service_keys& unit,
+                                       const write_key_table& order,
+                                       const kv_conflict& conflict) {
+  const instant now = BootNow();
+  unit.next_write = now + kPauseAfterWriteFailure;
+  key_table current;
+  store_version revision;
+  for (const kv_item& item : conflict.items) {
+    if (item.key != TableKey(service)) {
+      continue;
+    }
+    revision = item.revision;
+    result<key_table> read = key_table::FromJson(item.value);
+    if (!read) {
+      log_event(log_level::kError, "key table can't be read")
+          .With(read.error())
+          .Write();
+      return;
+    }
+    current = std::move(read).value();
+  }
+  if (current == order.table && revision != order.expected) {
+    // An earlier try, whose answer was lost, has written it.
+    unit.keys.OnWritten(revision, now);
+    return;
+  }
+  log_event(log_level::kWarn, "keys not assigned")
+      .With("service", service)
+      .With("expected", order.expected)
+      .With("found", revision)
+      .Write();
+  unit.keys.OnNotWritten(current, revision, now);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -0,0 +1,178 @@
+#include "bluebell/gateway/gateway_daemon.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/fleet/fleet_state.h"
+#include "bluebell/gateway/coordinator_role.h"
+#include "bluebell/gateway/member_lease.h"
+#include "bluebell/gateway/store_watcher.h"
+#include "bluebell/kv/kv_client.h"
+#include "bluebell/proxy/traffic_side.h"
+#include "bluebell/telemetry/log_event.h"
+#include "platform/endpoint_entry.h"
+#include "platform/operator_config.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// The balancer takes a daemon out after two questions without success, one a
+// second.
+constexpr milliseconds kOutOfRotation{2'600};
+// Left to end the process before it is killed.
+constexpr milliseconds kExitMargin{400};
+constexpr milliseconds kShutdownCheck{50};
+
+// Whole in JSON readers that keep numbers as signed 64 bits.
+std::uint64_t RandomRun() {
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1, INT64_MAX)(device);
+}
+
+fleet_decoders PlatformDecoders() {
+  return {std::string(platform::kEndpointPrefix),
+          std::string(platform::kConfigKey), platform::DecodeEndpoint,
+          platform::DecodeConfig};
+}
+
+}  // namespace
+
+gateway_daemon::gateway_daemon(asio::io_context& io,
+                               const gateway_settings& settings)
+    : io_(io),
+      settings_(settings),
+      self_{settings.id, incarnation(RandomRun())},
+      shutdown_timer_(io) {}
+
+gateway_daemon::~gateway_daemon() = default;
+
+result<std::unique_ptr<gateway_daemon>> gateway_daemon::Start(
+    asio::io_context& io,
+    const gateway_settings& settings) {
+  std::unique_ptr<gateway_daemon> daemon(new gateway_daemon(io, settings));
+  auto store = kv_client::Make(io, settings.store);
+  if (!store) {
+    return store.error();
+  }
+  daemon->store_ = std::move(store.value());
+  gateway_daemon* self = daemon.get();
+  const traffic_side_hooks hooks{
+      [self](const address& from, const coordinator_claim& claim) {
+        asio::post(self->io_,
+                   [self, from, claim] { self->role_->OnClaim(from, claim); });
+      },
+      [self](const address& from, const coordinator_yield& yield) {
+        asio::post(self->io_,
+                   [self, from, yield] { self->role_->OnYield(from, yield); });
+      },
+      [self](std::uint64_t revision) {
+        asio::post(self->io_, [self, revision] {
+          self->watcher_->ExpectRevision(revision, BootNow());
+        });
+      }};
+  auto traffic = traffic_side::Start(daemon->settings_, daemon->self_,
+                                     daemon->metrics_, hooks);
+  if (!traffic) {
+    return traffic.error();
+  }
+  daemon->traffic_ = std::move(traffic.value());
+  daemon->watcher_ = std::make_unique<store_watcher>(
+      io, *daemon->store_, PlatformDecoders(),
+      [self](const fleet_state& state) { self->OnState(state); });
+  const fleet_member member{daemon->self_, settings.domain,
+                            settings.peer_listen, settings.cpu_millis, false};
+  daemon->member_ = std::make_unique<member_lease>(io, *daemon->store_,
+                                                   *daemon->watcher_, member);
+  key_timing timing;
+  timing.hold = std::min(timing.hold, settings.longest_hold);
+  daemon->role_ = std::make_unique<coordinator_role>(
+      io, timing, daemon->self_, *daemon->store_, *daemon->watcher_,
+      *daemon->traffic_);
+  daemon->watcher_->Start();
+  daemon->member_->Start();
+  daemon->role_->Start();
+  log_event(log_level::kInfo, "daemon started")
+      .With("id", self->self_.id)
+      .With("run", self->self_.run)
+      .With("domain", settings.domain)
+      .With("store", settings.store.ToString())
+      .Write();
+  return daemon;
+}
+
+void gateway_daemon::OnState(const fleet_state& state) {
+  const auto view = std::make_shared<const fleet_snapshot>(state.snapshot());
+  log_event(log_level::kInfo, "view changed")
+      .With("revision", view->revision)
+      .With("config", view->config ? view->config->version().value() : 0)
+      .With("endpoints", view->endpoints.size())
+      .With("members", view->members.size())
+      .With("coordinator",
+            view->coordinator ? view->coordinator->id.value() : std::string())
+      .Write();
+  traffic_->Publish(view);
+  role_->OnView(view);
+}
+
+void gateway_daemon::Reload(const gateway_settings& settings) {
+  log_event(log_level::kInfo, "settings read again")
+      .With("changed", !(settings == settings_))
+      .Write();
+}
+
+void gateway_daemon::Shutdown(std::function<void()> done) {
+  if (shutdown_done_) {
+    return;
+  }
+  log_event(log_level::kInfo, "daemon stopping").Write();
+  shutdown_done_ = std::move(done);
+  shutdown_at_ = BootNow();
+  traffic_->BeginShutdown();
+  role_->Leave();
+  member_->Leave();
+  FinishShutdown();
+}
+
+void gateway_daemon::FinishShutdown() {
+  shutdown_timer_.expires_after(kShutdownCheck);
+  shutdown_timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (cancelled) {
+      return;
+    }
+    const duration elapsed = BootNow() - shutdown_at_;
+    const milliseconds out_of_rotation =
+        std::min(kOutOfRotation, settings_.grace / 2);
+    if (elapsed >= out_of_rotation && !stopped_accepting_) {
+      stopped_accepting_ = true;
+      traffic_->StopAccepting();
+    }
+    if (elapsed >= settings_.grace - kExitMargin) {
+      log_event(log_level::kWarn, "daemon stopped with requests running")
+          .Write();
+      shutdown_done_();
+      return;
+    }
+    if (stopped_accepting_) {
+      traffic_->CountActive([this](std::size_t active) {
+        if (active == 0) {
+          asio::post(io_, [this] {
+            log_event(log_level::kInfo, "daemon stopped").Write();
+            shutdown_done_();
+          });
+        }
+      });
+    }
+    FinishShutdown();
+  });
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/gateway/gateway_daemon.h
@@ -0,0 +1,74 @@
+// A gateway daemon: the control side on the caller's thread and the traffic
+// side on one of its own.
+//
+//   auto daemon = gateway_daemon::Start(io, settings).value();
+//   io.run();
+
+#ifndef BLUEBELL_GATEWAY_GATEWAY_DAEMON_H_
+#define BLUEBELL_GATEWAY_GATEWAY_DAEMON_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "bluebell/core/ids.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/settings/gateway_settings.h"
+#include "bluebell/telemetry/metrics_registry.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class coordinator_role;
+class fleet_state;
+class kv_client;
+class member_lease;
+class store_watcher;
+class traffic_side;
+
+class gateway_daemon {
+ public:
+  static result<std::unique_ptr<gateway_daemon>> Start(
+      boost::asio::io_context& io,
+      const gateway_settings& settings);
+  gateway_daemon(const gateway_daemon&) = delete;
+  gateway_daemon& operator=(const gateway_daemon&) = delete;
+  ~gateway_daemon();
+
+  // Hands over its duties, finishes the requests that it has, and calls `done`
+  // within the time that the settings leave.
+  void Shutdown(std::function<void()> done);
+
+  // The settings file has changed. What can't change while the daemon runs is
+  // logged and kept.
+  void Reload(const gateway_settings& settings);
+
+ private:
+  gateway_daemon(boost::asio::io_context& io, const gateway_settings& settings);
+
+  void OnState(const fleet_state& state);
+  void FinishShutdown();
+
+  boost::asio::io_context& io_;
+  gateway_settings settings_;
+  daemon_instance self_;
+  metrics_registry metrics_;
+  std::unique_ptr<kv_client> store_;
+  std::unique_ptr<traffic_side> traffic_;
+  std::unique_ptr<store_watcher> watcher_;
+  std::unique_ptr<member_lease> member_;
+  std::unique_ptr<coordinator_role> role_;
+  boost::asio::steady_timer shutdown_timer_;
+  std::function<void()> shutdown_done_;
+  instant shutdown_at_;
+  bool stopped_accepting_ = false;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_GATEWAY_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/bluebell/gateway/member_lease.cc
@@ -0,0 +1,101 @@
+#include "bluebell/gateway/member_lease.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/fleet/store_keys.h"
+#include "bluebell/gateway/store_watcher.h"
+#include "bluebell/kv/kv_client.h"
+#include "bluebell/telemetry/log_event.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// A daemon that is gone is asked for permits until then, if it doesn't answer
+// only by those who notice.
+constexpr milliseconds kTerm{6'000};
+// Also shows outages of the store.
+constexpr milliseconds kRenewal{1'000};
+constexpr milliseconds kPauseAfterFailure{300};
+
+}  // namespace
+
+member_lease::member_lease(asio::io_context& io,
+                           kv_client& store,
+                           store_watcher& watcher,
+                           fleet_member self)
+    : io_(io), store_(store), watcher_(watcher), self_(std::move(self)) {}
+
+void member_lease::Start() {
+  asio::co_spawn(io_, Run(), asio::detached);
+}
+
+void member_lease::Leave() {
+  leaving_ = true;
+  asio::co_spawn(io_, End(), asio::detached);
+}
+
+asio::awaitable<void> member_lease::End() {
+  if (!announced_) {
+    co_return;
+  }
+  const result<bool> ended = co_await store_.EndLease(lease_);
+  if (!ended) {
+    // The lease ends by itself.
+    log_event(log_level::kWarn, "own entry not removed")
+        .With(ended.error())
+        .Write();
+  }
+}
+
+asio::awaitable<bool> member_lease::Announce() {
+  const result<kv_granted_lease> lease = co_await store_.StartLease(kTerm);
+  if (!lease) {
+    watcher_.NoteFailure(lease.error(), BootNow());
+    co_return false;
+  }
+  lease_ = lease.value().lease;
+  const kv_write entry{
+      {}, {{MemberKey(self_.instance.id), EncodeMember(self_), lease_}}};
+  const result<kv_write_result> written = co_await store_.Write(entry);
+  if (!written) {
+    watcher_.NoteFailure(written.error(), BootNow());
+    co_return false;
+  }
+  watcher_.NoteSuccess(BootNow());
+  co_return std::holds_alternative<kv_written>(written.value());
+}
+
+asio::awaitable<void> member_lease::Run() {
+  asio::steady_timer timer(io_);
+  while (!leaving_) {
+    if (!announced_) {
+      announced_ = co_await Announce();
+    } else {
+      const result<bool> renewed = co_await store_.RenewLease(lease_);
+      if (!renewed) {
+        watcher_.NoteFailure(renewed.error(), BootNow());
+      } else {
+        watcher_.NoteSuccess(BootNow());
+        announced_ = renewed.value();
+      }
+    }
+    timer.expires_after(announced_ ? kRenewal : kPauseAfterFailure);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/gateway/member_lease.h
@@ -0,0 +1,55 @@
+// Announces this daemon to the others: its entry in the store, under a lease
+// that is renewed as long as the daemon runs. Lives on the control thread.
+//
+//   member_lease lease(io, store, watcher, self);
+//   lease.Start();
+
+#ifndef BLUEBELL_GATEWAY_MEMBER_LEASE_H_
+#define BLUEBELL_GATEWAY_MEMBER_LEASE_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "bluebell/fleet/fleet_member.h"
+#include "bluebell/kv/kv_types.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class kv_client;
+class store_watcher;
+
+class member_lease {
+ public:
+  member_lease(boost::asio::io_context& io,
+               kv_client& store,
+               store_watcher& watcher,
+               fleet_member self);
+  member_lease(const member_lease&) = delete;
+  member_lease& operator=(const member_lease&) = delete;
+  ~member_lease() = default;
+
+  void Start();
+  // Takes the entry away.
+  void Leave();
+  bool announced() const { return announced_; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<bool> Announce();
+  boost::asio::awaitable<void> End();
+
+  boost::asio::io_context& io_;
+  kv_client& store_;
+  store_watcher& watcher_;
+  fleet_member self_;
+  kv_lease lease_;
+  bool announced_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_GATEWAY_MEMBER_LEASE_H_
--- /dev/null
+++ b/bluebell/gateway/store_watcher.cc
@@ -0,0 +1,180 @@
+#include "bluebell/gateway/store_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/kv/kv_client.h"
+#include "bluebell/telemetry/log_event.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Each watch is a priced call, even one without a change.
+constexpr milliseconds kWatchTime{20'000};
+constexpr milliseconds kPauseAfterFailure{150};
+// Entries can lapse only in an outage of some length.
+constexpr milliseconds kOutage{1'000};
+// A change arrives by the watch within milliseconds.
+constexpr milliseconds kExpectationTime{600};
+// The prefix of every key.
+constexpr const char* kEverything = "";
+
+}  // namespace
+
+store_watcher::store_watcher(asio::io_context& io,
+                             kv_client& store,
+                             fleet_decoders decoders,
+                             change_handler on_change)
+    : io_(io),
+      store_(store),
+      state_(std::move(decoders)),
+      on_change_(std::move(on_change)),
+      expectation_(io),
+      lapse_(io) {}
+
+void store_watcher::Start() {
+  asio::co_spawn(io_, Run(), asio::detached);
+}
+
+void store_watcher::NoteSuccess(instant now) {
+  if (!failing_since_) {
+    return;
+  }
+  const duration outage = now - *failing_since_;
+  failing_since_.reset();
+  log_event(log_level::kInfo, "store regained")
+      .With("outage_ms",
+            std::chrono::duration_cast<milliseconds>(outage).count())
+      .Write();
+  if (outage >= kOutage) {
+    state_.OnStoreBack(now);
+  }
+}
+
+void store_watcher::NoteFailure(const error& why, instant now) {
+  if (failing_since_) {
+    return;
+  }
+  failing_since_ = now;
+  log_event(log_level::kWarn, "store lost").With(why).Write();
+}
+
+asio::awaitable<void> store_watcher::Pause(milliseconds time) {
+  asio::steady_timer timer(io_, time);
+  co_await timer.async_wait(kAwait);
+}
+
+asio::awaitable<bool> store_watcher::ReadAll() {
+  reading_ = true;
+  result<kv_listing> listing = co_await store_.List(kEverything);
+  reading_ = false;
+  const instant now = BootNow();
+  if (!listing) {
+    NoteFailure(listing.error(), now);
+    co_return false;
+  }
+  NoteSuccess(now);
+  state_.Reset(listing.value().items, listing.value().revision, now);
+  Changed();
+  co_return true;
+}
+
+asio::awaitable<void> store_watcher::Run() {
+  bool current = false;
+  while (true) {
+    if (!current) {
+      current = co_await ReadAll();
+      if (!current) {
+        co_await Pause(kPauseAfterFailure);
+      }
+      continue;
+    }
+    const store_version after = state_.snapshot().revision;
+    const result<kv_changes> changes =
+        co_await store_.Watch(kEverything, after, kWatchTime);
+    const instant now = BootNow();
+    if (!changes) {
+      const bool history_lost = changes.error().code() == errc::kNotFound;
+      if (history_lost) {
+        log_event(log_level::kInfo, "store dropped its history").Write();
+        current = false;
+        continue;
+      }
+      NoteFailure(changes.error(), now);
+      co_await Pause(kPauseAfterFailure);
+      continue;
+    }
+    NoteSuccess(now);
+    for (const kv_event& event : changes.value().events) {
+      state_.Apply(event, now);
+    }
+    state_.SetRevision(changes.value().revision);
+    if (!changes.value().events.empty()) {
+      Changed();
+    }
+  }
+}
+
+void store_watcher::Changed() {
+  for (const error& problem : state_.TakeProblems()) {
+    log_event(log_level::kWarn, "malformed value ignored")
+        .With(problem)
+        .Write();
+  }
+  on_change_(state_);
+  ScheduleLapse();
+}
+
+void store_watcher::ScheduleLapse() {
+  const auto next = state_.NextLapse();
+  if (!next) {
+    return;
+  }
+  lapse_.expires_after(std::max<duration>(*next - BootNow(), milliseconds(1)));
+  lapse_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled && state_.DropLapsed(BootNow())) {
+      Changed();
+    }
+  });
+}
+
+void store_watcher::ExpectRevision(std::uint64_t revision, instant /*now*/) {
+  const bool waiting = expected_revision_ > state_.snapshot().revision.value();
+  expected_revision_ = std::max(expected_revision_, revision);
+  if (waiting) {
+    return;
+  }
+  expectation_.expires_after(kExpectationTime);
+  expectation_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      CheckExpectation();
+    }
+  });
+}
+
+void store_watcher::CheckExpectation() {
+  if (reading_ || expected_revision_ <= state_.snapshot().revision.value()) {
+    return;
+  }
+  log_event(log_level::kWarn, "watch is behind other daemons")
+      .With("expected", expected_revision_)
+      .With("revision", state_.snapshot().revision)
+      .Write();
+  asio::co_spawn(
+      io_, [this]() -> asio::awaitable<void> { co_await ReadAll(); },
+      asio::detached);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/gateway/store_watcher.h
@@ -0,0 +1,77 @@
+// Keeps a daemon's state of the fleet up to date from the platform's store.
+// Lives on the control thread.
+//
+//   store_watcher watcher(io, store, decoders, [](const fleet_state&) { ... });
+//   watcher.Start();
+
+#ifndef BLUEBELL_GATEWAY_STORE_WATCHER_H_
+#define BLUEBELL_GATEWAY_STORE_WATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bluebell/core/error.h"
+#include "bluebell/core/time.h"
+#include "bluebell/fleet/fleet_state.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class kv_client;
+
+class store_watcher {
+ public:
+  using change_handler = std::function<void(const fleet_state& state)>;
+
+  store_watcher(boost::asio::io_context& io,
+                kv_client& store,
+                fleet_decoders decoders,
+                change_handler on_change);
+  store_watcher(const store_watcher&) = delete;
+  store_watcher& operator=(const store_watcher&) = delete;
+  ~store_watcher() = default;
+
+  void Start();
+
+  // How a call to the store ended, whoever made it: shows outages that a
+  // waiting watch doesn't.
+  void NoteSuccess(instant now);
+  void NoteFailure(const error& why, instant now);
+  bool store_is_well() const { return !failing_since_; }
+
+  // Another daemon knows the state of `revision`. Reads everything anew if the
+  // watch doesn't get there by itself.
+  void ExpectRevision(std::uint64_t revision, instant now);
+
+  const fleet_state& state() const { return state_; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<bool> ReadAll();
+  boost::asio::awaitable<void> Pause(milliseconds time);
+  void Changed();
+  void CheckExpectation();
+  void ScheduleLapse();
+
+  boost::asio::io_context& io_;
+  kv_client& store_;
+  fleet_state state_;
+  change_handler on_change_;
+  std::optional<instant> failing_since_;
+  std::uint64_t expected_revision_ = 0;
+  boost::asio::steady_timer expectation_;
+  boost::asio::steady_timer lapse_;
+  bool reading_ = false;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_GATEWAY_STORE_WATCHER_H_
--- /dev/null
+++ b/bluebell/http/async_call.cc
@@ -0,0 +1,32 @@
+#include "bluebell/http/async_call.h"
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "bluebell/http/http_client.h"
+
+namespace bluebell {
+
+namespace asio = boost::asio;
+
+asio::awaitable<result<http_response>> AsyncCall(http_client& client,
+                                                 http_request request,
+                                                 milliseconds timeout,
+                                                 step at) {
+  const auto start = [&client, &request, timeout, at](auto handler) {
+    // std::function needs a handler that can be copied.
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    client.Call(std::move(request), timeout, at,
+                [shared](result<http_response> response) {
+                  (*shared)(std::move(response));
+                });
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
+                                          void(result<http_response>)>(
+      start, asio::use_awaitable);
+}
+
+}  // namespace bluebell
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -21,6 +21,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "bluebell/http/socket_options.h"
+
 namespace bluebell {
 
 namespace {
@@ -158,13 +160,13 @@
       if (failure) {
         co_return self->Failure(errc::kUnavailable, at, failure, timeout);
       }
-      boost::system::error_code ignored;
-      link->stream.socket().set_option(tcp::no_delay(true), ignored);
+      PrepareSocket(link->stream.socket());
     }
     link->stream.expires_at(deadline);
     const auto [unsent, sent] =
         co_await bhttp::async_write(link->stream, request, kAwait);
     if (unsent) {
+      ResetOnClose(link->stream.socket());
       co_return self->Failure(errc::kConnectionLost, at, unsent, timeout);
     }
     bhttp::response_parser<bhttp::string_body> parser;
@@ -173,6 +175,7 @@
     const auto [unread, read] =
         co_await bhttp::async_read(link->stream, link->buffer, parser, kAwait);
     if (unread) {
+      ResetOnClose(link->stream.socket());
       co_return self->Failure(errc::kConnectionLost, at, unread, timeout);
     }
     http_response response = parser.release();
--- /dev/null
+++ b/bluebell/http/socket_options.cc
@@ -0,0 +1,41 @@
+#include "bluebell/http/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/socket_base.hpp>
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+template <int Name>
+using tcp_option = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+// How long sent bytes may stay unacknowledged.
+constexpr int kUserTimeoutMillis = 2'500;
+
+}  // namespace
+
+void PrepareSocket(asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(tcp_option<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
+  socket.set_option(tcp_option<TCP_KEEPINTVL>(kProbeIntervalSeconds), ignored);
+  socket.set_option(tcp_option<TCP_KEEPCNT>(kProbes), ignored);
+  socket.set_option(tcp_option<TCP_USER_TIMEOUT>(kUserTimeoutMillis), ignored);
+}
+
+void ResetOnClose(asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/keyspace/grant_record.cc
@@ -0,0 +1,87 @@
+#include "bluebell/keyspace/grant_record.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+
+grant_record grant_record::New(std::string handover, instant now) {
+  grant_record record;
+  record.handover_ = std::move(handover);
+  record.next_ = now;
+  return record;
+}
+
+grant_record grant_record::Inherited(std::optional<instant> former_until,
+                                     instant now) {
+  grant_record record;
+  record.inherited_ = true;
+  record.former_until_ = former_until;
+  record.next_ = now;
+  return record;
+}
+
+void grant_record::OnSent(instant now) {
+  in_flight_ = true;
+  previous_sent_ = last_sent_;
+  last_sent_ = now;
+}
+
+void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
+  in_flight_ = false;
+  handover_.clear();
+  next_ = sent_at + timing.renewal;
+}
+
+void grant_record::OnUnanswered(instant sent_at,
+                                bool left_host,
+                                const key_timing& timing,
+                                instant now) {
+  in_flight_ = false;
+  if (left_host) {
+    last_unanswered_ = sent_at;
+  } else if (last_sent_ == sent_at) {
+    last_sent_ = previous_sent_;
+  }
+  next_ = now + timing.renewal_retry;
+}
+
+void grant_record::SetFormerUntil(instant until) {
+  if (inherited_ && !former_until_) {
+    former_until_ = until;
+  }
+}
+
+std::optional<instant> grant_record::HeldUntil(const key_timing& timing) const {
+  if (inherited_ && !former_until_) {
+    return std::nullopt;
+  }
+  instant latest;
+  if (former_until_) {
+    latest = *former_until_ + timing.LongestHold();
+  }
+  if (last_sent_) {
+    latest = std::max(latest, *last_sent_ + timing.LongestHold());
+  }
+  return latest;
+}
+
+std::optional<instant> grant_record::LateGrantsUntil(
+    const key_timing& timing) const {
+  if (inherited_ && !former_until_) {
+    return std::nullopt;
+  }
+  instant latest;
+  if (former_until_) {
+    latest = *former_until_ + timing.LongestHold();
+  }
+  if (last_unanswered_) {
+    latest = std::max(latest, *last_unanswered_ + timing.LongestHold());
+  }
+  if (in_flight_ && last_sent_) {
+    latest = std::max(latest, *last_sent_ + timing.LongestHold());
+  }
+  return latest;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -0,0 +1,482 @@
+#include "bluebell/keyspace/key_coordinator.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bluebell {
+
+namespace {
+
+// Orders in a row without an answer after which an endpoint counts as lost.
+constexpr std::uint32_t kFailuresUntilLost = 3;
+// Orders without an answer after which an endpoint is in doubt.
+constexpr std::uint32_t kFailuresInDoubt = 2;
+// Below this many owners nothing follows from half of them being silent.
+constexpr std::size_t kLeastOwnersToResign = 4;
+constexpr milliseconds kProbeInterval{1'000};
+constexpr milliseconds kReleaseRetry{300};
+constexpr milliseconds kPlanInterval{600};
+
+bool Contains(const key_range& outer, const key_range& inner) {
+  return outer.first <= inner.first && inner.last <= outer.last;
+}
+
+}  // namespace
+
+void key_coordinator::TakeOver(key_table table,
+                               store_version revision,
+                               std::optional<instant> former_until,
+                               instant now) {
+  table_ = std::move(table);
+  revision_ = revision;
+  former_until_ = former_until;
+  writing_.reset();
+  write_again_ = false;
+  completing_.clear();
+  moves_.clear();
+  parts_.clear();
+  contacts_.clear();
+  next_plan_ = now + kPlanInterval;
+  for (const key_assignment& each : table_.assignments()) {
+    parts_.push_back({each.range, each.fence, each.owner,
+                      grant_record::Inherited(former_until, now)});
+  }
+}
+
+void key_coordinator::SetFormerUntil(instant until) {
+  if (former_until_) {
+    return;
+  }
+  former_until_ = until;
+  for (granted_part& part : parts_) {
+    part.grants.SetFormerUntil(until);
+  }
+  for (key_move& move : moves_) {
+    move.grants.SetFormerUntil(until);
+  }
+}
+
+void key_coordinator::SetEndpoints(std::vector<fleet_endpoint> endpoints,
+                                   instant /*now*/) {
+  endpoints_ = std::move(endpoints);
+  for (const fleet_endpoint& each : endpoints_) {
+    last_address_.insert_or_assign(each.instance, each.where);
+  }
+}
+
+void key_coordinator::SetLoads(std::vector<shard_load> loads,
+                               std::map<endpoint_id, double> capacities,
+                               instant /*now*/) {
+  loads_ = std::move(loads);
+  capacities_ = std::move(capacities);
+}
+
+const fleet_endpoint* key_coordinator::FindEndpoint(
+    const endpoint_id& id) const {
+  const auto found = std::find_if(
+      endpoints_.begin(), endpoints_.end(),
+      [&](const fleet_endpoint& each) { return each.instance.endpoint == id; });
+  return found == endpoints_.end() ? nullptr : &*found;
+}
+
+bool key_coordinator::IsLost(const endpoint_instance& instance) const {
+  const auto found = contacts_.find(instance);
+  return found != contacts_.end() &&
+         found->second.failures >= kFailuresUntilLost;
+}
+
+bool key_coordinator::IsUsable(const endpoint_instance& instance) const {
+  const fleet_endpoint* entry = FindEndpoint(instance.endpoint);
+  return entry != nullptr && entry->instance == instance && !entry->draining &&
+         !IsLost(instance);
+}
+
+bool key_coordinator::HasEnded(const endpoint_instance& instance) const {
+  const auto address_known = last_address_.find(instance);
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&](const fleet_endpoint& each) {
+                       if (each.instance.run <= instance.run) {
+                         return false;
+                       }
+                       // A later process with its id, or at its address, which
+                       // a process holds for itself.
+                       return each.instance.endpoint == instance.endpoint ||
+                              (address_known != last_address_.end() &&
+                               each.where == address_known->second);
+                     });
+}
+
+void key_coordinator::OnContact(const endpoint_instance& instance,
+                                bool answered) {
+  contact& known = contacts_[instance];
+  known.failures = answered ? 0 : known.failures + 1;
+}
+
+void key_coordinator::OnGrantReply(const send_grant& sent,
+                                   instant sent_at,
+                                   const grant_reply& reply,
+                                   instant now) {
+  const bool answered = reply.verdict == grant_verdict::kAccepted ||
+                        reply.verdict == grant_verdict::kSuperseded;
+  OnContact(sent.endpoint, answered);
+  const auto apply = [&](grant_record& grants) {
+    if (answered) {
+      grants.OnAnswered(sent_at, timing_);
+    } else {
+      grants.OnUnanswered(sent_at, reply.sent, timing_, now);
+    }
+  };
+  for (key_move& move : moves_) {
+    if (move.from == sent.endpoint && Contains(sent.grant.range, move.range)) {
+      apply(move.grants);
+    }
+  }
+  std::vector<granted_part> superseded;
+  for (granted_part& part : parts_) {
+    if (part.fence == sent.grant.fence &&
+        Contains(sent.grant.range, part.range)) {
+      apply(part.grants);
+      if (reply.verdict == grant_verdict::kSuperseded) {
+        superseded.push_back(part);
+      }
+    }
+  }
+  // The endpoint knows a higher fence than the table: assign the range anew.
+  for (const granted_part& part : superseded) {
+    StartMove(part, part.range, part.owner, now);
+  }
+}
+
+void key_coordinator::OnReleaseReply(const send_release& sent,
+                                     std::optional<std::string> handover,
+                                     instant now) {
+  OnContact(sent.endpoint, handover.has_value());
+  for (key_move& move : moves_) {
+    if (move.range != sent.release.range || move.from != sent.endpoint) {
+      continue;
+    }
+    move.release_in_flight = false;
+    move.next_release = now + kReleaseRetry;
+    if (handover) {
+      move.released = true;
+      move.handover = *handover;
+    }
+  }
+}
+
+void key_coordinator::OnWritten(store_version revision, instant now) {
+  if (!writing_) {
+    return;
+  }
+  table_ = std::move(*writing_);
+  writing_.reset();
+  revision_ = revision;
+  for (const completed_move& done : completing_) {
+    std::erase_if(moves_, [&](const key_move& move) {
+      return Contains(move.range, done.range);
+    });
+    const key_assignment* assignment = table_.Find(done.range.first);
+    parts_.push_back({done.range, assignment->fence, assignment->owner,
+                      grant_record::New(done.handover, now)});
+  }
+  completing_.clear();
+}
+
+void key_coordinator::OnWriteUnknown() {
+  write_again_ = writing_.has_value();
+}
+
+void key_coordinator::OnNotWritten(const key_table& current,
+                                   store_version revision,
+                                   instant now) {
+  writing_.reset();
+  completing_.clear();
+  if (revision != revision_) {
+    // Another daemon wrote: its assignments count, with unknown grants.
+    TakeOver(current, revision, std::nullopt, now);
+  }
+}
+
+std::vector<coordinator_action>
+key_coordinator::Advance(instant authority_until, bool may_write, instant now) {
+  std::vector<coordinator_action> actions;
+  RefreshParts(now);
+  if (may_write) {
+    StartForcedMoves(now);
+    StartPlannedMoves(now);
+    AddTableWrite(actions, now);
+  }
+  if (now < authority_until) {
+    AddReleases(actions, now);
+    AddProbes(actions, now);
+    AddGrants(actions, now);
+  }
+  if (ReachesTooFew()) {
+    actions.emplace_back(resign_coordinator());
+  }
+  return actions;
+}
+
+std::vector<key_range> key_coordinator::RestingParts(
+    const key_assignment& assignment) const {
+  std::vector<key_range> moving;
+  for (const key_move& move : moves_) {
+    if (Contains(assignment.range, move.range)) {
+      moving.push_back(move.range);
+    }
+  }
+  std::sort(moving.begin(), moving.end());
+  std::vector<key_range> parts;
+  std::uint32_t next = assignment.range.first;
+  for (const key_range& gap : moving) {
+    if (next < gap.first) {
+      parts.push_back({static_cast<shard_key>(next),
+                       static_cast<shard_key>(gap.first - 1)});
+    }
+    next = std::uint32_t{gap.last} + 1;
+  }
+  if (next <= assignment.range.last) {
+    parts.push_back({static_cast<shard_key>(next), assignment.range.last});
+  }
+  return parts;
+}
+
+key_coordinator::granted_part key_coordinator::MakePart(
+    const key_assignment& assignment,
+    const key_range& range,
+    instant now) const {
+  for (const granted_part& part : parts_) {
+    if (part.fence == assignment.fence && Contains(part.range, range)) {
+      return {range, assignment.fence, assignment.owner, part.grants};
+    }
+  }
+  return {range, assignment.fence, assignment.owner,
+          grant_record::Inherited(former_until_, now)};
+}
+
+void key_coordinator::RefreshParts(instant now) {
+  std::vector<granted_part> parts;
+  for (const key_assignment& assignment : table_.assignments()) {
+    for (const key_range& range : RestingParts(assignment)) {
+      parts.push_back(MakePart(assignment, range, now));
+    }
+  }
+  parts_ = std::move(parts);
+}
+
+void key_coordinator::StartMove(const granted_part& part,
+                                const key_range& range,
+                                const std::optional<endpoint_instance>& to,
+                                instant now) {
+  key_move move{range, part.owner, to, part.grants, false, {}, false, now};
+  moves_.push_back(std::move(move));
+}
+
+void key_coordinator::StartForcedMoves(instant now) {
+  const std::size_t before = moves_.size();
+  for (const granted_part& part : std::vector<granted_part>(parts_)) {
+    if (!IsUsable(part.owner)) {
+      StartMove(part, part.range, std::nullopt, now);
+    }
+  }
+  for (const key_range& range : table_.Unassigned()) {
+    const bool known =
+        std::any_of(moves_.begin(), moves_.end(),
+                    [&](const key_move& move) { return move.range == range; });
+    if (!known) {
+      moves_.push_back({range,
+                        endpoint_instance(),
+                        std::nullopt,
+                        grant_record::New({}, now),
+                        true,
+                        {},
+                        false,
+                        now});
+    }
+  }
+  if (moves_.size() != before) {
+    RefreshParts(now);
+  }
+}
+
+key_plan_input key_coordinator::PlanInput() const {
+  key_plan_input input;
+  input.table = table_;
+  input.loads = loads_;
+  for (const fleet_endpoint& each : endpoints_) {
+    if (IsUsable(each.instance)) {
+      const auto measured = capacities_.find(each.instance.endpoint);
+      input.owners[each.instance] =
+          measured == capacities_.end() ? each.slots : measured->second;
+    }
+  }
+  for (const key_move& move : moves_) {
+    input.moving.push_back(move.range);
+  }
+  return input;
+}
+
+void key_coordinator::StartPlannedMoves(instant now) {
+  if (now < next_plan_ || !moves_.empty() || writing_) {
+    return;
+  }
+  next_plan_ = now + kPlanInterval;
+  key_plan_input input = PlanInput();
+  // A range with a grant that may still be carried out late would stay
+  // without an owner until that is over.
+  for (const granted_part& part : parts_) {
+    const auto late = part.grants.LateGrantsUntil(timing_);
+    if (!late || now < *late) {
+      input.moving.push_back(part.range);
+    }
+  }
+  for (const planned_move& planned : PlanRebalance(input)) {
+    const auto part = std::find_if(parts_.begin(), parts_.end(),
+                                   [&](const granted_part& each) {
+                                     return Contains(each.range, planned.range);
+                                   });
+    if (part != parts_.end()) {
+      StartMove(*part, planned.range, planned.to, now);
+    }
+  }
+  RefreshParts(now);
+}
+
+bool key_coordinator::IsFree(const key_move& move, instant now) const {
+  if (HasEnded(move.from)) {
+    return true;
+  }
+  const std::optional<instant> until =
+      move.released ? move.grants.LateGrantsUntil(timing_)
+                    : move.grants.HeldUntil(timing_);
+  return until && *until <= now;
+}
+
+key_table key_coordinator::TableAfter(
+    const std::vector<const key_move*>& moves) {
+  key_table next = table_;
+  std::vector<key_range> orphans;
+  for (const key_move* move : moves) {
+    if (move->to && IsUsable(*move->to)) {
+      next = next.With(move->range, *move->to);
+      completing_.push_back({move->range, move->handover});
+    } else {
+      orphans.push_back(move->range);
+    }
+  }
+  for (const planned_move& planned : PlanOrphans(PlanInput(), orphans)) {
+    next = next.With(planned.range, planned.to);
+    const auto origin =
+        std::find_if(moves.begin(), moves.end(), [&](const key_move* move) {
+          return Contains(move->range, planned.range);
+        });
+    completing_.push_back({planned.range, (*origin)->handover});
+  }
+  return next;
+}
+
+void key_coordinator::AddTableWrite(std::vector<coordinator_action>& actions,
+                                    instant now) {
+  if (writing_) {
+    if (std::exchange(write_again_, false)) {
+      actions.emplace_back(write_key_table{*writing_, revision_});
+    }
+    return;
+  }
+  std::vector<const key_move*> free;
+  for (const key_move& move : moves_) {
+    if (IsFree(move, now)) {
+      free.push_back(&move);
+    }
+  }
+  if (free.empty()) {
+    return;
+  }
+  completing_.clear();
+  key_table next = TableAfter(free);
+  if (completing_.empty()) {
+    return;
+  }
+  writing_ = next;
+  actions.emplace_back(write_key_table{std::move(next), revision_});
+}
+
+void key_coordinator::AddReleases(std::vector<coordinator_action>& actions,
+                                  instant now) {
+  for (key_move& move : moves_) {
+    const auto where = last_address_.find(move.from);
+    if (move.released || move.release_in_flight || now < move.next_release ||
+        where == last_address_.end() || HasEnded(move.from)) {
+      continue;
+    }
+    move.release_in_flight = true;
+    // A fence above the grant's, so that a former renewal can't follow it.
+    actions.emplace_back(
+        send_release{move.from,
+                     where->second,
+                     {move.range, epoch(table_.highest_fence().value() + 1)}});
+  }
+}
+
+void key_coordinator::AddProbes(std::vector<coordinator_action>& actions,
+                                instant now) {
+  for (auto& [instance, known] : contacts_) {
+    if (known.failures < kFailuresUntilLost || now < known.probe_at) {
+      continue;
+    }
+    known.probe_at = now + kProbeInterval;
+    const fleet_endpoint* entry = FindEndpoint(instance.endpoint);
+    const bool owns =
+        std::any_of(table_.assignments().begin(), table_.assignments().end(),
+                    [&owner = instance](const key_assignment& each) {
+                      return each.owner == owner;
+                    });
+    if (entry == nullptr || entry->instance != instance || owns ||
+        table_.assignments().empty()) {
+      continue;
+    }
+    // It owns nothing, so releasing a range changes nothing; an answer shows
+    // that it is back.
+    actions.emplace_back(send_release{
+        instance,
+        entry->where,
+        {table_.assignments().front().range, table_.highest_fence()}});
+  }
+}
+
+void key_coordinator::AddGrants(std::vector<coordinator_action>& actions,
+                                instant now) {
+  for (granted_part& part : parts_) {
+    const auto where = last_address_.find(part.owner);
+    if (!part.grants.IsDue(now) || where == last_address_.end() ||
+        !IsUsable(part.owner)) {
+      continue;
+    }
+    part.grants.OnSent(now);
+    actions.emplace_back(send_grant{
+        part.owner,
+        where->second,
+        {part.range, part.fence, timing_.hold, part.grants.handover()}});
+  }
+}
+
+bool key_coordinator::ReachesTooFew() const {
+  std::set<endpoint_instance> owners;
+  std::size_t silent = 0;
+  for (const key_assignment& each : table_.assignments()) {
+    if (!owners.insert(each.owner).second) {
+      continue;
+    }
+    const auto known = contacts_.find(each.owner);
+    const fleet_endpoint* entry = FindEndpoint(each.owner.endpoint);
+    if (known != contacts_.end() && entry != nullptr &&
+        entry->instance == each.owner &&
+        known->second.failures >= kFailuresInDoubt) {
+      ++silent;
+    }
+  }
+  return owners.size() >= kLeastOwnersToResign && silent * 2 > owners.size();
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/keyspace/key_table.cc
@@ -0,0 +1,140 @@
+#include "bluebell/keyspace/key_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace bluebell {
+
+namespace {
+
+namespace json = boost::json;
+
+error Malformed(std::string detail) {
+  return {errc::kInvalidArgument, step::kParseTable, "", std::move(detail)};
+}
+
+// What is left of `assignment` outside `taken`, in order.
+void AppendRest(const key_assignment& assignment,
+                const key_range& taken,
+                std::vector<key_assignment>& out) {
+  const key_range& range = assignment.range;
+  if (range.last < taken.first || taken.last < range.first) {
+    out.push_back(assignment);
+    return;
+  }
+  if (range.first < taken.first) {
+    key_assignment left = assignment;
+    left.range.last = static_cast<shard_key>(taken.first - 1);
+    out.push_back(std::move(left));
+  }
+  if (taken.last < range.last) {
+    key_assignment right = assignment;
+    right.range.first = static_cast<shard_key>(taken.last + 1);
+    out.push_back(std::move(right));
+  }
+}
+
+}  // namespace
+
+result<key_table> key_table::Make(epoch highest_fence,
+                                  std::vector<key_assignment> assignments) {
+  for (std::size_t i = 0; i < assignments.size(); ++i) {
+    const key_assignment& each = assignments[i];
+    if (each.range.last < each.range.first) {
+      return Malformed("a range ends before it begins");
+    }
+    if (i > 0 && each.range.first <= assignments[i - 1].range.last) {
+      return Malformed("ranges overlap or are out of order");
+    }
+    if (highest_fence < each.fence) {
+      return Malformed("a fence exceeds the highest one");
+    }
+  }
+  key_table table;
+  table.highest_fence_ = highest_fence;
+  table.assignments_ = std::move(assignments);
+  return table;
+}
+
+key_table key_table::With(const key_range& range,
+                          const endpoint_instance& owner) const {
+  key_table next;
+  next.highest_fence_ = epoch(highest_fence_.value() + 1);
+  for (const key_assignment& each : assignments_) {
+    AppendRest(each, range, next.assignments_);
+  }
+  const auto place = std::find_if(
+      next.assignments_.begin(), next.assignments_.end(),
+      [&](const key_assignment& each) { return range < each.range; });
+  next.assignments_.insert(place, {range, owner, next.highest_fence_});
+  return next;
+}
+
+const key_assignment* key_table::Find(shard_key key) const {
+  const auto after =
+      std::upper_bound(assignments_.begin(), assignments_.end(), key,
+                       [](shard_key wanted, const key_assignment& each) {
+                         return wanted < each.range.first;
+                       });
+  if (after == assignments_.begin()) {
+    return nullptr;
+  }
+  const key_assignment& candidate = *std::prev(after);
+  return candidate.range.Contains(key) ? &candidate : nullptr;
+}
+
+std::vector<key_range> key_table::Unassigned() const {
+  std::vector<key_range> gaps;
+  std::uint32_t next = 0;
+  for (const key_assignment& each : assignments_) {
+    if (next < each.range.first) {
+      gaps.push_back({static_cast<shard_key>(next),
+                      static_cast<shard_key>(each.range.first - 1)});
+    }
+    next = std::uint32_t{each.range.last} + 1;
+  }
+  if (next <= kLastShardKey) {
+    gaps.push_back({static_cast<shard_key>(next), kLastShardKey});
+  }
+  return gaps;
+}
+
+std::string key_table::ToJson() const {
+  json::array rows;
+  for (const key_assignment& each : assignments_) {
+    rows.push_back(json::array{each.range.first, each.range.last,
+                               each.owner.endpoint.value(),
+                               each.owner.run.value(), each.fence.value()});
+  }
+  return json::serialize(json::object{{"highest_fence", highest_fence_.value()},
+                                      {"assignments", rows}});
+}
+
+result<key_table> key_table::FromJson(std::string_view text) {
+  try {
+    const json::value root = json::parse({text.data(), text.size()});
+    std::vector<key_assignment> assignments;
+    for (const json::value& row : root.at("assignments").as_array()) {
+      const json::array& cells = row.as_array();
+      assignments.push_back(
+          {{cells.at(0).to_number<shard_key>(),
+            cells.at(1).to_number<shard_key>()},
+           {endpoint_id(json::value_to<std::string>(cells.at(2))),
+            incarnation(cells.at(3).to_number<std::uint64_t>())},
+           epoch(cells.at(4).to_number<std::uint64_t>())});
+    }
+    return Make(epoch(root.at("highest_fence").to_number<std::uint64_t>()),
+                std::move(assignments));
+  } catch (const std::exception& failure) {
+    // Boost.JSON reports missing and mistyped fields by exceptions.
+    return Malformed(failure.what());
+  }
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/keyspace/shard_load.h
@@ -0,0 +1,48 @@
+// The work that each key brings, as a decaying sum.
+//
+//   shard_load_meter meter;
+//   meter.Add(key, milliseconds(220), now);
+//   std::vector<shard_load> loads = meter.Loads(now);
+
+#ifndef BLUEBELL_KEYSPACE_SHARD_LOAD_H_
+#define BLUEBELL_KEYSPACE_SHARD_LOAD_H_
+
+#include <map>
+#include <vector>
+
+#include "bluebell/core/time.h"
+#include "bluebell/keyspace/key_range.h"
+
+namespace bluebell {
+
+struct shard_load {
+  shard_key key = 0;
+  // The mean number of slots that the key's requests keep busy.
+  double slots = 0;
+
+  friend bool operator==(const shard_load&, const shard_load&) = default;
+};
+
+class shard_load_meter {
+ public:
+  void Add(shard_key key, duration work, instant now);
+
+  // In the order of the keys, without those that have faded.
+  std::vector<shard_load> Loads(instant now) const;
+
+ private:
+  struct decaying_load {
+    double slots = 0;
+    instant updated_at;
+  };
+
+  static double SlotsAt(const decaying_load& load, instant now);
+  void DropFaded(instant now);
+
+  std::map<shard_key, decaying_load> loads_;
+  instant next_clean_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_KEYSPACE_SHARD_LOAD_H_
--- /dev/null
+++ b/bluebell/kv/kv_client.cc
@@ -0,0 +1,130 @@
+#include "bluebell/kv/kv_client.h"
+
+#include <iterator>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bluebell/http/async_call.h"
+#include "bluebell/http/http_client.h"
+#include "platform/store_calls.h"
+
+namespace bluebell {
+
+namespace {
+
+// The store answers within milliseconds, and within some hundreds when slow.
+constexpr milliseconds kCallTimeout{1'000};
+// A watch may be answered this much after its waiting time.
+constexpr milliseconds kWatchSlack{1'000};
+// Given up before the store closes a connection that carries no call.
+constexpr milliseconds kIdleConnection{4'000};
+
+}  // namespace
+
+result<std::unique_ptr<kv_client>> kv_client::Make(boost::asio::io_context& io,
+                                                   const address& where) {
+  http_client_options options;
+  options.idle = kIdleConnection;
+  auto client = http_client::Make(io, where, options);
+  if (!client) {
+    return client.error();
+  }
+  return std::unique_ptr<kv_client>(new kv_client(std::move(client.value())));
+}
+
+kv_client::kv_client(std::unique_ptr<http_client> client)
+    : client_(std::move(client)) {}
+
+kv_client::~kv_client() = default;
+
+kv_client::awaitable_result<http_response> kv_client::Call(http_request request,
+                                                           milliseconds timeout,
+                                                           step at) {
+  return AsyncCall(*client_, std::move(request), timeout, at);
+}
+
+kv_client::awaitable_result<kv_listing> kv_client::List(std::string prefix) {
+  kv_listing listing;
+  std::string after;
+  bool first = true;
+  while (true) {
+    const result<http_response> response = co_await Call(
+        platform::EncodeList(prefix, after), kCallTimeout, step::kReadStore);
+    if (!response) {
+      co_return response.error();
+    }
+    result<kv_page> page = platform::DecodePage(response.value());
+    if (!page) {
+      co_return page.error();
+    }
+    kv_page& read = page.value();
+    if (std::exchange(first, false)) {
+      listing.revision = read.revision;
+    }
+    const bool more = read.more && !read.items.empty();
+    if (more) {
+      after = read.items.back().key;
+    }
+    std::move(read.items.begin(), read.items.end(),
+              std::back_inserter(listing.items));
+    if (!more) {
+      co_return listing;
+    }
+  }
+}
+
+kv_client::awaitable_result<kv_changes> kv_client::Watch(std::string prefix,
+                                                         store_version after,
+                                                         milliseconds wait) {
+  const result<http_response> response =
+      co_await Call(platform::EncodeWatch(prefix, after, wait),
+                    wait + kWatchSlack, step::kWatchStore);
+  if (!response) {
+    co_return response.error();
+  }
+  co_return platform::DecodeChanges(response.value());
+}
+
+kv_client::awaitable_result<kv_write_result> kv_client::Write(kv_write write) {
+  const result<http_response> response = co_await Call(
+      platform::EncodeWrite(write), kCallTimeout, step::kWriteStore);
+  if (!response) {
+    co_return response.error();
+  }
+  co_return platform::DecodeWriteResult(response.value());
+}
+
+kv_client::awaitable_result<kv_granted_lease> kv_client::StartLease(
+    milliseconds term) {
+  const result<http_response> response = co_await Call(
+      platform::EncodeLeaseStart(term), kCallTimeout, step::kWriteStore);
+  if (!response) {
+    co_return response.error();
+  }
+  const auto started = platform::DecodeLeaseStart(response.value());
+  if (!started) {
+    co_return started.error();
+  }
+  co_return kv_granted_lease{started.value().lease, started.value().term};
+}
+
+kv_client::awaitable_result<bool> kv_client::RenewLease(kv_lease lease) {
+  const result<http_response> response = co_await Call(
+      platform::EncodeLeaseRenewal(lease), kCallTimeout, step::kWriteStore);
+  if (!response) {
+    co_return response.error();
+  }
+  co_return platform::DecodeLeaseRenewal(response.value());
+}
+
+kv_client::awaitable_result<bool> kv_client::EndLease(kv_lease lease) {
+  const result<http_response> response = co_await Call(
+      platform::EncodeLeaseEnd(lease), kCallTimeout, step::kWriteStore);
+  if (!response) {
+    co_return response.error();
+  }
+  co_return true;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/kv/kv_client.h
@@ -0,0 +1,79 @@
+// Calls to the platform's key-value store.
+//
+//   auto store = kv_client::Make(io, where).value();
+//   result<kv_changes> changes = co_await store->Watch("", revision, wait);
+//
+// A failed write or lease call may have taken effect unless its error is
+// errc::kUnavailable.
+
+#ifndef BLUEBELL_KV_KV_CLIENT_H_
+#define BLUEBELL_KV_KV_CLIENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/http/http_message.h"
+#include "bluebell/kv/kv_types.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class http_client;
+
+struct kv_listing {
+  std::vector<kv_item> items;
+  // Of the first page: changes after it may be missing from `items`.
+  store_version revision;
+};
+
+struct kv_granted_lease {
+  kv_lease lease;
+  milliseconds term{0};
+};
+
+class kv_client {
+ public:
+  template <typename Value>
+  using awaitable_result = boost::asio::awaitable<result<Value>>;
+
+  static result<std::unique_ptr<kv_client>> Make(boost::asio::io_context& io,
+                                                 const address& where);
+  kv_client(const kv_client&) = delete;
+  kv_client& operator=(const kv_client&) = delete;
+  ~kv_client();
+
+  // All items with `prefix`, page after page.
+  awaitable_result<kv_listing> List(std::string prefix);
+  // Waits up to `wait` for changes after `after`. Fails with errc::kNotFound
+  // if the store no longer has them.
+  awaitable_result<kv_changes> Watch(std::string prefix,
+                                     store_version after,
+                                     milliseconds wait);
+  awaitable_result<kv_write_result> Write(kv_write write);
+  awaitable_result<kv_granted_lease> StartLease(milliseconds term);
+  // False if the lease has ended.
+  awaitable_result<bool> RenewLease(kv_lease lease);
+  awaitable_result<bool> EndLease(kv_lease lease);
+
+ private:
+  explicit kv_client(std::unique_ptr<http_client> client);
+
+  awaitable_result<http_response> Call(http_request request,
+                                       milliseconds timeout,
+                                       step at);
+
+  std::unique_ptr<http_client> client_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_KV_KV_CLIENT_H_
--- /dev/null
+++ b/bluebell/permits/slot_scheduler.h
@@ -0,0 +1,150 @@
+// Gives the slots of one service's endpoints to waiting requests: urgent ones
+// first, in each rank those first that can still be answered within their
+// objective, and no endpoint more than it has slots for. Refuses at once what
+// can't be answered in time.
+//
+// A keyed request waits for the owner of its key, any other for the endpoint
+// that will answer it soonest.
+//
+//   slot_scheduler scheduler(service_name("booker"));
+//   scheduler.SetEndpoints(endpoints, nullptr, now);
+//   scheduler.Ask(ask, now);
+//   for (const permit_reply& reply : scheduler.TakeReplies(now)) { ... }
+
+#ifndef BLUEBELL_PERMITS_SLOT_SCHEDULER_H_
+#define BLUEBELL_PERMITS_SLOT_SCHEDULER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bluebell/core/ids.h"
+#include "bluebell/core/time.h"
+#include "bluebell/fleet/fleet_endpoint.h"
+#include "bluebell/keyspace/shard_load.h"
+#include "bluebell/keyspace/key_table.h"
+#include "bluebell/permits/endpoint_standing.h"
+#include "bluebell/permits/permit_message.h"
+#include "bluebell/permits/rank_demand.h"
+#include "bluebell/permits/work_estimate.h"
+
+namespace bluebell {
+
+class slot_scheduler {
+ public:
+  explicit slot_scheduler(service_name service);
+
+  // The endpoints of the service, and the owners of its keys if it is keyed.
+  void SetEndpoints(const std::vector<fleet_endpoint>& endpoints,
+                    const key_table* table,
+                    instant now);
+
+  // Each ask is answered once by a grant or a refusal; asking again for a
+  // permit that waits or was granted repeats that reply.
+  void Ask(const permit_ask& ask, instant now);
+  void End(const permit_end& end, instant now);
+  // Frees the permits of the report's holder that it doesn't use, and counts
+  // those that another dispatcher gave it.
+  void Report(const permit_report& report, instant now);
+
+  // The replies due now. Call it after each of the above and at NextWakeup().
+  std::vector<permit_reply> TakeReplies(instant now);
+  // When the first waiting request runs out of time; nothing if none waits.
+  std::optional<instant> NextWakeup() const;
+
+  // The work that each key brought lately, for a keyed service.
+  std::vector<shard_load> KeyLoads(instant now) const;
+  // The work that each endpoint can do, in slots of average speed.
+  std::map<endpoint_id, double> Capacities(instant now) const;
+  // Endpoints that the requests of several daemons found silent.
+  std::vector<endpoint_id> SilentEndpoints(instant now) const;
+
+  std::size_t waiting_count() const { return waiting_.size(); }
+  std::size_t running_count() const { return running_.size(); }
+
+ private:
+  struct endpoint_state {
+    fleet_endpoint about;
+    endpoint_standing standing;
+    std::uint32_t running = 0;
+    // Running or waiting requests that it reports beyond ours.
+    std::uint32_t foreign = 0;
+    instant foreign_until;
+    instant warm_from;
+  };
+  struct waiting_request {
+    permit_ask ask;
+    instant arrived;
+    instant objective;
+    instant deadline;
+    duration work{0};
+  };
+  struct running_request {
+    endpoint_id endpoint;
+    std::string route;
+    std::uint32_t rank = 0;
+    std::optional<shard_key> key;
+    epoch fence;
+    instant started;
+    // The holder counts as gone if it hasn't settled the permit by then.
+    instant expires;
+    duration work{0};
+  };
+  struct choice {
+    const key_assignment* assignment = nullptr;
+    endpoint_state* endpoint = nullptr;
+  };
+  using waiting_list = std::list<waiting_request>;
+
+  bool IsFree(const endpoint_state& state, instant now) const;
+  double Slowness(const endpoint_state& state, instant now) const;
+  std::uint32_t ExpectedAt(const endpoint_state& state,
+                           duration work,
+                           instant now) const;
+  double Cost(const endpoint_state& state,
+              const waiting_request& request,
+              instant now) const;
+  choice Choose(const waiting_request& request, instant now);
+  choice ChooseOwner(const waiting_request& request, instant now);
+  choice ChooseAny(const waiting_request& request, instant now);
+  // Why the request can't be served now, whatever the load.
+  std::optional<permit_refused> Unserviceable(const permit_ask& ask,
+                                              instant now) const;
+  bool WaitsForOwner(const waiting_request& request,
+                     const endpoint_instance& owner) const;
+  // How long the request waits for a slot if it asks now.
+  duration ForecastWait(const permit_ask& ask, instant now) const;
+  permit_refused Overloaded(const waiting_request& request, instant now) const;
+  std::uint32_t FreeSlots(instant now) const;
+  void Assign(instant now);
+  void AssignRank(std::uint32_t rank, bool on_time, instant now);
+  bool CanAnswerOnTime(const waiting_request& request, instant now) const;
+  void Grant(const waiting_request& request, const choice& where, instant now);
+  void RefuseHopeless(instant now);
+  void ExpireRunning(instant now);
+  void Free(const permit_id& id);
+
+  service_name service_;
+  bool keyed_ = false;
+  key_table table_;
+  std::map<endpoint_id, endpoint_state> endpoints_;
+  // In the order of arrival.
+  waiting_list waiting_;
+  std::map<permit_id, running_request> running_;
+  std::map<std::uint32_t, std::uint32_t> running_by_rank_;
+  work_estimate work_;
+  rank_demand demand_;
+  shard_load_meter key_loads_;
+  // Assignments whose owner doesn't hold the keys yet, and until when not to
+  // try them.
+  std::map<epoch, instant> paused_;
+  std::vector<permit_reply> replies_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_PERMITS_SLOT_SCHEDULER_H_
--- /dev/null
+++ b/bluebell/permits/work_estimate.h
@@ -0,0 +1,32 @@
+// How long the requests of each route take at an average endpoint.
+//
+//   work_estimate work;
+//   work.Add("status", milliseconds(180), 1.2);
+//   duration expected = work.Expected("status", milliseconds(600));
+
+#ifndef BLUEBELL_PERMITS_WORK_ESTIMATE_H_
+#define BLUEBELL_PERMITS_WORK_ESTIMATE_H_
+
+#include <map>
+#include <string>
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+class work_estimate {
+ public:
+  // A request of `route` took `took` at an endpoint of the given slowness.
+  void Add(const std::string& route, duration took, double slowness);
+
+  // The mean of `route`. Without a measurement, a share of the time in which
+  // its callers want the response.
+  duration Expected(const std::string& route, duration objective) const;
+
+ private:
+  std::map<std::string, double> mean_ns_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_PERMITS_WORK_ESTIMATE_H_
--- /dev/null
+++ b/bluebell/proxy/caller_connection.cc
@@ -0,0 +1,200 @@
+#include "bluebell/proxy/caller_connection.h"
+
+#include <cerrno>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/http/socket_options.h"
+#include "bluebell/proxy/request_server.h"
+#include "bluebell/telemetry/log_event.h"
+#include "platform/proxy_headers.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using namespace asio::experimental::awaitable_operators;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kContentTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+// From the end of the header to the end of the body.
+constexpr seconds kBodyTimeout{20};
+// How long a caller may take to read a response.
+constexpr seconds kWriteTimeout{20};
+
+}  // namespace
+
+caller_connection::caller_connection(tcp::socket socket,
+                                     request_server& server,
+                                     std::shared_ptr<const caller_state> state)
+    : stream_(std::move(socket)), server_(server), state_(std::move(state)) {
+  PrepareSocket(stream_.socket());
+}
+
+void caller_connection::Start() {
+  asio::co_spawn(
+      stream_.get_executor(),
+      [self = shared_from_this()] { return self->Run(); }, asio::detached);
+}
+
+void caller_connection::CloseIfIdle() {
+  if (!serving_ && buffer_.size() == 0) {
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
+  }
+}
+
+asio::awaitable<void> caller_connection::Run() {
+  bool usable = true;
+  while (usable) {
+    usable = co_await WaitForRequest();
+    if (usable) {
+      serving_ = true;
+      usable = co_await ServeOne();
+      serving_ = false;
+    }
+  }
+  boost::system::error_code ignored;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream_.close();
+}
+
+asio::awaitable<bool> caller_connection::WaitForRequest() {
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  stream_.expires_after(state_->bounds.idle_timeout);
+  constexpr std::size_t kFirstRead = 4'096;
+  const auto [failure, size] =
+      co_await stream_.async_read_some(buffer_.prepare(kFirstRead), kAwait);
+  if (failure) {
+    co_return false;
+  }
+  buffer_.commit(size);
+  co_return true;
+}
+
+asio::awaitable<bool> caller_connection::ServeOne() {
+  const instant arrived = BootNow();
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(state_->bounds.max_header_bytes);
+  parser.body_limit(state_->bounds.max_body_bytes);
+  stream_.expires_after(state_->bounds.header_timeout);
+  const auto [bad_header, header_size] =
+      co_await bhttp::async_read_header(stream_, buffer_, parser, kAwait);
+  boost::system::error_code failure = bad_header;
+  if (!failure && !parser.is_done()) {
+    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+      static constexpr std::string_view kContinue =
+          "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(
+          stream_, asio::buffer(kContinue.data(), kContinue.size()), kAwait);
+    }
+    stream_.expires_after(kBodyTimeout);
+    const auto [bad_body, body_size] =
+        co_await bhttp::async_read(stream_, buffer_, parser, kAwait);
+    failure = bad_body;
+  }
+  if (failure == bhttp::error::body_limit) {
+    co_await RefuseMalformed(kContentTooLarge);
+    co_return false;
+  }
+  if (failure == bhttp::error::header_limit) {
+    co_await RefuseMalformed(kHeaderTooLarge);
+    co_return false;
+  }
+  if (failure) {
+    const bool malformed =
+        failure.category() ==
+            bhttp::make_error_code(bhttp::error::bad_method).category() &&
+        failure != bhttp::error::end_of_stream &&
+        failure != bhttp::error::partial_message;
+    if (malformed) {
+      co_await RefuseMalformed(kBadRequest);
+    }
+    co_return false;
+  }
+  const http_request request = parser.release();
+  stream_.expires_never();
+  std::variant<http_response, std::monostate> served =
+      co_await (server_.Serve(request, arrived) || WaitForClose());
+  if (served.index() != 0) {
+    co_return false;
+  }
+  co_return co_await Write(std::get<http_response>(std::move(served)),
+                           request.keep_alive());
+}
+
+asio::awaitable<void> caller_connection::WaitForClose() {
+  co_await asio::this_coro::throw_if_cancelled(false);
+  tcp::socket& socket = stream_.socket();
+  if (buffer_.size() == 0) {
+    const auto [failure] =
+        co_await socket.async_wait(tcp::socket::wait_read, kAwait);
+    if (failure) {
+      co_return;
+    }
+    char byte = 0;
+    boost::system::error_code state;
+    socket.non_blocking(true, state);
+    const std::size_t size = socket.receive(asio::buffer(&byte, 1),
+                                            tcp::socket::message_peek, state);
+    if (size == 0 && state != asio::error::would_block) {
+      co_return;
+    }
+  }
+  // The caller has sent its next request already, which hides its leaving.
+  asio::steady_timer never(co_await asio::this_coro::executor,
+                           asio::steady_timer::time_point::max());
+  co_await never.async_wait(kAwait);
+}
+
+asio::awaitable<void> caller_connection::RefuseMalformed(unsigned status) {
+  log_event(log_level::kWarn, "malformed request refused")
+      .With("status", status)
+      .Write();
+  co_await Write(
+      platform::MakeOwnResponse(status, "malformed request", {}, std::nullopt),
+      false);
+}
+
+asio::awaitable<bool> caller_connection::Write(http_response response,
+                                               bool keep) {
+  const bool kept = keep && !state_->closing;
+  response.keep_alive(kept);
+  response.prepare_payload();
+  stream_.expires_after(kWriteTimeout);
+  const auto [failure, size] =
+      co_await bhttp::async_write(stream_, response, kAwait);
+  co_return !failure && kept;
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -0,0 +1,192 @@
+#include "bluebell/proxy/endpoint_channels.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/http/socket_options.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// Endpoints open a connection in a millisecond; a lost packet is sent again
+// only after a second, so waiting longer than this doesn't pay.
+constexpr milliseconds kConnectTimeout{350};
+// An endpoint's response may pass one to a former request.
+constexpr int kMaxStrayResponses = 2;
+constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+constexpr int kFirstFinalStatus = 200;
+// Closed this much before the endpoint says it will.
+constexpr milliseconds kKeepAliveMargin{1'500};
+constexpr milliseconds kDefaultKeepAlive{4'000};
+constexpr milliseconds kLongestKeepAlive{8'000};
+constexpr std::size_t kMaxIdlePerEndpoint = 8;
+
+}  // namespace
+
+struct endpoint_channels::channel {
+  explicit channel(asio::io_context& io) : stream(io) {}
+
+  // False if the endpoint has closed it or sent what nobody asked for.
+  bool IsQuiet() {
+    tcp::socket& socket = stream.socket();
+    boost::system::error_code state;
+    socket.non_blocking(true, state);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, state);
+    return state == asio::error::would_block && buffer.size() == 0;
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  instant used_at;
+  instant close_at;
+};
+
+endpoint_channels::endpoint_channels(asio::io_context& io) : io_(io) {}
+
+endpoint_channels::~endpoint_channels() = default;
+
+endpoint_channels::channel_ptr endpoint_channels::TakeIdle(
+    const endpoint_instance& endpoint,
+    milliseconds longest_idle,
+    instant now) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  std::vector<channel_ptr>& idle = found->second;
+  while (!idle.empty()) {
+    // The one used last is the most likely to be open still.
+    if (now - idle.back()->used_at > longest_idle) {
+      return nullptr;
+    }
+    channel_ptr last = std::move(idle.back());
+    idle.pop_back();
+    if (now < last->close_at && last->IsQuiet()) {
+      return last;
+    }
+  }
+  return nullptr;
+}
+
+void endpoint_channels::Keep(const endpoint_instance& endpoint,
+                             channel_ptr used,
+                             milliseconds keep_alive,
+                             instant now) {
+  used->stream.expires_never();
+  used->used_at = now;
+  used->close_at = now + std::min(keep_alive, kLongestKeepAlive);
+  std::vector<channel_ptr>& idle = idle_[endpoint];
+  idle.push_back(std::move(used));
+  if (idle.size() > kMaxIdlePerEndpoint) {
+    idle.erase(idle.begin());
+  }
+}
+
+void endpoint_channels::DropIdle(instant now) {
+  for (auto& [endpoint, idle] : idle_) {
+    std::erase_if(
+        idle, [now](const channel_ptr& each) { return each->close_at <= now; });
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+asio::awaitable<exchange_end> endpoint_channels::Send(
+    fleet_endpoint endpoint,
+    http_request request,
+    exchange_options options) {
+  co_await asio::this_coro::throw_if_cancelled(false);
+  const instant started = BootNow();
+  const std::string peer =
+      endpoint.instance.endpoint.value() + " " + endpoint.where.ToString();
+  channel_ptr link = TakeIdle(endpoint.instance, options.longest_idle, started);
+  if (!link) {
+    link = std::make_unique<channel>(io_);
+    ++opened_;
+    boost::system::error_code unreadable;
+    const auto number = asio::ip::make_address(endpoint.where.ip(), unreadable);
+    if (unreadable) {
+      co_return exchange_unsent{error(errc::kInvalidArgument, step::kConnect,
+                                      peer, "not an IP number")};
+    }
+    link->stream.expires_after(
+        std::min<duration>(kConnectTimeout, options.deadline - started));
+    const auto [failure] = co_await link->stream.async_connect(
+        tcp::endpoint(number, endpoint.where.port()), kAwait);
+    if (failure) {
+      co_return exchange_unsent{
+          error(errc::kUnavailable, step::kConnect, peer, failure.message())};
+    }
+    PrepareSocket(link->stream.socket());
+  }
+  // Whatever ends this coroutine early ends the endpoint's work, too.
+  ResetOnClose(link->stream.socket());
+  link->stream.expires_after(options.deadline - BootNow());
+  const auto [unsent, sent] =
+      co_await bhttp::async_write(link->stream, request, kAwait);
+  const auto lost = [&](const boost::system::error_code& why) {
+    const errc code =
+        why == beast::error::timeout ? errc::kTimeout : errc::kConnectionLost;
+    return exchange_lost{error(code, step::kReadReply, peer, why.message()),
+                         BootNow() - started};
+  };
+  if (unsent) {
+    co_return lost(unsent);
+  }
+  for (int stray = 0; stray <= kMaxStrayResponses; ++stray) {
+    bhttp::response_parser<bhttp::string_body> parser;
+    parser.body_limit(kMaxResponseBytes);
+    parser.skip(request.method() == bhttp::verb::head);
+    const auto [unread, read] =
+        co_await bhttp::async_read(link->stream, link->buffer, parser, kAwait);
+    if (unread) {
+      co_return lost(unread);
+    }
+    const bool ends_connection = parser.need_eof();
+    http_response response = parser.release();
+    platform::endpoint_reply about = platform::ReadEndpointReply(response);
+    const bool stale = !about.attempt.empty() && !options.attempt.empty() &&
+                       about.attempt != options.attempt;
+    if (stale || response.result_int() < kFirstFinalStatus) {
+      continue;
+    }
+    const instant now = BootNow();
+    if (response.keep_alive() && !ends_connection && link->buffer.size() == 0) {
+      const milliseconds stated = about.keep_alive
+                                      ? *about.keep_alive - kKeepAliveMargin
+                                      : kDefaultKeepAlive;
+      Keep(endpoint.instance, std::move(link), stated, now);
+    }
+    co_return exchange_answered{std::move(response), std::move(about),
+                                now - started};
+  }
+  co_return exchange_lost{error(errc::kMalformedMessage, step::kReadReply, peer,
+                                "responses to other requests"),
+                          BootNow() - started};
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/proxy/page_server.cc
@@ -0,0 +1,79 @@
+#include "bluebell/proxy/page_server.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "bluebell/core/time.h"
+#include "bluebell/http/socket_options.h"
+#include "bluebell/proxy/tcp_listener.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr seconds kConnectionTimeout{10};
+
+asio::awaitable<void> Answer(
+    tcp::socket socket,
+    std::shared_ptr<const page_server::responder> respond) {
+  PrepareSocket(socket);
+  boost::beast::tcp_stream stream(std::move(socket));
+  boost::beast::flat_buffer buffer;
+  bool usable = true;
+  while (usable) {
+    stream.expires_after(kConnectionTimeout);
+    http_request request;
+    const auto [unread, read] =
+        co_await bhttp::async_read(stream, buffer, request, kAwait);
+    if (unread) {
+      break;
+    }
+    http_response response = (*respond)(request);
+    response.keep_alive(request.keep_alive());
+    response.prepare_payload();
+    const auto [unsent, sent] =
+        co_await bhttp::async_write(stream, response, kAwait);
+    usable = !unsent && response.keep_alive();
+  }
+}
+
+}  // namespace
+
+result<std::unique_ptr<page_server>> page_server::Open(asio::io_context& io,
+                                                       const address& where,
+                                                       responder respond) {
+  auto listener = tcp_listener::Open(io, where);
+  if (!listener) {
+    return listener.error();
+  }
+  std::unique_ptr<page_server> server(
+      new page_server(std::move(listener.value()), std::move(respond)));
+  server->listener_->Start([pages = server->respond_](tcp::socket socket) {
+    const auto executor = socket.get_executor();
+    asio::co_spawn(executor, Answer(std::move(socket), pages), asio::detached);
+  });
+  return server;
+}
+
+page_server::page_server(std::unique_ptr<tcp_listener> listener,
+                         responder respond)
+    : listener_(std::move(listener)),
+      respond_(std::make_shared<const responder>(std::move(respond))) {}
+
+page_server::~page_server() = default;
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/proxy/peer_socket.cc
@@ -0,0 +1,117 @@
+#include "bluebell/proxy/peer_socket.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include "bluebell/telemetry/log_event.h"
+#include "bluebell/wire/frame.h"
+
+namespace bluebell {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+// Of datagrams that can't be decoded, only the first ones are logged.
+constexpr std::size_t kLoggedMalformed = 20;
+
+result<udp::endpoint> EndpointOf(const address& where) {
+  boost::system::error_code failure;
+  const auto number = boost::asio::ip::make_address(where.ip(), failure);
+  if (failure) {
+    return error(errc::kInvalidArgument, step::kListen, where.ToString(),
+                 "not an IP number");
+  }
+  return udp::endpoint(number, where.port());
+}
+
+}  // namespace
+
+result<std::unique_ptr<peer_socket>> peer_socket::Open(
+    boost::asio::io_context& io,
+    const address& where) {
+  const result<udp::endpoint> local = EndpointOf(where);
+  if (!local) {
+    return local.error();
+  }
+  udp::socket socket(io);
+  boost::system::error_code failure;
+  socket.open(local.value().protocol(), failure);
+  if (!failure) {
+    socket.bind(local.value(), failure);
+  }
+  if (!failure) {
+    socket.non_blocking(true, failure);
+  }
+  if (failure) {
+    return error(errc::kUnavailable, step::kListen, where.ToString(),
+                 failure.message());
+  }
+  return std::unique_ptr<peer_socket>(new peer_socket(std::move(socket)));
+}
+
+peer_socket::peer_socket(udp::socket socket)
+    : socket_(std::move(socket)), inbox_(kMaxDatagramBytes) {}
+
+void peer_socket::Start(handler on_message) {
+  on_message_ = std::move(on_message);
+  Receive();
+}
+
+void peer_socket::Receive() {
+  socket_.async_wait(udp::socket::wait_read,
+                     [this](boost::system::error_code failure) {
+                       if (failure) {
+                         return;
+                       }
+                       // All that has arrived, for one wake-up.
+                       boost::system::error_code empty;
+                       while (!empty) {
+                         const std::size_t size = socket_.receive_from(
+                             boost::asio::buffer(inbox_), sender_, 0, empty);
+                         if (!empty) {
+                           Take(size);
+                         }
+                       }
+                       Receive();
+                     });
+}
+
+void peer_socket::Take(std::size_t size) {
+  const result<frame> decoded =
+      DecodeFrame(std::string_view(inbox_.data(), size));
+  const result<address> from = address::Parse(
+      sender_.address().to_string() + ':' + std::to_string(sender_.port()));
+  if (!decoded || !from) {
+    if (++malformed_ <= kLoggedMalformed) {
+      log_event(log_level::kWarn, "dropped a datagram")
+          .With(decoded ? from.error() : decoded.error())
+          .Write();
+    }
+    return;
+  }
+  on_message_(from.value(), decoded.value().message);
+}
+
+void peer_socket::Send(const address& to, const wire_message& message) {
+  const result<std::string> bytes =
+      EncodeFrame({exchange_kind::kOneWay, 0, message});
+  const result<udp::endpoint> target = EndpointOf(to);
+  if (!bytes || !target) {
+    log_event(log_level::kWarn, "message not sent")
+        .With(bytes ? target.error() : bytes.error())
+        .Write();
+    return;
+  }
+  // A datagram may be lost anywhere, so a full buffer or an unreachable host
+  // is no different: the sender repeats what matters.
+  boost::system::error_code lost;
+  socket_.send_to(boost::asio::buffer(bytes.value()), target.value(), 0, lost);
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/proxy/permit_client.cc
@@ -0,0 +1,287 @@
+#include "bluebell/proxy/permit_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/core/overloaded.h"
+#include "bluebell/permits/dispatcher_order.h"
+#include "bluebell/proxy/peer_socket.h"
+#include "bluebell/proxy/permit_desk.h"
+#include "bluebell/telemetry/log_event.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+// A message that isn't answered is sent again after this time: a few times the
+// way there and back, and of the order of a busy daemon's pauses.
+constexpr milliseconds kRepeatAsk{70};
+// A daemon that hasn't answered anything for so long gets no requests.
+constexpr milliseconds kSilence{210};
+// While queued, the request is asked for again to see that it still waits.
+constexpr milliseconds kRepeatQueued{250};
+constexpr milliseconds kReportInterval{250};
+// A service without requests for this time isn't reported on.
+constexpr milliseconds kReportAfterUse{3'000};
+constexpr std::size_t kMaxReported = 600;
+
+}  // namespace
+
+permit_client::permit_client(asio::io_context& io,
+                             const daemon_instance& self,
+                             peer_socket& peers,
+                             permit_desk& own_desk)
+    : io_(io), self_(self), peers_(peers), own_desk_(own_desk), reports_(io) {}
+
+void permit_client::SetView(fleet_view view) {
+  view_ = std::move(view);
+  orders_.clear();
+}
+
+std::optional<address> permit_client::DispatcherOf(
+    const service_name& service) {
+  auto known = orders_.find(service);
+  if (known == orders_.end()) {
+    known = orders_.emplace(service, DispatcherOrder(*view_, service)).first;
+  }
+  for (const fleet_member& member : known->second) {
+    if (member.instance.id == self_.id) {
+      return std::nullopt;
+    }
+    if (!peer_states_[member.peer].silent) {
+      return member.peer;
+    }
+  }
+  return std::nullopt;
+}
+
+void permit_client::AskOnce(const permit_ask& ask,
+                            const std::optional<address>& to) {
+  if (to) {
+    peers_.Send(*to, ask);
+    return;
+  }
+  own_desk_.Ask(
+      ask, [this](const permit_reply& reply) { Deliver(reply, std::nullopt); },
+      BootNow());
+}
+
+asio::awaitable<acquired_permit> permit_client::Acquire(permit_ask ask,
+                                                        instant deadline) {
+  co_await asio::this_coro::throw_if_cancelled(false);
+  ask.id = {self_.run.value(), next_number_++};
+  const instant objective = BootNow() + milliseconds(ask.objective_left_ms);
+  const auto pending = std::make_shared<pending_ask>(io_);
+  pending->service = ask.service;
+  pending_[ask.id] = pending;
+  instant unanswered_since = BootNow();
+  while (!pending->reply) {
+    const instant now = BootNow();
+    if (now >= deadline) {
+      Withdraw(ask.id, *pending);
+      pending_.erase(ask.id);
+      co_return permit_refused{ask.id, permit_refusal::kOverloaded, 0};
+    }
+    asked_at_[ask.service] = now;
+    const std::optional<address> to = DispatcherOf(ask.service);
+    if (to != pending->asked) {
+      if (pending->asked) {
+        Withdraw(ask.id, *pending);
+      }
+      pending->asked = to;
+      pending->queued = false;
+      unanswered_since = now;
+    }
+    ask.objective_left_ms =
+        std::chrono::duration_cast<milliseconds>(objective - now).count();
+    ask.time_left_ms =
+        std::chrono::duration_cast<milliseconds>(deadline - now).count();
+    const milliseconds pause =
+        pending->queued || !to ? kRepeatQueued : kRepeatAsk;
+    pending->timer.expires_after(std::min<duration>(pause, deadline - now));
+    AskOnce(ask, to);
+    if (pending->reply) {
+      break;
+    }
+    co_await pending->timer.async_wait(kAwait);
+    if (pending->reply) {
+      break;
+    }
+    const auto cancelled = co_await asio::this_coro::cancellation_state;
+    if (cancelled.cancelled() != asio::cancellation_type::none) {
+      Withdraw(ask.id, *pending);
+      pending_.erase(ask.id);
+      co_return permit_refused{ask.id, permit_refusal::kOverloaded, 0};
+    }
+    if (to) {
+      const instant heard = peer_states_[*to].last_heard;
+      if (heard < unanswered_since &&
+          BootNow() - unanswered_since >= kSilence) {
+        MarkSilent(*to);
+      } else if (heard >= unanswered_since) {
+        unanswered_since = heard;
+      }
+    }
+  }
+  pending_.erase(ask.id);
+  const acquired_permit reply = *pending->reply;
+  if (const auto* granted = std::get_if<permit_granted>(&reply)) {
+    used_[ask.id] = {{ask.id, granted->endpoint.endpoint, ask.route, ask.rank},
+                     ask.service,
+                     pending->asked};
+  }
+  co_return reply;
+}
+
+void permit_client::MarkSilent(const address& peer) {
+  peer_state& state = peer_states_[peer];
+  if (!std::exchange(state.silent, true)) {
+    log_event(log_level::kWarn, "dispatcher lost")
+        .With("peer", peer.ToString())
+        .Write();
+  }
+}
+
+void permit_client::Withdraw(const permit_id& id, const pending_ask& pending) {
+  permit_end end;
+  end.id = id;
+  end.service = pending.service;
+  SendEnd(end, pending.asked);
+}
+
+void permit_client::SendEnd(const permit_end& end,
+                            const std::optional<address>& to) {
+  if (to) {
+    peers_.Send(*to, end);
+  } else {
+    own_desk_.End(end, BootNow());
+  }
+}
+
+void permit_client::Settle(const permit_end& end) {
+  const auto used = used_.find(end.id);
+  if (used == used_.end()) {
+    return;
+  }
+  const std::optional<address> granter = used->second.granter;
+  used_.erase(used);
+  SendEnd(end, granter);
+  const std::optional<address> current = DispatcherOf(end.service);
+  if (current != granter) {
+    SendEnd(end, current);
+  }
+}
+
+void permit_client::OnReply(const address& from, const permit_reply& reply) {
+  Deliver(reply, from);
+}
+
+void permit_client::Deliver(const permit_reply& reply,
+                            const std::optional<address>& from) {
+  if (from) {
+    peer_state& state = peer_states_[*from];
+    state.last_heard = BootNow();
+    state.silent = false;
+  }
+  const permit_id id =
+      std::visit([](const auto& each) { return each.id; }, reply);
+  const auto found = pending_.find(id);
+  if (found == pending_.end() || found->second->reply ||
+      found->second->asked != from) {
+    // Granted after the request gave up on that dispatcher.
+    const auto* granted = std::get_if<permit_granted>(&reply);
+    if (granted != nullptr && from && !used_.contains(id)) {
+      permit_end end;
+      end.id = id;
+      end.service = granted->service;
+      SendEnd(end, from);
+    }
+    return;
+  }
+  pending_ask& pending = *found->second;
+  std::visit(overloaded{[&](const permit_queued&) { pending.queued = true; },
+                        [&](const auto& last) {
+                          pending.reply = last;
+                          pending.timer.cancel();
+                        }},
+             reply);
+}
+
+void permit_client::OnReportAck(const address& from,
+                                const permit_report_ack& /*ack*/) {
+  peer_state& state = peer_states_[from];
+  state.last_heard = BootNow();
+  if (std::exchange(state.silent, false)) {
+    log_event(log_level::kInfo, "dispatcher regained")
+        .With("peer", from.ToString())
+        .Write();
+  }
+}
+
+void permit_client::StartReports() {
+  reports_.expires_after(kReportInterval);
+  reports_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      ReportAll();
+      StartReports();
+    }
+  });
+}
+
+void permit_client::ReportAll() {
+  if (!view_) {
+    return;
+  }
+  const instant now = BootNow();
+  std::erase_if(asked_at_, [now](const auto& entry) {
+    return now - entry.second > kReportAfterUse;
+  });
+  std::set<service_name> services;
+  for (const auto& [service, at] : asked_at_) {
+    services.insert(service);
+  }
+  for (const auto& [id, used] : used_) {
+    services.insert(used.service);
+  }
+  for (const service_name& service : services) {
+    const std::optional<address> current = DispatcherOf(service);
+    Report(service, current);
+    // The preferred daemons that are silent are asked whether they are back.
+    for (const fleet_member& member : orders_[service]) {
+      if (member.peer == current || member.instance.id == self_.id) {
+        break;
+      }
+      Report(service, member.peer);
+    }
+  }
+}
+
+void permit_client::Report(const service_name& service,
+                           const std::optional<address>& to) {
+  permit_report report;
+  report.holder = self_.run.value();
+  report.service = service;
+  report.revision = view_->revision.value();
+  for (const auto& [id, used] : used_) {
+    if (used.service == service && report.open.size() < kMaxReported) {
+      report.open.push_back(used.open);
+    }
+  }
+  if (to) {
+    peers_.Send(*to, report);
+  } else {
+    own_desk_.Report(report, BootNow());
+  }
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/proxy/permit_desk.cc
@@ -0,0 +1,114 @@
+#include "bluebell/proxy/permit_desk.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bluebell/core/boot_clock.h"
+
+namespace bluebell {
+
+namespace {
+
+permit_id IdOf(const permit_reply& reply) {
+  return std::visit([](const auto& each) { return each.id; }, reply);
+}
+
+}  // namespace
+
+permit_desk::permit_desk(boost::asio::io_context& io) : io_(io) {}
+
+void permit_desk::SetView(const fleet_view& view, instant now) {
+  if (!view->config) {
+    return;
+  }
+  for (const fleet_service& service : view->config->services()) {
+    std::unique_ptr<service_line>& line = lines_[service.name];
+    if (!line) {
+      line = std::make_unique<service_line>(io_, service.name);
+    }
+    std::vector<fleet_endpoint> endpoints;
+    for (const auto& [id, endpoint] : view->endpoints) {
+      if (endpoint.service == service.name) {
+        endpoints.push_back(endpoint);
+      }
+    }
+    const auto table = view->tables.find(service.name);
+    static const key_table kNoOwners;
+    const key_table* owners = nullptr;
+    if (service.keyed) {
+      owners = table == view->tables.end() ? &kNoOwners : &table->second;
+    }
+    line->scheduler.SetEndpoints(endpoints, owners, now);
+    Pump(*line, now);
+  }
+}
+
+permit_desk::service_line* permit_desk::FindLine(const service_name& service) {
+  const auto found = lines_.find(service);
+  return found == lines_.end() ? nullptr : found->second.get();
+}
+
+const slot_scheduler* permit_desk::Find(const service_name& service) const {
+  const auto found = lines_.find(service);
+  return found == lines_.end() ? nullptr : &found->second->scheduler;
+}
+
+void permit_desk::Ask(const permit_ask& ask, reply_sink sink, instant now) {
+  service_line* line = FindLine(ask.service);
+  if (line == nullptr) {
+    sink(permit_refused{ask.id, permit_refusal::kNoEndpoint, 0});
+    return;
+  }
+  line->sinks.insert_or_assign(ask.id, std::move(sink));
+  line->scheduler.Ask(ask, now);
+  Pump(*line, now);
+}
+
+void permit_desk::End(const permit_end& end, instant now) {
+  if (service_line* line = FindLine(end.service)) {
+    line->sinks.erase(end.id);
+    line->scheduler.End(end, now);
+    Pump(*line, now);
+  }
+}
+
+void permit_desk::Report(const permit_report& report, instant now) {
+  if (service_line* line = FindLine(report.service)) {
+    line->scheduler.Report(report, now);
+    Pump(*line, now);
+  }
+}
+
+void permit_desk::Pump(service_line& line, instant now) {
+  for (const permit_reply& reply : line.scheduler.TakeReplies(now)) {
+    const auto found = line.sinks.find(IdOf(reply));
+    if (found == line.sinks.end()) {
+      continue;
+    }
+    const reply_sink sink = found->second;
+    if (!std::holds_alternative<permit_queued>(reply)) {
+      line.sinks.erase(found);
+    }
+    sink(reply);
+  }
+  ScheduleWakeup(line, now);
+}
+
+void permit_desk::ScheduleWakeup(service_line& line, instant now) {
+  const auto next = line.scheduler.NextWakeup();
+  if (!next) {
+    return;
+  }
+  constexpr milliseconds kLeastWait{1};
+  line.timer.expires_after(std::max<duration>(kLeastWait, *next - now));
+  line.timer.async_wait([this, &line](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      Pump(line, BootNow());
+    }
+  });
+}
+
+}  // namespace bluebell
--- a/bluebell/settings/daemon_settings.cc
+++ b/bluebell/settings/daemon_settings.cc
@@ -1,13 +1,13 @@
 #include "bluebell/settings/daemon_settings.h"
 
-#include <algorithm>
 #include <array>
 
-#include <boost/json/parser.hpp>
+#include <boost/json/value.hpp>
 
 #include "bluebell/settings/internal/duplicate_names.h"
 #include "bluebell/settings/internal/object_reader.h"
 #include "bluebell/settings/internal/problem_list.h"
+#include "bluebell/settings/internal/settings_document.h"
 #include "bluebell/settings/internal/settings_rules.h"
 
 namespace bluebell {
@@ -122,35 +122,15 @@
   return settings;
 }
 
-settings_problem SyntaxProblem(std::string_view text,
-                               std::size_t position,
-                               const std::string& message) {
-  const std::string_view before = text.substr(0, position);
-  const auto line = std::count(before.begin(), before.end(), '\n') + 1;
-  const std::size_t start = before.rfind('\n') + 1;  // npos + 1 is 0.
-  const std::string_view rest = text.substr(start);
-  return {"line " + std::to_string(line) + ", column " +
-              std::to_string(position - start + 1),
-          std::string(rest.substr(0, rest.find('\n'))),
-          "JSON with comments (" + message + ")"};
-}
-
 }  // namespace
 
 std::variant<daemon_settings, std::vector<settings_problem>>
 daemon_settings::Parse(std::string_view text) {
-  boost::json::parse_options options;
-  options.allow_comments = true;
-  boost::json::parser parser(boost::json::storage_ptr(), options);
-  boost::json::error_code failure;
-  const std::size_t parsed = parser.write(text, failure);
-  if (failure) {
-    return std::vector{SyntaxProblem(text, parsed, failure.message())};
-  }
-  const boost::json::value root = parser.release();
-  if (!root.is_object()) {
-    return std::vector{SyntaxProblem(text, 0, "the file is one object")};
+  const auto document = internal::ParseSettingsDocument(text);
+  if (const auto* problem = std::get_if<settings_problem>(&document)) {
+    return std::vector{*problem};
   }
+  const auto& root = std::get<boost::json::value>(document);
   problem_list problems;
   for (const std::string& path : internal::FindDuplicateNames(text)) {
     problems.Add(path, "given twice", "each name once");
--- /dev/null
+++ b/bluebell/settings/gateway_settings.cc
@@ -0,0 +1,83 @@
+#include "bluebell/settings/gateway_settings.h"
+
+#include <array>
+
+#include <boost/json/value.hpp>
+
+#include "bluebell/settings/internal/duplicate_names.h"
+#include "bluebell/settings/internal/object_reader.h"
+#include "bluebell/settings/internal/problem_list.h"
+#include "bluebell/settings/internal/settings_document.h"
+
+namespace bluebell {
+
+namespace {
+
+using internal::number_range;
+using internal::object_reader;
+using internal::problem_list;
+
+constexpr auto kLogLevels = std::to_array<std::string_view>(
+    {"trace", "debug", "info", "warn", "error"});
+constexpr number_range kCpuMillis{1, 1'000'000};
+constexpr number_range kGraceMillis{500, 3'600'000};
+constexpr number_range kHoldMillis{500, 3'600'000};
+// A percentage with three decimals.
+constexpr number_range kRetryShare{0, 1'000};
+constexpr number_range kRetryReserve{0, 1'000'000};
+constexpr std::int64_t kThousandthsPerPercent = 10;
+
+gateway_settings ReadAll(object_reader& reader) {
+  gateway_settings settings;
+  std::string id;
+  std::string domain;
+  reader.Name("id", id);
+  reader.Name("domain", domain);
+  settings.id = daemon_id(id);
+  settings.domain = domain_name(domain);
+  reader.Address("caller_listen", true, settings.caller_listen);
+  reader.Address("ready_listen", true, settings.ready_listen);
+  reader.Address("peer_listen", false, settings.peer_listen);
+  reader.Address("metrics_listen", true, settings.metrics_listen);
+  reader.Address("store", false, settings.store);
+  std::int64_t cpu_millis = settings.cpu_millis;
+  reader.Thousandths("cpu_share", kCpuMillis, cpu_millis);
+  settings.cpu_millis = static_cast<std::uint32_t>(cpu_millis);
+  std::int64_t grace = settings.grace.count();
+  reader.Thousandths("grace_s", kGraceMillis, grace);
+  settings.grace = milliseconds(grace);
+  std::int64_t hold = settings.longest_hold.count();
+  reader.Thousandths("longest_hold_s", kHoldMillis, hold);
+  settings.longest_hold = milliseconds(hold);
+  std::int64_t share = settings.retry_percent * kThousandthsPerPercent;
+  reader.Thousandths("retry_share", kRetryShare, share);
+  settings.retry_percent =
+      static_cast<std::uint32_t>(share / kThousandthsPerPercent);
+  reader.Number("retry_reserve", kRetryReserve, settings.retry_reserve);
+  reader.Choice("log_level", kLogLevels, settings.log_level);
+  return settings;
+}
+
+}  // namespace
+
+std::variant<gateway_settings, std::vector<settings_problem>>
+gateway_settings::Parse(std::string_view text) {
+  const auto document = internal::ParseSettingsDocument(text);
+  if (const auto* problem = std::get_if<settings_problem>(&document)) {
+    return std::vector{*problem};
+  }
+  problem_list problems;
+  for (const std::string& path : internal::FindDuplicateNames(text)) {
+    problems.Add(path, "given twice", "each name once");
+  }
+  object_reader reader(std::get<boost::json::value>(document).get_object(), "",
+                       problems);
+  gateway_settings settings = ReadAll(reader);
+  reader.Finish();
+  if (!problems.all().empty()) {
+    return problems.all();
+  }
+  return settings;
+}
+
+}  // namespace bluebell
--- a/bluebell/settings/internal/object_reader.cc
+++ b/bluebell/settings/internal/object_reader.cc
@@ -1,6 +1,7 @@
 #include "bluebell/settings/internal/object_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <boost/json/serialize.hpp>
@@ -125,6 +126,29 @@
   }
 }
 
+void object_reader::Thousandths(std::string_view name,
+                                number_range range,
+                                std::int64_t& out) {
+  constexpr double kThousand = 1'000;
+  const std::string allowed =
+      "a number from " +
+      std::to_string(static_cast<double>(range.least) / kThousand) + " to " +
+      std::to_string(static_cast<double>(range.greatest) / kThousand);
+  const boost::json::value* value = Find(name, presence::kOptional, allowed);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->is_number()) {
+    const double scaled = value->to_number<double>() * kThousand;
+    if (scaled >= static_cast<double>(range.least) &&
+        scaled <= static_cast<double>(range.greatest)) {
+      out = std::llround(scaled);
+      return;
+    }
+  }
+  Refuse(name, *value, allowed);
+}
+
 void object_reader::Address(std::string_view name,
                             bool wildcard,
                             address& out) {
--- a/bluebell/settings/internal/object_reader.h
+++ b/bluebell/settings/internal/object_reader.h
@@ -59,6 +59,10 @@
   void Milliseconds(std::string_view name,
                     number_range range,
                     milliseconds& out);
+  // A number with fractions, kept as whole thousandths; the range is in those.
+  void Thousandths(std::string_view name,
+                   number_range range,
+                   std::int64_t& out);
   // `wildcard`: true if "any local address", such as 0.0.0.0, makes sense.
   void Address(std::string_view name, bool wildcard, address& out);
   // Calls `read` with a reader for each element; each must be an object.
--- /dev/null
+++ b/bluebell/settings/internal/settings_document.h
@@ -0,0 +1,21 @@
+// The JSON document of a settings file.
+
+#ifndef BLUEBELL_SETTINGS_INTERNAL_SETTINGS_DOCUMENT_H_
+#define BLUEBELL_SETTINGS_INTERNAL_SETTINGS_DOCUMENT_H_
+
+#include <string_view>
+#include <variant>
+
+#include <boost/json/value.hpp>
+
+#include "bluebell/settings/settings_problem.h"
+
+namespace bluebell::internal {
+
+// Parses JSON with comments; the result is an object, or why there is none.
+std::variant<boost::json::value, settings_problem> ParseSettingsDocument(
+    std::string_view text);
+
+}  // namespace bluebell::internal
+
+#endif  // BLUEBELL_SETTINGS_INTERNAL_SETTINGS_DOCUMENT_H_
--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -52,6 +52,15 @@
     {"state_reply", 1, kMaxFrameBodyBytes},
     {"pressure_update", 1, kMaxSmallBytes},
     {"link_probe", 1, kMaxSmallBytes},
+    {"permit_ask", 1, kMaxSmallBytes},
+    {"permit_granted", 1, kMaxSmallBytes},
+    {"permit_queued", 1, kMaxSmallBytes},
+    {"permit_refused", 1, kMaxSmallBytes},
+    {"permit_end", 1, kMaxSmallBytes},
+    {"permit_report", 1, kMaxDatagramBytes - kFrameHeaderBytes},
+    {"permit_report_ack", 1, kMaxSmallBytes},
+    {"coordinator_claim", 1, kMaxSmallBytes},
+    {"coordinator_yield", 1, kMaxSmallBytes},
 }};
 
 error Failure(errc code, std::string detail) {
--- a/bluebell/wire/internal/value_archives.h
+++ b/bluebell/wire/internal/value_archives.h
@@ -12,6 +12,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/dispatch/ledger_record.h"
 #include "bluebell/membership/endpoint_status.h"
+#include "bluebell/permits/permit_message.h"
 #include "bluebell/placement/slice_load.h"
 #include "bluebell/store/host_entry.h"
 #include "bluebell/wire/internal/bounded_archive.h"
@@ -46,6 +47,16 @@
   static constexpr endpoint_condition kValue = endpoint_condition::kLost;
 };
 
+template <>
+struct last_of<permit_refusal> {
+  static constexpr permit_refusal kValue = permit_refusal::kOwnerUnavailable;
+};
+
+template <>
+struct last_of<permit_outcome> {
+  static constexpr permit_outcome kValue = permit_outcome::kUnused;
+};
+
 template <typename Archive, typename Duration>
 void SerializeDuration(Archive& archive, Duration& value) {
   static_assert(std::is_same_v<typename Duration::rep, std::int64_t>);
--- a/bluebell/wire/wire_message.h
+++ b/bluebell/wire/wire_message.h
@@ -5,7 +5,9 @@
 
 #include <variant>
 
+#include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/membership/heartbeat.h"
+#include "bluebell/permits/permit_message.h"
 #include "bluebell/wire/forward_reply.h"
 #include "bluebell/wire/forward_request.h"
 #include "bluebell/wire/ledger_transfer.h"
@@ -27,7 +29,16 @@
                                   state_request,
                                   state_reply,
                                   pressure_update,
-                                  link_probe>;
+                                  link_probe,
+                                  permit_ask,
+                                  permit_granted,
+                                  permit_queued,
+                                  permit_refused,
+                                  permit_end,
+                                  permit_report,
+                                  permit_report_ack,
+                                  coordinator_claim,
+                                  coordinator_yield>;
 
 }  // namespace bluebell
 
