--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -45,12 +45,23 @@
       lapse_(io) {}
 
 void store_watcher::Start() {
+  Restart();
+}
+
+void store_watcher::Restart() {
+  ++reading_;
   asio::co_spawn(io_, Run(), asio::detached);
 }
 
 void store_watcher::NoteSuccess(instant now) {
+  if (EndOutage(now)) {
+    Restart();
+  }
+}
+
+bool store_watcher::EndOutage(instant now) {
   if (!failing_since_) {
-    return;
+    return false;
   }
   const duration outage = now - *failing_since_;
   failing_since_.reset();
@@ -61,6 +72,7 @@
   if (outage >= kOutage) {
     state_.OnStoreBack(now);
   }
+  return true;
 }
 
 void store_watcher::NoteFailure(const error& why, instant now) {
@@ -76,26 +88,28 @@
   co_await timer.async_wait(kAwait);
 }
 
-asio::awaitable<bool> store_watcher::ReadAll() {
-  reading_ = true;
+asio::awaitable<bool> store_watcher::ReadAll(std::uint64_t reading) {
   result<kv_listing> listing = co_await store_.List(kEverything);
-  reading_ = false;
   const instant now = BootNow();
+  if (reading != reading_) {
+    co_return false;
+  }
   if (!listing) {
     NoteFailure(listing.error(), now);
     co_return false;
   }
-  NoteSuccess(now);
+  EndOutage(now);
   state_.Reset(listing.value().items, listing.value().revision, now);
   Changed();
   co_return true;
 }
 
 asio::awaitable<void> store_watcher::Run() {
+  const std::uint64_t reading = reading_;
   bool current = false;
-  while (true) {
+  while (reading == reading_) {
     if (!current) {
-      current = co_await ReadAll();
+      current = co_await ReadAll(reading);
       if (!current) {
         co_await Pause(kPauseAfterFailure);
       }
@@ -104,19 +118,21 @@
     const store_version after = state_.snapshot().revision;
     const result<kv_changes> changes =
         co_await store_.Watch(kEverything, after, kWatchTime);
+    if (reading != reading_) {
+      break;
+    }
     const instant now = BootNow();
     if (!changes) {
-      const bool history_lost = changes.error().code() == errc::kNotFound;
-      if (history_lost) {
+      current = changes.error().code() != errc::kNotFound;
+      if (!current) {
         log_event(log_level::kInfo, "store dropped its history").Write();
-        current = false;
         continue;
       }
       NoteFailure(changes.error(), now);
       co_await Pause(kPauseAfterFailure);
       continue;
     }
-    NoteSuccess(now);
+    EndOutage(now);
     for (const kv_event& event : changes.value().events) {
       state_.Apply(event, now);
     }
@@ -165,16 +181,14 @@
 }
 
 void store_watcher::CheckExpectation() {
-  if (reading_ || expected_revision_ <= state_.snapshot().revision.value()) {
+  if (expected_revision_ <= state_.snapshot().revision.value()) {
     return;
   }
   log_event(log_level::kWarn, "watch is behind other daemons")
       .With("expected", expected_revision_)
       .With("revision", state_.snapshot().revision)
       .Write();
-  asio::co_spawn(
-      io_, [this]() -> asio::awaitable<void> { co_await ReadAll(); },
-      asio::detached);
+  Restart();
 }
 
 }  // namespace bluebell
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -41,8 +41,9 @@
 
   void Start();
 
-  // How a call to the store ended, whoever made it: shows outages that a
-  // waiting watch doesn't.
+  // How a call of another part to the store ended: shows outages that a waiting
+  // watch doesn't. A watch that waited through one may have lost its
+  // connection, so the store is read anew.
   void NoteSuccess(instant now);
   void NoteFailure(const error& why, instant now);
   bool store_is_well() const { return !failing_since_; }
@@ -54,8 +55,12 @@
   const fleet_state& state() const { return state_; }
 
  private:
+  // Reads all, then watches, until another reading has begun.
   boost::asio::awaitable<void> Run();
-  boost::asio::awaitable<bool> ReadAll();
+  boost::asio::awaitable<bool> ReadAll(std::uint64_t reading);
+  // True if there was an outage.
+  bool EndOutage(instant now);
+  void Restart();
   boost::asio::awaitable<void> Pause(milliseconds time);
   void Changed();
   void CheckExpectation();
@@ -69,7 +74,8 @@
   std::uint64_t expected_revision_ = 0;
   boost::asio::steady_timer expectation_;
   boost::asio::steady_timer lapse_;
-  bool reading_ = false;
+  // Counts the readings; an older one ends without effect.
+  std::uint64_t reading_ = 0;
 };
 
 }  // namespace bluebell
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -161,12 +161,14 @@
         co_return self->Failure(errc::kUnavailable, at, failure, timeout);
       }
       PrepareSocket(link->stream.socket());
+      // A call that times out must not arrive later; the stream closes its
+      // socket at once then.
+      ResetOnClose(link->stream.socket());
     }
     link->stream.expires_at(deadline);
     const auto [unsent, sent] =
         co_await bhttp::async_write(link->stream, request, kAwait);
     if (unsent) {
-      ResetOnClose(link->stream.socket());
       co_return self->Failure(errc::kConnectionLost, at, unsent, timeout);
     }
     bhttp::response_parser<bhttp::string_body> parser;
@@ -175,7 +177,6 @@
     const auto [unread, read] =
         co_await bhttp::async_read(link->stream, link->buffer, parser, kAwait);
     if (unread) {
-      ResetOnClose(link->stream.socket());
       co_return self->Failure(errc::kConnectionLost, at, unread, timeout);
     }
     http_response response = parser.release();
--- a/bluebell/proxy/endpoint_channels.cc
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -148,15 +149,26 @@
   link->stream.expires_after(options.deadline - BootNow());
   const auto [unsent, sent] =
       co_await bhttp::async_write(link->stream, request, kAwait);
+  bool abandoned = false;
   const auto lost = [&](const boost::system::error_code& why) {
-    const errc code =
-        why == beast::error::timeout ? errc::kTimeout : errc::kConnectionLost;
+    const bool timeout = abandoned || why == beast::error::timeout;
+    const errc code = timeout ? errc::kTimeout : errc::kConnectionLost;
     return exchange_lost{error(code, step::kReadReply, peer, why.message()),
                          BootNow() - started};
   };
   if (unsent) {
     co_return lost(unsent);
   }
+  asio::steady_timer overdue(io_);
+  if (options.overdue) {
+    overdue.expires_after(*options.overdue - BootNow());
+    overdue.async_wait([&](boost::system::error_code ended) {
+      if (!ended && options.may_abandon()) {
+        abandoned = true;
+        link->stream.cancel();
+      }
+    });
+  }
   for (int stray = 0; stray <= kMaxStrayResponses; ++stray) {
     bhttp::response_parser<bhttp::string_body> parser;
     parser.body_limit(kMaxResponseBytes);
--- a/bluebell/proxy/endpoint_channels.h
+++ b/bluebell/proxy/endpoint_channels.h
@@ -8,8 +8,10 @@
 #define BLUEBELL_PROXY_ENDPOINT_CHANNELS_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,10 @@
   // A connection that was idle for longer isn't used. An endpoint may close
   // one at the moment of writing, which leaves open whether the request ran.
   milliseconds longest_idle{0};
+  // When to ask `may_abandon` whether to give the exchange up before its
+  // deadline; nothing: never.
+  std::optional<instant> overdue;
+  std::function<bool()> may_abandon;
 };
 
 class endpoint_channels {
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -328,10 +328,18 @@
   options.deadline = progress.deadline;
   options.longest_idle =
       progress.idempotent ? kAnyConnection : kFreshConnection;
+  bool retry_taken = false;
   if (progress.idempotent && progress.sent + 1 < progress.max_attempts) {
     const milliseconds expected(std::int64_t{granted.expected_ms} * kOverdue);
-    options.deadline = std::min(options.deadline,
-                                permitted + std::max(kLeastAttempt, expected));
+    options.overdue = permitted + std::max(kLeastAttempt, expected);
+    // An attempt is given up early only for another one.
+    options.may_abandon = [&] {
+      const instant now = BootNow();
+      const bool worthwhile = now + milliseconds(granted.expected_ms) <
+                              progress.deadline;
+      retry_taken = worthwhile && BudgetOf(context.service).TryRetry(now);
+      return retry_taken;
+    };
   }
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(progress.deadline - permitted);
@@ -368,8 +376,8 @@
   }
   attempt_decision next = DecideAfter(progress, result, ended);
   if (const auto* again = std::get_if<try_again>(&next)) {
-    const bool allowed =
-        !again->costs_retry || BudgetOf(context.service).TryRetry(ended);
+    const bool allowed = !again->costs_retry || retry_taken ||
+                         BudgetOf(context.service).TryRetry(ended);
     if (!allowed) {
       next = result == attempt_result::kFailed
                  ? attempt_decision(pass_response())
