Queue keyed requests at their owner; count an endpoint's load rightly

Cause: an endpoint's report of its load counts the request that it came with, so that half of the slots stood empty as foreign load. Change: a queue for each owner with its work by rank; wake-ups only where something changed; foreign load only when requests wait; refused work counts in a key's load; planning every 300 ms; attempts are abandoned after 6 times the expected time, at least 1 s, and not while the daemon stops. Ruled out: the logs and the coordinator as the cause of the processor time.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -39,7 +39,7 @@
 // The k-th in line waits k times this, so that not all claim at once.
 constexpr milliseconds kPlaceStep{150};
 constexpr milliseconds kClaimMessageInterval{100};
-constexpr milliseconds kMeasureInterval{500};
+constexpr milliseconds kMeasureInterval{250};
 constexpr milliseconds kPauseAfterWriteFailure{200};
 // After giving the role up for lack of reach, others get the chance.
 constexpr milliseconds kResignTime{10'000};
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -16,7 +16,7 @@
 constexpr std::size_t kLeastOwnersToResign = 4;
 constexpr milliseconds kProbeInterval{1'000};
 constexpr milliseconds kReleaseRetry{300};
-constexpr milliseconds kPlanInterval{600};
+constexpr milliseconds kPlanInterval{300};
 
 bool Contains(const key_range& outer, const key_range& inner) {
   return outer.first <= inner.first && inner.last <= outer.last;
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <set>
 
 namespace bluebell {
 
@@ -200,13 +201,22 @@
     capacity += slots;
   }
   const double mean = TotalOf(loads) / std::max(0.01, capacity);
+  // Owners that can't give away a piece of the right size.
+  std::set<endpoint_instance> stuck;
   while (moves.size() < input.max_moves && state.owners.size() > 1) {
     const auto use = [&](const auto& owner) {
       return loads.at(owner.first) / std::max(0.01, owner.second);
     };
-    const auto busiest = std::max_element(
-        state.owners.begin(), state.owners.end(),
-        [&](const auto& a, const auto& b) { return use(a) < use(b); });
+    auto busiest = state.owners.end();
+    for (auto each = state.owners.begin(); each != state.owners.end(); ++each) {
+      if (!stuck.contains(each->first) &&
+          (busiest == state.owners.end() || use(*each) > use(*busiest))) {
+        busiest = each;
+      }
+    }
+    if (busiest == state.owners.end()) {
+      break;
+    }
     const double highest = use(*busiest);
     if (highest < mean * kMaxOverMean || highest < mean + kLeastOverMean) {
       break;
@@ -215,10 +225,12 @@
     const double excess = loads.at(busiest->first) - mean * busiest->second;
     const double room = mean * state.owners.at(to) - loads.at(to);
     const double wanted = std::min(excess, room);
-    const auto piece =
-        wanted <= 0 ? std::nullopt : BestPiece(state, busiest->first, wanted);
+    const auto piece = wanted <= 0
+                           ? std::nullopt
+                           : BestPiece(state, busiest->first, wanted);
     if (!piece) {
-      break;
+      stuck.insert(busiest->first);
+      continue;
     }
     const double load = LoadOf(state.loads, *piece);
     loads[busiest->first] -= load;
--- a/bluebell/keyspace/shard_load.cc
+++ b/bluebell/keyspace/shard_load.cc
@@ -9,7 +9,7 @@
 
 // The time over which a key's work is averaged: long enough to see more than
 // single requests of a key, short enough to follow keys that become busy.
-constexpr std::chrono::duration<double> kWindow{4};
+constexpr std::chrono::duration<double> kWindow{2.5};
 // Keys below this many slots don't matter.
 constexpr double kFaded = 1e-4;
 constexpr seconds kCleanInterval{5};
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -1,9 +1,7 @@
 #include "bluebell/permits/slot_scheduler.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
-#include <set>
 #include <utility>
 
 namespace bluebell {
@@ -18,8 +16,7 @@
 constexpr double kMuchSlower = 2.5;
 // While an endpoint starts it is this much slower.
 constexpr double kColdSlowness = 2;
-// The least share of a request's work that must fit before its deadline.
-constexpr double kLeastShareOfWork = 0.5;
+constexpr double kLeastSlowness = 0.1;
 // After a response that shows that an owner doesn't hold its keys yet.
 constexpr milliseconds kMisdirectedPause{40};
 constexpr milliseconds kOwnerRetry{900};
@@ -30,6 +27,7 @@
 constexpr milliseconds kUnreportedGrant{400};
 // How long a daemon's own time limits may overrun.
 constexpr milliseconds kExpirySlack{700};
+constexpr milliseconds kExpiryCheck{100};
 // How long an endpoint's report of load from elsewhere counts.
 constexpr milliseconds kForeignLoadTime{300};
 
@@ -43,13 +41,19 @@
                                   instant now) {
   keyed_ = table != nullptr;
   table_ = keyed_ ? *table : key_table();
+  std::vector<waiting_request> owned;
   std::map<endpoint_id, endpoint_state> next;
+  for (auto& [id, state] : endpoints_) {
+    std::vector<waiting_request> queued = state.queue.TakeAll();
+    std::move(queued.begin(), queued.end(), std::back_inserter(owned));
+  }
   for (const fleet_endpoint& each : endpoints) {
     const endpoint_id& id = each.instance.endpoint;
     const auto known = endpoints_.find(id);
     if (known != endpoints_.end() &&
         known->second.about.instance == each.instance) {
       next[id] = std::move(known->second);
+      endpoints_.erase(known);
     } else {
       next[id].warm_from = now + each.warm_up;
     }
@@ -57,96 +61,201 @@
   }
   // Requests at endpoints that have left the list still run there.
   for (auto& [id, state] : endpoints_) {
-    const auto kept = next.find(id);
-    if (kept == next.end() && state.running > 0) {
+    if (state.running > 0 && !next.contains(id)) {
       state.about.draining = true;
       next[id] = std::move(state);
     }
   }
   endpoints_ = std::move(next);
-  std::erase_if(paused_,
-                [now](const auto& pause) { return pause.second < now; });
+  std::erase_if(paused_, [&](const auto& pause) { return pause.second <= now; });
+  for (waiting_request& each : owned) {
+    Place(std::move(each), now);
+  }
+  MarkAll();
+}
+
+void slot_scheduler::MarkAll() {
+  for (const auto& [id, state] : endpoints_) {
+    if (!state.queue.empty()) {
+      changed_.insert(id);
+    }
+  }
+  shared_changed_ = true;
+}
+
+slot_scheduler::key_owner slot_scheduler::OwnerOf(const permit_ask& ask,
+                                                  instant now) {
+  const key_assignment* assignment = table_.Find(*ask.key);
+  if (assignment == nullptr) {
+    return {};
+  }
+  const auto owner = endpoints_.find(assignment->owner.endpoint);
+  if (owner == endpoints_.end() ||
+      owner->second.about.instance != assignment->owner ||
+      owner->second.standing.IsSuspended(now) ||
+      std::find(ask.avoid.begin(), ask.avoid.end(), owner->first) !=
+          ask.avoid.end()) {
+    return {};
+  }
+  return {&owner->second, assignment->fence};
 }
 
 void slot_scheduler::Ask(const permit_ask& ask, instant now) {
   if (const auto granted = running_.find(ask.id); granted != running_.end()) {
     const auto state = endpoints_.find(granted->second.endpoint);
     if (state != endpoints_.end()) {
-      replies_.emplace_back(
-          permit_granted{ask.id, service_, state->second.about.instance,
-                         ExpectedAt(state->second, granted->second.work, now)});
+      replies_.emplace_back(permit_granted{
+          ask.id, service_, state->second.about.instance,
+          ExpectedAt(state->second, granted->second.work, now)});
     }
     return;
   }
-  const bool waits = std::any_of(
-      waiting_.begin(), waiting_.end(),
-      [&](const waiting_request& each) { return each.ask.id == ask.id; });
+  const bool waits =
+      shared_.Contains(ask.id) ||
+      std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        return entry.second.queue.Contains(ask.id);
+      });
   if (waits) {
     replies_.emplace_back(permit_queued{ask.id});
     return;
   }
   waiting_request request;
   request.ask = ask;
-  request.arrived = now;
   request.objective = now + milliseconds(ask.objective_left_ms);
   request.deadline = now + milliseconds(ask.time_left_ms);
-  request.work = work_.Expected(ask.route, milliseconds(ask.objective_left_ms));
+  request.work =
+      work_.Expected(ask.route, milliseconds(ask.objective_left_ms));
   demand_.Add(ask.rank, request.work, now);
-  if (const auto refusal = Unserviceable(ask, now)) {
-    replies_.emplace_back(*refusal);
-    return;
+  if (keyed_ && ask.key) {
+    // Refused requests count as well: a key that is too busy for its owner must
+    // not look quieter than it is.
+    key_loads_.Add(*ask.key, request.work, now);
   }
-  if (now + ForecastWait(ask, now) + request.work > request.deadline) {
-    replies_.emplace_back(Overloaded(request, now));
-    return;
+  const permit_id id = ask.id;
+  if (Place(std::move(request), now)) {
+    // Tells the asker that this daemon is there, if no slot is free.
+    replies_.emplace_back(permit_queued{id});
+  }
+}
+
+bool slot_scheduler::Place(waiting_request request, instant now) {
+  const permit_id id = request.ask.id;
+  if (endpoints_.empty()) {
+    Refuse(id, permit_refusal::kNoEndpoint, kNoEndpointRetry);
+    return false;
+  }
+  duration wait(0);
+  wait_queue* queue = &shared_;
+  if (keyed_ && request.ask.key) {
+    const key_owner owner = OwnerOf(request.ask, now);
+    if (owner.endpoint == nullptr) {
+      Refuse(id, permit_refusal::kOwnerUnavailable, kOwnerRetry);
+      return false;
+    }
+    request.fence = owner.fence;
+    wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
+    queue = &owner.endpoint->queue;
+    changed_.insert(owner.endpoint->about.instance.endpoint);
+  } else {
+    wait = WaitForAny(request.ask.rank, now);
+    shared_changed_ = true;
+  }
+  if (now + wait + request.work > request.deadline) {
+    RefuseOverloaded(request, now);
+    return false;
+  }
+  next_hopeless_ = std::min(next_hopeless_, request.HopelessAt());
+  queue->Push(std::move(request));
+  return true;
+}
+
+void slot_scheduler::Refuse(const permit_id& id,
+                            permit_refusal reason,
+                            milliseconds retry) {
+  replies_.emplace_back(
+      permit_refused{id, reason, static_cast<std::uint32_t>(retry.count())});
+}
+
+void slot_scheduler::RefuseOverloaded(const waiting_request& request,
+                                      instant now) {
+  duration wait(0);
+  if (keyed_ && request.ask.key) {
+    const key_owner owner = OwnerOf(request.ask, now);
+    if (owner.endpoint != nullptr) {
+      wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
+    }
+  } else {
+    wait = WaitForAny(request.ask.rank, now);
   }
-  waiting_.push_back(std::move(request));
+  const auto retry = std::clamp<duration>(wait / 2, kLeastRetry, kMostRetry);
+  Refuse(request.ask.id, permit_refusal::kOverloaded,
+         std::chrono::duration_cast<milliseconds>(retry));
 }
 
 void slot_scheduler::End(const permit_end& end, instant now) {
   const auto found = running_.find(end.id);
   if (found == running_.end()) {
-    waiting_.remove_if(
-        [&](const waiting_request& each) { return each.ask.id == end.id; });
+    shared_.Remove(end.id);
+    for (auto& [id, state] : endpoints_) {
+      state.queue.Remove(end.id);
+    }
     return;
   }
   const running_request ended = found->second;
   Free(end.id);
-  const auto state = endpoints_.find(ended.endpoint);
-  if (state == endpoints_.end()) {
+  Judge(end, ended, now);
+}
+
+void slot_scheduler::Judge(const permit_end& end,
+                           const running_request& ended,
+                           instant now) {
+  const auto found = endpoints_.find(ended.endpoint);
+  if (found == endpoints_.end()) {
     return;
   }
-  endpoint_standing& standing = state->second.standing;
+  endpoint_state& state = found->second;
   const milliseconds took(end.took_ms);
   switch (end.outcome) {
     case permit_outcome::kAnswered:
-      work_.Add(ended.route, took, standing.SlownessAt(now));
-      standing.OnAnswered(took, ended.work, now);
+      work_.Add(ended.route, took, state.standing.SlownessAt(now));
+      state.standing.OnAnswered(took, ended.work, now);
       break;
     case permit_outcome::kFailed:
     case permit_outcome::kShed:
-      standing.OnFailed(now);
+      state.standing.OnFailed(now);
       break;
     case permit_outcome::kMisdirected:
-      if (ended.key) {
+      if (ended.fence != epoch()) {
         paused_[ended.fence] = now + kMisdirectedPause;
+        next_recheck_ = std::min(next_recheck_, paused_[ended.fence]);
       } else {
-        standing.OnSilent(end.id.holder, now);
+        state.standing.OnSilent(end.id.holder, now);
       }
       break;
     case permit_outcome::kUnreachable:
     case permit_outcome::kNoResponse:
-      standing.OnSilent(end.id.holder, now);
+      state.standing.OnSilent(end.id.holder, now);
       break;
     case permit_outcome::kAbandoned:
     case permit_outcome::kUnused:
       break;
   }
   if (end.load) {
+    // The report still counts the request that it came with. Since no more are
+    // sent than there are slots, only others' requests make some wait.
     const std::uint32_t reported = end.load->running + end.load->waiting;
-    const std::uint32_t ours = state->second.running;
-    state->second.foreign = reported > ours ? reported - ours : 0;
-    state->second.foreign_until = now + kForeignLoadTime;
+    const std::uint32_t ours = state.running + 1;
+    const bool others = end.load->waiting > 0 && reported > ours;
+    state.foreign = others ? reported - ours : 0;
+    state.foreign_until = now + kForeignLoadTime;
+    if (others) {
+      next_recheck_ = std::min(next_recheck_, state.foreign_until);
+    }
+  }
+  if (state.standing.IsSuspended(now)) {
+    for (const waiting_request& each : state.queue.TakeAll()) {
+      Refuse(each.ask.id, permit_refusal::kOwnerUnavailable, kOwnerRetry);
+    }
   }
 }
 
@@ -170,15 +279,14 @@
     ++running_by_rank_[open.rank];
   }
   std::vector<permit_id> unused;
-  for (auto& [id, running] : running_) {
-    if (id.holder != report.holder) {
-      continue;
-    }
-    if (listed.contains(id)) {
-      running.expires =
-          std::max(running.expires, now + kUnreportedGrant + kExpirySlack);
-    } else if (running.started + kUnreportedGrant < now) {
-      unused.push_back(id);
+  const permit_id first{report.holder, 0};
+  for (auto each = running_.lower_bound(first);
+       each != running_.end() && each->first.holder == report.holder; ++each) {
+    if (listed.contains(each->first)) {
+      each->second.expires = std::max(each->second.expires,
+                                      now + kUnreportedGrant + kExpirySlack);
+    } else if (each->second.started + kUnreportedGrant < now) {
+      unused.push_back(each->first);
     }
   }
   for (const permit_id& id : unused) {
@@ -187,37 +295,40 @@
 }
 
 std::vector<permit_reply> slot_scheduler::TakeReplies(instant now) {
-  ExpireRunning(now);
-  RefuseHopeless(now);
-  Assign(now);
+  if (now >= next_expiry_check_) {
+    ExpireRunning(now);
+  }
+  if (now >= next_hopeless_) {
+    RefuseHopeless(now);
+  }
+  if (now >= next_recheck_) {
+    next_recheck_ = instant::max();
+    MarkAll();
+  }
+  for (const endpoint_id& id : std::exchange(changed_, {})) {
+    const auto state = endpoints_.find(id);
+    if (state != endpoints_.end()) {
+      AssignOwned(state->second, now);
+    }
+  }
+  if (std::exchange(shared_changed_, false)) {
+    AssignShared(now);
+  }
   return std::exchange(replies_, {});
 }
 
 std::optional<instant> slot_scheduler::NextWakeup() const {
-  std::optional<instant> next;
-  const auto take = [&next](instant at) {
-    next = next ? std::min(*next, at) : at;
-  };
-  for (const waiting_request& each : waiting_) {
-    take(each.deadline -
-         duration(static_cast<std::int64_t>(
-             static_cast<double>(each.work.count()) * kLeastShareOfWork)));
-  }
-  if (!waiting_.empty()) {
-    for (const auto& [fence, until] : paused_) {
-      take(until);
-    }
-    for (const auto& [id, state] : endpoints_) {
-      if (state.foreign > 0) {
-        take(state.foreign_until);
-      }
-    }
-  }
-  return next;
+  const instant next = std::min(next_hopeless_, next_recheck_);
+  return next == instant::max() ? std::nullopt : std::optional(next);
+}
+
+bool slot_scheduler::IsInService(const endpoint_state& state,
+                                 instant now) const {
+  return !state.about.draining && !state.standing.IsSuspended(now);
 }
 
 bool slot_scheduler::IsFree(const endpoint_state& state, instant now) const {
-  if (state.about.draining || state.standing.IsSuspended(now)) {
+  if (!IsInService(state, now)) {
     return false;
   }
   const std::uint32_t limit =
@@ -228,7 +339,8 @@
 
 double slot_scheduler::Slowness(const endpoint_state& state,
                                 instant now) const {
-  const double measured = state.standing.SlownessAt(now);
+  const double measured =
+      std::max(kLeastSlowness, state.standing.SlownessAt(now));
   return now < state.warm_from ? measured * kColdSlowness : measured;
 }
 
@@ -240,50 +352,104 @@
   return static_cast<std::uint32_t>(expected.count());
 }
 
+bool slot_scheduler::IsPaused(const epoch& fence, instant now) const {
+  if (paused_.empty()) {
+    return false;
+  }
+  const auto paused = paused_.find(fence);
+  return paused != paused_.end() && now < paused->second;
+}
+
+duration slot_scheduler::WaitAtOwner(const endpoint_state& owner,
+                                     std::uint32_t rank,
+                                     instant now) const {
+  const duration before = owner.queue.WorkBefore(rank);
+  if (IsFree(owner, now) && before == duration(0)) {
+    return duration(0);
+  }
+  const double slots = owner.about.slots / Slowness(owner, now);
+  return duration(static_cast<std::int64_t>(
+      static_cast<double>(before.count()) / slots));
+}
+
+double slot_scheduler::SharedCapacity(instant now) const {
+  double slots = 0;
+  for (const auto& [id, state] : endpoints_) {
+    if (IsInService(state, now)) {
+      slots += state.about.slots / Slowness(state, now);
+    }
+  }
+  return slots;
+}
+
+duration slot_scheduler::WaitForAny(std::uint32_t rank, instant now) const {
+  const duration before = shared_.WorkBefore(rank);
+  if (before == duration(0)) {
+    return duration(0);
+  }
+  const double slots = SharedCapacity(now);
+  return slots <= 0 ? duration(0)
+                    : duration(static_cast<std::int64_t>(
+                          static_cast<double>(before.count()) / slots));
+}
+
 double slot_scheduler::Cost(const endpoint_state& state,
-                            const waiting_request& request,
+                            const permit_ask& ask,
                             instant now) const {
-  const bool elsewhere = state.about.domain != request.ask.domain;
+  const bool elsewhere = state.about.domain != ask.domain;
   return Slowness(state, now) / state.standing.SuccessAt(now) *
          (elsewhere ? kOtherDomainCost : 1);
 }
 
-slot_scheduler::choice slot_scheduler::Choose(const waiting_request& request,
-                                              instant now) {
-  return keyed_ && request.ask.key ? ChooseOwner(request, now)
-                                   : ChooseAny(request, now);
+void slot_scheduler::AssignOwned(endpoint_state& owner, instant now) {
+  while (!owner.queue.empty() && IsFree(owner, now)) {
+    const auto next =
+        owner.queue.TakeNext(now, [&](const waiting_request& request) {
+          return !IsPaused(request.fence, now);
+        });
+    if (!next) {
+      return;
+    }
+    Grant(*next, owner, now);
+  }
 }
 
-slot_scheduler::choice slot_scheduler::ChooseOwner(
-    const waiting_request& request,
-    instant now) {
-  const key_assignment* assignment = table_.Find(*request.ask.key);
-  if (assignment == nullptr) {
-    return {};
-  }
-  const auto paused = paused_.find(assignment->fence);
-  if (paused != paused_.end() && now < paused->second) {
-    return {};
-  }
-  const auto state = endpoints_.find(assignment->owner.endpoint);
-  if (state == endpoints_.end() || !IsFree(state->second, now)) {
-    return {};
+void slot_scheduler::AssignShared(instant now) {
+  std::uint32_t free = FreeSlots(now);
+  while (!shared_.empty() && free > 0) {
+    // The choices for requests that were considered; one of them is taken.
+    std::map<permit_id, endpoint_state*> chosen;
+    const auto next = shared_.TakeNext(now, [&](const waiting_request& each) {
+      if (free <= demand_.Reserve(each.ask.rank, running_by_rank_, now)) {
+        return false;
+      }
+      endpoint_state* where = ChooseAny(each, now);
+      if (where != nullptr) {
+        chosen[each.ask.id] = where;
+      }
+      return where != nullptr;
+    });
+    if (!next) {
+      return;
+    }
+    Grant(*next, *chosen.at(next->ask.id), now);
+    --free;
   }
-  return {assignment, &state->second};
 }
 
-slot_scheduler::choice slot_scheduler::ChooseAny(const waiting_request& request,
-                                                 instant now) {
+slot_scheduler::endpoint_state* slot_scheduler::ChooseAny(
+    const waiting_request& request,
+    instant now) {
   endpoint_state* best = nullptr;
   double best_cost = 0;
   double least_cost = std::numeric_limits<double>::max();
   const auto& avoid = request.ask.avoid;
   for (auto& [id, state] : endpoints_) {
-    if (state.about.draining || state.standing.IsSuspended(now) ||
+    if (!IsInService(state, now) ||
         std::find(avoid.begin(), avoid.end(), id) != avoid.end()) {
       continue;
     }
-    const double cost = Cost(state, request, now);
+    const double cost = Cost(state, request.ask, now);
     least_cost = std::min(least_cost, cost);
     if (IsFree(state, now) && (best == nullptr || cost < best_cost)) {
       best = &state;
@@ -291,100 +457,14 @@
     }
   }
   if (best == nullptr) {
-    return {};
-  }
-  const double work = static_cast<double>(request.work.count());
-  const double wait =
-      static_cast<double>(ForecastWait(request.ask, now).count());
-  if (best_cost > kMuchSlower * least_cost &&
-      (best_cost - least_cost) * work > wait) {
-    return {};
-  }
-  return {nullptr, best};
-}
-
-std::optional<permit_refused> slot_scheduler::Unserviceable(
-    const permit_ask& ask,
-    instant now) const {
-  const auto retry = [](milliseconds after) {
-    return static_cast<std::uint32_t>(after.count());
-  };
-  if (endpoints_.empty()) {
-    return permit_refused{ask.id, permit_refusal::kNoEndpoint,
-                          retry(kNoEndpointRetry)};
-  }
-  if (!keyed_ || !ask.key) {
-    return std::nullopt;
-  }
-  const key_assignment* assignment = table_.Find(*ask.key);
-  const auto owner = assignment == nullptr
-                         ? endpoints_.end()
-                         : endpoints_.find(assignment->owner.endpoint);
-  const bool avoided =
-      owner != endpoints_.end() && std::find(ask.avoid.begin(), ask.avoid.end(),
-                                             owner->first) != ask.avoid.end();
-  if (owner == endpoints_.end() || avoided ||
-      owner->second.standing.IsSuspended(now) ||
-      owner->second.about.instance != assignment->owner) {
-    return permit_refused{ask.id, permit_refusal::kOwnerUnavailable,
-                          retry(kOwnerRetry)};
-  }
-  return std::nullopt;
-}
-
-bool slot_scheduler::WaitsForOwner(const waiting_request& request,
-                                   const endpoint_instance& owner) const {
-  if (!request.ask.key) {
-    return false;
-  }
-  const key_assignment* assignment = table_.Find(*request.ask.key);
-  return assignment != nullptr && assignment->owner == owner;
-}
-
-duration slot_scheduler::ForecastWait(const permit_ask& ask,
-                                      instant now) const {
-  const key_assignment* assignment =
-      keyed_ && ask.key ? table_.Find(*ask.key) : nullptr;
-  double slots = 0;
-  bool free = false;
-  for (const auto& [id, state] : endpoints_) {
-    if (state.about.draining || state.standing.IsSuspended(now) ||
-        (assignment != nullptr && assignment->owner.endpoint != id)) {
-      continue;
-    }
-    slots += state.about.slots / Slowness(state, now);
-    free = free || IsFree(state, now);
-  }
-  if (slots <= 0) {
-    return duration(0);
-  }
-  double work = 0;
-  bool waits_behind = false;
-  for (const waiting_request& each : waiting_) {
-    if (each.ask.rank > ask.rank || each.ask.id == ask.id) {
-      continue;
-    }
-    if (assignment != nullptr && !WaitsForOwner(each, assignment->owner)) {
-      continue;
-    }
-    waits_behind = true;
-    work += static_cast<double>(each.work.count());
-  }
-  if (free && !waits_behind) {
-    return duration(0);
-  }
-  // All slots are busy, so the first becomes free after a part of one request.
-  work += static_cast<double>(work_.Expected(ask.route, duration(0)).count());
-  return duration(static_cast<std::int64_t>(work / slots));
-}
-
-permit_refused slot_scheduler::Overloaded(const waiting_request& request,
-                                          instant now) const {
-  const duration wait = ForecastWait(request.ask, now);
-  const auto retry = std::clamp<duration>(wait / 2, kLeastRetry, kMostRetry);
-  return {request.ask.id, permit_refusal::kOverloaded,
-          static_cast<std::uint32_t>(
-              std::chrono::duration_cast<milliseconds>(retry).count())};
+    return nullptr;
+  }
+  const double extra =
+      (best_cost - least_cost) * static_cast<double>(request.work.count());
+  const bool better_wait =
+      best_cost > kMuchSlower * least_cost &&
+      extra > static_cast<double>(WaitForAny(request.ask.rank, now).count());
+  return better_wait ? nullptr : best;
 }
 
 std::uint32_t slot_scheduler::FreeSlots(instant now) const {
@@ -397,83 +477,48 @@
   return free;
 }
 
-bool slot_scheduler::CanAnswerOnTime(const waiting_request& request,
-                                     instant now) const {
-  return now + request.work <= request.objective;
-}
-
-void slot_scheduler::Assign(instant now) {
-  std::set<std::uint32_t> ranks;
-  for (const waiting_request& each : waiting_) {
-    ranks.insert(each.ask.rank);
-  }
-  for (const std::uint32_t rank : ranks) {
-    AssignRank(rank, true, now);
-    AssignRank(rank, false, now);
-  }
-}
-
-void slot_scheduler::AssignRank(std::uint32_t rank, bool on_time, instant now) {
-  // A keyed service has a queue for each owner, so nothing is held back there.
-  const std::uint32_t reserve =
-      keyed_ ? 0 : demand_.Reserve(rank, running_by_rank_, now);
-  std::uint32_t free = FreeSlots(now);
-  for (auto each = waiting_.begin();
-       each != waiting_.end() && free > reserve;) {
-    const auto next = std::next(each);
-    if (each->ask.rank == rank && CanAnswerOnTime(*each, now) == on_time) {
-      const choice where = Choose(*each, now);
-      if (where.endpoint != nullptr) {
-        Grant(*each, where, now);
-        waiting_.erase(each);
-        --free;
-      }
-    }
-    each = next;
-  }
-}
-
 void slot_scheduler::Grant(const waiting_request& request,
-                           const choice& where,
+                           endpoint_state& where,
                            instant now) {
   running_request started;
-  started.endpoint = where.endpoint->about.instance.endpoint;
+  started.endpoint = where.about.instance.endpoint;
   started.route = request.ask.route;
   started.rank = request.ask.rank;
-  started.key = request.ask.key;
-  started.fence =
-      where.assignment == nullptr ? epoch() : where.assignment->fence;
+  started.fence = request.fence;
   started.started = now;
   started.expires = request.deadline + kExpirySlack;
   started.work = request.work;
   running_.insert_or_assign(request.ask.id, std::move(started));
-  ++where.endpoint->running;
+  ++where.running;
   ++running_by_rank_[request.ask.rank];
-  if (keyed_ && request.ask.key) {
-    key_loads_.Add(*request.ask.key, request.work, now);
-  }
-  replies_.emplace_back(
-      permit_granted{request.ask.id, service_, where.endpoint->about.instance,
-                     ExpectedAt(*where.endpoint, request.work, now)});
+  const permit_granted granted{request.ask.id, service_, where.about.instance,
+                               ExpectedAt(where, request.work, now)};
+  // A request that starts at once needs no word that it waits.
+  std::erase_if(replies_, [&](const permit_reply& reply) {
+    const auto* queued = std::get_if<permit_queued>(&reply);
+    return queued != nullptr && queued->id == request.ask.id;
+  });
+  replies_.emplace_back(granted);
 }
 
 void slot_scheduler::RefuseHopeless(instant now) {
-  for (auto each = waiting_.begin(); each != waiting_.end();) {
-    const auto next = std::next(each);
-    const duration least(static_cast<std::int64_t>(
-        static_cast<double>(each->work.count()) * kLeastShareOfWork));
-    if (const auto refusal = Unserviceable(each->ask, now)) {
-      replies_.emplace_back(*refusal);
-      waiting_.erase(each);
-    } else if (now + least >= each->deadline) {
-      replies_.emplace_back(Overloaded(*each, now));
-      waiting_.erase(each);
+  next_hopeless_ = instant::max();
+  const auto sweep = [&](wait_queue& queue) {
+    for (const waiting_request& each : queue.TakeHopeless(now)) {
+      RefuseOverloaded(each, now);
+    }
+    if (const auto next = queue.NextHopeless()) {
+      next_hopeless_ = std::min(next_hopeless_, *next);
     }
-    each = next;
+  };
+  sweep(shared_);
+  for (auto& [id, state] : endpoints_) {
+    sweep(state.queue);
   }
 }
 
 void slot_scheduler::ExpireRunning(instant now) {
+  next_expiry_check_ = now + kExpiryCheck;
   std::vector<permit_id> expired;
   for (const auto& [id, running] : running_) {
     if (running.expires <= now) {
@@ -491,10 +536,20 @@
   if (state != endpoints_.end() && state->second.running > 0) {
     --state->second.running;
   }
+  changed_.insert(found->second.endpoint);
+  shared_changed_ = true;
   --running_by_rank_[found->second.rank];
   running_.erase(found);
 }
 
+std::size_t slot_scheduler::waiting_count() const {
+  std::size_t count = shared_.size();
+  for (const auto& [id, state] : endpoints_) {
+    count += state.queue.size();
+  }
+  return count;
+}
+
 std::vector<shard_load> slot_scheduler::KeyLoads(instant now) const {
   return key_loads_.Loads(now);
 }
@@ -502,19 +557,9 @@
 std::map<endpoint_id, double> slot_scheduler::Capacities(instant now) const {
   std::map<endpoint_id, double> capacities;
   for (const auto& [id, state] : endpoints_) {
-    capacities[id] = state.about.slots / std::max(0.1, Slowness(state, now));
+    capacities[id] = state.about.slots / Slowness(state, now);
   }
   return capacities;
 }
 
-std::vector<endpoint_id> slot_scheduler::SilentEndpoints(instant now) const {
-  std::vector<endpoint_id> silent;
-  for (const auto& [id, state] : endpoints_) {
-    if (state.standing.IsSuspended(now)) {
-      silent.push_back(id);
-    }
-  }
-  return silent;
-}
-
 }  // namespace bluebell
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -16,20 +16,22 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_endpoint.h"
-#include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/key_table.h"
+#include "bluebell/keyspace/shard_load.h"
 #include "bluebell/permits/endpoint_standing.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
+#include "bluebell/permits/wait_queue.h"
+#include "bluebell/permits/waiting_request.h"
 #include "bluebell/permits/work_estimate.h"
 
 namespace bluebell {
@@ -53,17 +55,15 @@
 
   // The replies due now. Call it after each of the above and at NextWakeup().
   std::vector<permit_reply> TakeReplies(instant now);
-  // When the first waiting request runs out of time; nothing if none waits.
+  // When time alone makes a reply due; nothing if it doesn't.
   std::optional<instant> NextWakeup() const;
 
   // The work that each key brought lately, for a keyed service.
   std::vector<shard_load> KeyLoads(instant now) const;
   // The work that each endpoint can do, in slots of average speed.
   std::map<endpoint_id, double> Capacities(instant now) const;
-  // Endpoints that the requests of several daemons found silent.
-  std::vector<endpoint_id> SilentEndpoints(instant now) const;
 
-  std::size_t waiting_count() const { return waiting_.size(); }
+  std::size_t waiting_count() const;
   std::size_t running_count() const { return running_.size(); }
 
  private:
@@ -71,69 +71,72 @@
     fleet_endpoint about;
     endpoint_standing standing;
     std::uint32_t running = 0;
-    // Running or waiting requests that it reports beyond ours.
+    // Requests there that aren't ours, and until when to believe it.
     std::uint32_t foreign = 0;
     instant foreign_until;
     instant warm_from;
-  };
-  struct waiting_request {
-    permit_ask ask;
-    instant arrived;
-    instant objective;
-    instant deadline;
-    duration work{0};
+    // Requests for keys that this endpoint owns.
+    wait_queue queue;
   };
   struct running_request {
     endpoint_id endpoint;
     std::string route;
     std::uint32_t rank = 0;
-    std::optional<shard_key> key;
     epoch fence;
     instant started;
     // The holder counts as gone if it hasn't settled the permit by then.
     instant expires;
     duration work{0};
   };
-  struct choice {
-    const key_assignment* assignment = nullptr;
+  // The endpoint that owns an ask's key, or why it can't be served.
+  struct key_owner {
     endpoint_state* endpoint = nullptr;
+    epoch fence;
   };
-  using waiting_list = std::list<waiting_request>;
 
+  bool IsInService(const endpoint_state& state, instant now) const;
   bool IsFree(const endpoint_state& state, instant now) const;
   double Slowness(const endpoint_state& state, instant now) const;
   std::uint32_t ExpectedAt(const endpoint_state& state,
                            duration work,
                            instant now) const;
+  bool IsPaused(const epoch& fence, instant now) const;
+
+  key_owner OwnerOf(const permit_ask& ask, instant now);
+  // False if the request was refused.
+  bool Place(waiting_request request, instant now);
+  void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
+  void RefuseOverloaded(const waiting_request& request, instant now);
+  // How long a request of this rank waits if it comes now.
+  duration WaitAtOwner(const endpoint_state& owner,
+                       std::uint32_t rank,
+                       instant now) const;
+  duration WaitForAny(std::uint32_t rank, instant now) const;
+  double SharedCapacity(instant now) const;
+
+  void AssignOwned(endpoint_state& owner, instant now);
+  void AssignShared(instant now);
+  endpoint_state* ChooseAny(const waiting_request& request, instant now);
   double Cost(const endpoint_state& state,
-              const waiting_request& request,
+              const permit_ask& ask,
               instant now) const;
-  choice Choose(const waiting_request& request, instant now);
-  choice ChooseOwner(const waiting_request& request, instant now);
-  choice ChooseAny(const waiting_request& request, instant now);
-  // Why the request can't be served now, whatever the load.
-  std::optional<permit_refused> Unserviceable(const permit_ask& ask,
-                                              instant now) const;
-  bool WaitsForOwner(const waiting_request& request,
-                     const endpoint_instance& owner) const;
-  // How long the request waits for a slot if it asks now.
-  duration ForecastWait(const permit_ask& ask, instant now) const;
-  permit_refused Overloaded(const waiting_request& request, instant now) const;
   std::uint32_t FreeSlots(instant now) const;
-  void Assign(instant now);
-  void AssignRank(std::uint32_t rank, bool on_time, instant now);
-  bool CanAnswerOnTime(const waiting_request& request, instant now) const;
-  void Grant(const waiting_request& request, const choice& where, instant now);
+  void Grant(const waiting_request& request,
+             endpoint_state& where,
+             instant now);
+
+  void Judge(const permit_end& end, const running_request& ended, instant now);
   void RefuseHopeless(instant now);
   void ExpireRunning(instant now);
   void Free(const permit_id& id);
+  void MarkAll();
 
   service_name service_;
   bool keyed_ = false;
   key_table table_;
   std::map<endpoint_id, endpoint_state> endpoints_;
-  // In the order of arrival.
-  waiting_list waiting_;
+  // Requests that any endpoint may take.
+  wait_queue shared_;
   std::map<permit_id, running_request> running_;
   std::map<std::uint32_t, std::uint32_t> running_by_rank_;
   work_estimate work_;
@@ -143,6 +146,13 @@
   // try them.
   std::map<epoch, instant> paused_;
   std::vector<permit_reply> replies_;
+  // Whose queue may have a request to start.
+  std::set<endpoint_id> changed_;
+  bool shared_changed_ = false;
+  instant next_hopeless_ = instant::max();
+  instant next_expiry_check_;
+  // When a pause, a rest or a report of foreign load ends.
+  instant next_recheck_ = instant::max();
 };
 
 }  // namespace bluebell
--- a/bluebell/proxy/endpoint_channels.cc
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -160,12 +160,17 @@
     co_return lost(unsent);
   }
   asio::steady_timer overdue(io_);
+  // The timer's handler may be queued already when this coroutine ends.
+  const auto under_way = std::make_shared<beast::tcp_stream*>(&link->stream);
   if (options.overdue) {
     overdue.expires_after(*options.overdue - BootNow());
-    overdue.async_wait([&](boost::system::error_code ended) {
-      if (!ended && options.may_abandon()) {
+    overdue.async_wait([&abandoned, &options,
+                        watched = std::weak_ptr(under_way)](
+                           boost::system::error_code ended) {
+      const auto stream = watched.lock();
+      if (!ended && stream && options.may_abandon()) {
         abandoned = true;
-        link->stream.cancel();
+        (*stream)->cancel();
       }
     });
   }
@@ -186,6 +191,7 @@
     if (stale || response.result_int() < kFirstFinalStatus) {
       continue;
     }
+    overdue.cancel();
     const instant now = BootNow();
     if (response.keep_alive() && !ends_connection && link->buffer.size() == 0) {
       const milliseconds stated = about.keep_alive
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -99,13 +99,15 @@
 
 void permit_desk::ScheduleWakeup(service_line& line, instant now) {
   const auto next = line.scheduler.NextWakeup();
-  if (!next) {
+  if (!next || (line.wakeup && *line.wakeup <= *next)) {
     return;
   }
   constexpr milliseconds kLeastWait{1};
+  line.wakeup = next;
   line.timer.expires_after(std::max<duration>(kLeastWait, *next - now));
   line.timer.async_wait([this, &line](boost::system::error_code cancelled) {
     if (!cancelled) {
+      line.wakeup.reset();
       Pump(line, BootNow());
     }
   });
--- a/bluebell/proxy/permit_desk.h
+++ b/bluebell/proxy/permit_desk.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -53,6 +54,8 @@
 
     slot_scheduler scheduler;
     boost::asio::steady_timer timer;
+    // When the timer is set to.
+    std::optional<instant> wakeup;
     std::map<permit_id, reply_sink> sinks;
   };
 
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -42,8 +42,8 @@
 constexpr milliseconds kAnyConnection{60'000};
 // An idempotent request without an answer after this many times its expected
 // duration is sent again.
-constexpr int kOverdue = 5;
-constexpr milliseconds kLeastAttempt{400};
+constexpr int kOverdue = 6;
+constexpr milliseconds kLeastAttempt{1'000};
 // Second attempts keep this share of the allowed ones, since daemons don't
 // know each other's.
 constexpr std::uint32_t kShareOfRetries = 75;
@@ -337,7 +337,7 @@
       const instant now = BootNow();
       const bool worthwhile = now + milliseconds(granted.expected_ms) <
                               progress.deadline;
-      retry_taken = worthwhile && BudgetOf(context.service).TryRetry(now);
+      retry_taken = worthwhile && !leaving_ && BudgetOf(context.service).TryRetry(now);
       return retry_taken;
     };
   }
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -38,6 +38,8 @@
   ~request_server() = default;
 
   void SetView(fleet_view view);
+  // The daemon is about to stop: every attempt runs to its end.
+  void BeginShutdown() { leaving_ = true; }
 
   // The final response. If the coroutine is cancelled, since the caller has
   // left, the endpoint's work is ended.
@@ -70,6 +72,7 @@
   share_picker shares_;
   std::map<service_name, retry_budget> budgets_;
   std::size_t active_ = 0;
+  bool leaving_ = false;
   std::minstd_rand random_;
 };
 
--- a/bluebell/proxy/traffic_side.cc
+++ b/bluebell/proxy/traffic_side.cc
@@ -221,6 +221,7 @@
   asio::post(*io_, [this] {
     leaving_ = true;
     caller_state_->closing = true;
+    server_.BeginShutdown();
   });
 }
 
