Hold requests for keys on their way; keep owners that are back; read changes together

An owner that was silent in a zone cut lost its keys for 3.6 s after the cut had healed, since its move couldn't be taken back. A coordinator cut off with its zone gave the role up though nobody could learn of it. Each change of the store cost eleven calls. Change: the coordinator tells the scheduler in its process which ranges nobody serves and until when: requests wait for short moves and are refused with that time for long ones. Moves are taken back when the owner answers. Daemons without a duty read changes every 250 ms. Other domains cost 1.35. Ruled out: stale tables at entry daemons; the dispatcher names the endpoint. Conclusion: lookups refused or late for lack of slots at hot owners remain.

--- /dev/null
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -0,0 +1,126 @@
+#include "bluebell/fleet/fleet_state.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "bluebell/fleet/store_keys.h"
+
+namespace bluebell {
+namespace {
+
+const instant kStart = instant(seconds(1'000));
+
+fleet_decoders TestDecoders() {
+  return {"entries/", "config",
+          [](const std::string& key,
+             std::string_view value) -> result<fleet_endpoint> {
+            if (value == "bad") {
+              return error(errc::kMalformedMessage, step::kReadHosts, key, "");
+            }
+            fleet_endpoint entry;
+            entry.instance.endpoint = endpoint_id(key.substr(8));
+            entry.draining = value == "draining";
+            return entry;
+          },
+          [](std::string_view value) -> result<route_config> {
+            return route_config::Make(
+                config_version(std::stoull(std::string(value))), {}, {}, {});
+          }};
+}
+
+kv_item Item(const std::string& key,
+             const std::string& value,
+             std::uint64_t revision) {
+  return {key, value, store_version(revision), kv_lease()};
+}
+
+TEST_CASE("a malformed entry names no endpoint and breaks nothing else") {
+  fleet_state state(TestDecoders());
+  state.Reset({Item("entries/a", "ok", 1), Item("entries/b", "bad", 2),
+               Item("entries/c", "draining", 3)},
+              store_version(3), kStart);
+  CHECK(state.snapshot().endpoints.size() == 2);
+  CHECK(state.snapshot().endpoints.at(endpoint_id("c")).draining);
+  CHECK(state.TakeProblems().size() == 1);
+  state.Apply(Item("entries/a", "bad", 4), kStart);
+  CHECK(!state.snapshot().endpoints.contains(endpoint_id("a")));
+}
+
+TEST_CASE("an older configuration never replaces a newer one") {
+  fleet_state state(TestDecoders());
+  state.Apply(Item("config", "7", 1), kStart);
+  state.Apply(Item("config", "5", 2), kStart);
+  CHECK(state.snapshot().config->version() == config_version(7));
+  CHECK(state.TakeProblems().size() == 1);
+}
+
+TEST_CASE("an entry that lapsed in an outage counts until it could be back") {
+  fleet_state state(TestDecoders());
+  state.Reset({Item("entries/a", "ok", 1), Item("entries/b", "ok", 2)},
+              store_version(2), kStart);
+  state.OnStoreBack(kStart);
+  state.Apply(kv_deletion{"entries/a", store_version(3)}, kStart);
+  state.Apply(kv_deletion{"entries/b", store_version(4)}, kStart);
+  CHECK(state.snapshot().endpoints.size() == 2);
+  state.Apply(Item("entries/b", "ok", 5), kStart + seconds(1));
+  const auto lapse = state.NextLapse();
+  REQUIRE(lapse);
+  CHECK(*lapse <= kStart + seconds(2));
+  CHECK(state.DropLapsed(*lapse));
+  CHECK(state.snapshot().endpoints.size() == 1);
+  CHECK(state.snapshot().endpoints.contains(endpoint_id("b")));
+}
+
+TEST_CASE("an entry that goes while the store is well is gone") {
+  fleet_state state(TestDecoders());
+  state.Apply(Item("entries/a", "ok", 1), kStart);
+  state.Apply(kv_deletion{"entries/a", store_version(2)}, kStart);
+  CHECK(state.snapshot().endpoints.empty());
+}
+
+TEST_CASE("a listing drops what it doesn't hold and keeps newer changes") {
+  fleet_state state(TestDecoders());
+  state.Apply(Item("entries/a", "ok", 1), kStart);
+  state.Apply(Item("entries/b", "draining", 9), kStart);
+  state.Reset({Item("entries/b", "ok", 5)}, store_version(9), kStart);
+  CHECK(!state.snapshot().endpoints.contains(endpoint_id("a")));
+  CHECK(state.snapshot().endpoints.at(endpoint_id("b")).draining);
+}
+
+TEST_CASE("the last coordinator is remembered after its lease has ended") {
+  fleet_state state(TestDecoders());
+  const daemon_instance first{daemon_id("front-1"), incarnation(5)};
+  state.Apply(Item(std::string(kCoordinatorKey), EncodeDaemon(first), 1),
+              kStart);
+  CHECK(state.snapshot().coordinator == first);
+  state.Apply(kv_deletion{std::string(kCoordinatorKey), store_version(2)},
+              kStart);
+  CHECK(!state.snapshot().coordinator);
+  CHECK(state.last_coordinator() == first);
+}
+
+TEST_CASE("members and key tables are kept as they were written") {
+  fleet_state state(TestDecoders());
+  const fleet_member member{{daemon_id("front-1"), incarnation(5)},
+                            domain_name("a"),
+                            address::Parse("10.0.0.1:7200").value(),
+                            200,
+                            false};
+  state.Apply(Item(MemberKey(member.instance.id), EncodeMember(member), 1),
+              kStart);
+  CHECK(state.snapshot().members.at(member.instance.id) == member);
+  const key_table table = key_table().With(
+      {0, 9}, {endpoint_id("a"), incarnation(1)});
+  state.Apply(Item(TableKey(service_name("tracker")), table.ToJson(), 2),
+              kStart);
+  CHECK(state.snapshot().tables.at(service_name("tracker")) == table);
+  CHECK(state.RevisionOf(TableKey(service_name("tracker"))) ==
+        store_version(2));
+  state.Apply(Item(TableKey(service_name("tracker")), "{", 3), kStart);
+  CHECK(state.snapshot().tables.at(service_name("tracker")) == table);
+  CHECK(state.TakeProblems().size() == 1);
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -322,6 +322,9 @@
 void coordinator_role::StopHolding(const std::string& reason) {
   holding_ = false;
   ++term_;
+  for (const auto& [service, unit] : services_) {
+    traffic_.SetUnheld(service, {});
+  }
   services_.clear();
   vacant_since_.reset();
   log_event(log_level::kInfo, "stops coordinating keys")
@@ -335,18 +338,7 @@
     return;
   }
   StopHolding("the daemon is leaving");
-  asio::co_spawn(
-      io_,
-      [this]() -> asio::awaitable<void> {
-        const result<bool> ended = co_await store_.EndLease(lease_);
-        if (!ended) {
-          // It ends by itself.
-          log_event(log_level::kWarn, "coordinator lease not ended")
-              .With(ended.error())
-              .Write();
-        }
-      },
-      asio::detached);
+  asio::co_spawn(io_, EndLease(), asio::detached);
 }
 
 void coordinator_role::OnClaim(const address& from,
@@ -416,6 +408,16 @@
     if (!holding_) {
       return;
     }
+    TellUnheld(service, *unit);
+  }
+}
+
+void coordinator_role::TellUnheld(const service_name& service,
+                                  service_keys& unit) {
+  std::vector<unheld_range> unheld = unit.keys.UnheldRanges();
+  if (unheld != unit.unheld) {
+    unit.unheld = std::move(unheld);
+    traffic_.SetUnheld(service, unit.unheld);
   }
 }
 
@@ -455,16 +457,7 @@
               services_.at(service)->writing = true;
               spawn(WriteTable(service, order));
             },
-            [&](const resign_coordinator&) {
-              resigned_until_ = BootNow() + kResignTime;
-              StopHolding("most owners of keys can't be reached");
-              asio::co_spawn(
-                  io_,
-                  [this]() -> asio::awaitable<void> {
-                    co_await store_.EndLease(lease_);
-                  },
-                  asio::detached);
-            }},
+            [&](const resign_coordinator&) { Resign(); }},
         action);
     if (!holding_) {
       return;
@@ -472,6 +465,27 @@
   }
 }
 
+void coordinator_role::Resign() {
+  if (!watcher_.store_is_well()) {
+    // Nobody could learn of it. The owners that are reached keep their keys
+    // until the authority runs out, and the lease ends by itself.
+    return;
+  }
+  resigned_until_ = BootNow() + kResignTime;
+  StopHolding("most owners of keys can't be reached");
+  asio::co_spawn(io_, EndLease(), asio::detached);
+}
+
+asio::awaitable<void> coordinator_role::EndLease() {
+  const result<bool> ended = co_await store_.EndLease(lease_);
+  if (!ended) {
+    // It ends by itself.
+    log_event(log_level::kWarn, "coordinator lease not ended")
+        .With(ended.error())
+        .Write();
+  }
+}
+
 http_client* coordinator_role::ClientOf(const address& where) {
   std::unique_ptr<http_client>& client = clients_[where];
   if (!client) {
@@ -521,6 +535,7 @@
     }
   }
   unit->keys.OnGrantReply(order, sent, reply, BootNow());
+  TellUnheld(service, *unit);
 }
 
 asio::awaitable<void> coordinator_role::Release(service_name service,
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -26,6 +26,7 @@
 #include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/keyspace/key_coordinator.h"
 #include "bluebell/keyspace/key_timing.h"
+#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/kv/kv_types.h"
 
 namespace boost::asio {
@@ -69,6 +70,8 @@
     // Pauses after a write that failed.
     instant next_write;
     instant next_measure;
+    // As the traffic side was told.
+    std::vector<unheld_range> unheld;
   };
 
   void ScheduleTick();
@@ -86,9 +89,13 @@
       const std::optional<daemon_instance>& former);
   boost::asio::awaitable<void> KeepLease();
   void StopHolding(const std::string& reason);
+  // Leaves the role to a daemon that reaches more endpoints.
+  void Resign();
+  boost::asio::awaitable<void> EndLease();
   void CheckFormer(instant now);
   void ExcludeFormer(instant until, const std::string& reason);
   void SyncServices(instant now);
+  void TellUnheld(const service_name& service, service_keys& unit);
   void Measure(const service_name& service, service_keys& unit, instant now);
 
   void Execute(const service_name& service,
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -14,6 +14,7 @@
 #include "bluebell/gateway/member_lease.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/kv/kv_client.h"
+#include "bluebell/permits/dispatcher_order.h"
 #include "bluebell/proxy/traffic_side.h"
 #include "bluebell/telemetry/log_event.h"
 #include "platform/endpoint_entry.h"
@@ -44,6 +45,19 @@
           platform::DecodeConfig};
 }
 
+// True if the daemon is the first choice for some service.
+bool IsDispatcher(const fleet_snapshot& view, const daemon_id& self) {
+  if (!view.config) {
+    return true;
+  }
+  const auto& services = view.config->services();
+  return std::any_of(
+      services.begin(), services.end(), [&](const fleet_service& service) {
+        const auto order = DispatcherOrder(view, service.name);
+        return !order.empty() && order.front().instance.id == self;
+      });
+}
+
 }  // namespace
 
 gateway_daemon::gateway_daemon(asio::io_context& io,
@@ -119,6 +133,7 @@
       .With("coordinator",
             view->coordinator ? view->coordinator->id.value() : std::string())
       .Write();
+  watcher_->SetOnDuty(IsDispatcher(*view, self_.id));
   traffic_->Publish(view);
   role_->OnView(view);
 }
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -24,10 +24,14 @@
 // Each watch is a priced call, even one without a change.
 constexpr milliseconds kWatchTime{20'000};
 constexpr milliseconds kPauseAfterFailure{150};
+// Changes often come together; one call then brings them all. A daemon that
+// assigns keys or gives out slots hears of them earlier than the others.
+constexpr milliseconds kPauseAfterChange{250};
+constexpr milliseconds kPauseOnDuty{40};
 // Entries can lapse only in an outage of some length.
 constexpr milliseconds kOutage{1'000};
 // A change arrives by the watch within milliseconds.
-constexpr milliseconds kExpectationTime{600};
+constexpr milliseconds kExpectationTime{800};
 // The prefix of every key.
 constexpr const char* kEverything = "";
 
@@ -139,6 +143,7 @@
     state_.SetRevision(changes.value().revision);
     if (!changes.value().events.empty()) {
       Changed();
+      co_await Pause(on_duty_ ? kPauseOnDuty : kPauseAfterChange);
     }
   }
 }
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -46,6 +46,9 @@
   // connection, so the store is read anew.
   void NoteSuccess(instant now);
   void NoteFailure(const error& why, instant now);
+  // On duty the daemon hears of changes earlier, at the price of more calls.
+  void SetOnDuty(bool on_duty) { on_duty_ = on_duty; }
+
   bool store_is_well() const { return !failing_since_; }
 
   // Another daemon knows the state of `revision`. Reads everything anew if the
@@ -72,6 +75,7 @@
   change_handler on_change_;
   std::optional<instant> failing_since_;
   std::uint64_t expected_revision_ = 0;
+  bool on_duty_ = false;
   boost::asio::steady_timer expectation_;
   boost::asio::steady_timer lapse_;
   // Counts the readings; an older one ends without effect.
--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -16,6 +16,8 @@
                                      instant now) {
   grant_record record;
   record.inherited_ = true;
+  // The endpoint may hold the keys already.
+  record.accepted_ = true;
   record.former_until_ = former_until;
   record.next_ = now;
   return record;
@@ -29,6 +31,7 @@
 
 void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
   in_flight_ = false;
+  accepted_ = true;
   handover_.clear();
   next_ = sent_at + timing.renewal;
 }
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -37,6 +37,8 @@
   // A former coordinator sends nothing after `until`.
   void SetFormerUntil(instant until);
 
+  // False until the endpoint has accepted its first grant.
+  bool was_accepted() const { return accepted_; }
   bool IsDue(instant now) const { return !in_flight_ && next_ <= now; }
   const std::string& handover() const { return handover_; }
 
@@ -49,6 +51,7 @@
 
  private:
   bool inherited_ = false;
+  bool accepted_ = false;
   std::optional<instant> former_until_;
   std::string handover_;
   std::optional<instant> last_sent_;
--- /dev/null
+++ b/bluebell/keyspace/grant_record_test.cc
@@ -0,0 +1,54 @@
+#include "bluebell/keyspace/grant_record.h"
+
+#include <catch2/catch.hpp>
+
+namespace bluebell {
+namespace {
+
+const key_timing kTiming;
+const instant kStart = instant(seconds(1'000));
+
+TEST_CASE("an answered grant counts from its sending until it has surely ended") {
+  grant_record record = grant_record::New("token", kStart);
+  CHECK(record.IsDue(kStart));
+  record.OnSent(kStart);
+  CHECK(!record.IsDue(kStart + seconds(5)));
+  record.OnAnswered(kStart, kTiming);
+  CHECK(record.handover().empty());
+  CHECK(record.IsDue(kStart + kTiming.renewal));
+  CHECK(record.HeldUntil(kTiming) == kStart + kTiming.LongestHold());
+  // Nothing is left that might be carried out late.
+  CHECK(record.LateGrantsUntil(kTiming) == instant());
+}
+
+TEST_CASE("a grant without an answer may still be carried out") {
+  grant_record record = grant_record::New("", kStart);
+  record.OnSent(kStart);
+  record.OnUnanswered(kStart, true, kTiming, kStart + milliseconds(500));
+  CHECK(record.LateGrantsUntil(kTiming) == kStart + kTiming.LongestHold());
+}
+
+TEST_CASE("an order that never left doesn't lengthen the wait") {
+  grant_record record = grant_record::New("", kStart);
+  record.OnSent(kStart);
+  record.OnAnswered(kStart, kTiming);
+  const instant second = kStart + kTiming.renewal;
+  record.OnSent(second);
+  record.OnUnanswered(second, false, kTiming, second);
+  CHECK(record.HeldUntil(kTiming) == kStart + kTiming.LongestHold());
+  CHECK(record.LateGrantsUntil(kTiming) == instant());
+}
+
+TEST_CASE("nothing is known of a former coordinator's grants until it stopped") {
+  grant_record record = grant_record::Inherited(std::nullopt, kStart);
+  record.OnSent(kStart);
+  record.OnAnswered(kStart, kTiming);
+  CHECK(!record.HeldUntil(kTiming));
+  CHECK(!record.LateGrantsUntil(kTiming));
+  record.SetFormerUntil(kStart + seconds(9));
+  CHECK(record.HeldUntil(kTiming) ==
+        kStart + seconds(9) + kTiming.LongestHold());
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -17,6 +17,7 @@
 constexpr milliseconds kProbeInterval{1'000};
 constexpr milliseconds kReleaseRetry{300};
 constexpr milliseconds kPlanInterval{300};
+constexpr milliseconds kUsualRelease{300};
 
 bool Contains(const key_range& outer, const key_range& inner) {
   return outer.first <= inner.first && inner.last <= outer.last;
@@ -203,6 +204,7 @@
   std::vector<coordinator_action> actions;
   RefreshParts(now);
   if (may_write) {
+    CancelMoves(now);
     StartForcedMoves(now);
     StartPlannedMoves(now);
     AddTableWrite(actions, now);
@@ -269,10 +271,28 @@
                                 const key_range& range,
                                 const std::optional<endpoint_instance>& to,
                                 instant now) {
-  key_move move{range, part.owner, to, part.grants, false, {}, false, now};
+  key_move move{range, part.owner, to, part.grants, false, {}, false, now, now};
   moves_.push_back(std::move(move));
 }
 
+void key_coordinator::CancelMoves(instant now) {
+  if (writing_) {
+    return;
+  }
+  const auto cancelled = std::erase_if(moves_, [&](key_move& move) {
+    if (move.to || !IsUsable(move.from)) {
+      return false;
+    }
+    // Its owner was silent for a while and is back. What it has released needs
+    // a new fence; it gets that at once, since nobody else can hold the keys.
+    move.to = move.from;
+    return !move.released && !move.release_in_flight;
+  });
+  if (cancelled > 0) {
+    RefreshParts(now);
+  }
+}
+
 void key_coordinator::StartForcedMoves(instant now) {
   const std::size_t before = moves_.size();
   for (const granted_part& part : std::vector<granted_part>(parts_)) {
@@ -285,14 +305,8 @@
         std::any_of(moves_.begin(), moves_.end(),
                     [&](const key_move& move) { return move.range == range; });
     if (!known) {
-      moves_.push_back({range,
-                        endpoint_instance(),
-                        std::nullopt,
-                        grant_record::New({}, now),
-                        true,
-                        {},
-                        false,
-                        now});
+      moves_.push_back({range, endpoint_instance(), std::nullopt,
+                        grant_record::New({}, now), true, {}, false, now, now});
     }
   }
   if (moves_.size() != before) {
@@ -344,7 +358,8 @@
 }
 
 bool key_coordinator::IsFree(const key_move& move, instant now) const {
-  if (HasEnded(move.from)) {
+  const bool back_to_owner = move.to == move.from && move.released;
+  if (HasEnded(move.from) || back_to_owner) {
     return true;
   }
   const std::optional<instant> until =
@@ -376,6 +391,28 @@
   return next;
 }
 
+std::vector<unheld_range> key_coordinator::UnheldRanges() const {
+  std::vector<unheld_range> unheld;
+  for (const key_move& move : moves_) {
+    const bool releasing = !move.released && IsUsable(move.from);
+    const std::optional<instant> until =
+        move.released ? move.grants.LateGrantsUntil(timing_)
+                      : move.grants.HeldUntil(timing_);
+    // A release takes as long as the work that is running.
+    const instant released = move.started + kUsualRelease;
+    unheld.push_back(
+        {move.range, releasing ? released
+                               : std::max(released,
+                                          until.value_or(instant::max()))});
+  }
+  for (const granted_part& part : parts_) {
+    if (!part.grants.was_accepted()) {
+      unheld.push_back({part.range, instant()});
+    }
+  }
+  return unheld;
+}
+
 void key_coordinator::AddTableWrite(std::vector<coordinator_action>& actions,
                                     instant now) {
   if (writing_) {
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -26,6 +26,7 @@
 #include "bluebell/keyspace/grant_record.h"
 #include "bluebell/keyspace/key_grant.h"
 #include "bluebell/keyspace/shard_load.h"
+#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/keyspace/key_planner.h"
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/key_timing.h"
@@ -77,6 +78,9 @@
                                           bool may_write,
                                           instant now);
 
+  // Ranges that no endpoint serves at the moment.
+  std::vector<unheld_range> UnheldRanges() const;
+
   const key_table& table() const { return table_; }
   const store_version& revision() const { return revision_; }
   std::size_t moving_count() const { return moves_.size(); }
@@ -94,6 +98,7 @@
     std::string handover;
     bool release_in_flight = false;
     instant next_release;
+    instant started;
   };
   // A range that one call grants and renews.
   struct granted_part {
@@ -125,6 +130,8 @@
                         const key_range& range,
                         instant now) const;
 
+  // Ends moves off owners that turned out to be well.
+  void CancelMoves(instant now);
   void StartForcedMoves(instant now);
   void StartPlannedMoves(instant now);
   void StartMove(const granted_part& part,
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -15,6 +15,8 @@
 constexpr double kLeastOverMean = 0.10;
 // A move that takes less than this share of what should leave isn't worth it.
 constexpr double kLeastPiece = 0.25;
+// The new owner's use of its slots after a move, relative to the former one's.
+constexpr double kLeastGain = 0.85;
 // Each key counts a little, so that idle keys are divided evenly.
 constexpr double kIdleKeyLoad = 1e-5;
 // The table's ranges are renewed one by one, so their number is bounded.
@@ -225,9 +227,16 @@
     const double excess = loads.at(busiest->first) - mean * busiest->second;
     const double room = mean * state.owners.at(to) - loads.at(to);
     const double wanted = std::min(excess, room);
-    const auto piece = wanted <= 0
-                           ? std::nullopt
-                           : BestPiece(state, busiest->first, wanted);
+    auto piece = wanted <= 0 ? std::nullopt
+                             : BestPiece(state, busiest->first, wanted);
+    if (!piece) {
+      // A piece that is too big for an even load still helps if its new owner
+      // ends up less busy than the former one was.
+      const double most =
+          highest * kLeastGain * state.owners.at(to) - loads.at(to);
+      piece = most <= wanted ? std::nullopt
+                             : BestPiece(state, busiest->first, most);
+    }
     if (!piece) {
       stuck.insert(busiest->first);
       continue;
--- /dev/null
+++ b/bluebell/keyspace/key_table_test.cc
@@ -0,0 +1,50 @@
+#include "bluebell/keyspace/key_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace bluebell {
+namespace {
+
+const endpoint_instance kFirst{endpoint_id("i-1"), incarnation(1)};
+const endpoint_instance kSecond{endpoint_id("i-2"), incarnation(2)};
+
+TEST_CASE("a range moved out of the middle keeps the old fence on both sides") {
+  const key_table table =
+      key_table().With({0, kLastShardKey}, kFirst).With({100, 199}, kSecond);
+  REQUIRE(table.assignments().size() == 3);
+  CHECK(table.Find(99)->fence == epoch(1));
+  CHECK(table.Find(100)->owner == kSecond);
+  CHECK(table.Find(199)->fence == epoch(2));
+  CHECK(table.Find(200)->owner == kFirst);
+  CHECK(table.highest_fence() == epoch(2));
+}
+
+TEST_CASE("keys at both ends of the key space are assigned") {
+  const key_table table = key_table().With({1, kLastShardKey - 1}, kFirst);
+  CHECK(table.Find(0) == nullptr);
+  CHECK(table.Find(kLastShardKey) == nullptr);
+  CHECK(table.Unassigned() ==
+        std::vector<key_range>{{0, 0}, {kLastShardKey, kLastShardKey}});
+  CHECK(key_table().Unassigned() ==
+        std::vector<key_range>{{0, kLastShardKey}});
+}
+
+TEST_CASE("a table survives its way through the store") {
+  const key_table table =
+      key_table().With({0, kLastShardKey}, kFirst).With({7, 7}, kSecond);
+  CHECK(key_table::FromJson(table.ToJson()).value() == table);
+}
+
+TEST_CASE("a damaged table is refused as a whole") {
+  CHECK(!key_table::FromJson("{}"));
+  CHECK(!key_table::FromJson(R"({"highest_fence":1,"assignments":[[5,4,"i",1,1]]})"));
+  CHECK(!key_table::FromJson(
+      R"({"highest_fence":9,"assignments":[[0,5,"i",1,1],[5,9,"i",1,2]]})"));
+  CHECK(!key_table::FromJson(
+      R"({"highest_fence":1,"assignments":[[0,5,"i",1,2]]})"));
+  CHECK(!key_table::FromJson(
+      R"({"highest_fence":1,"assignments":[[0,70000,"i",1,1]]})"));
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/keyspace/key_range.h"
@@ -65,6 +66,7 @@
   permit_id id;
   service_name service;
   endpoint_instance endpoint;
+  address where;
   // How long requests of the route take there on average.
   std::uint32_t expected_ms = 0;
 
@@ -73,7 +75,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, expected_ms);
+    archive(id, service, endpoint, where, expected_ms);
   }
 };
 
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -1,6 +1,7 @@
 #include "bluebell/permits/slot_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -10,7 +11,7 @@
 
 // A request in another failure domain costs a little more; at equal speed the
 // asker's own domain is preferred.
-constexpr double kOtherDomainCost = 1.1;
+constexpr double kOtherDomainCost = 1.35;
 // An endpoint this much slower than the best one is used only if the wait for
 // a better one is longer than what it costs.
 constexpr double kMuchSlower = 2.5;
@@ -19,6 +20,8 @@
 constexpr double kLeastSlowness = 0.1;
 // After a response that shows that an owner doesn't hold its keys yet.
 constexpr milliseconds kMisdirectedPause{40};
+// Requests wait for keys that are on their way to another owner this long.
+constexpr milliseconds kShortMove{600};
 constexpr milliseconds kOwnerRetry{900};
 constexpr milliseconds kNoEndpointRetry{500};
 constexpr milliseconds kLeastRetry{60};
@@ -41,12 +44,8 @@
                                   instant now) {
   keyed_ = table != nullptr;
   table_ = keyed_ ? *table : key_table();
-  std::vector<waiting_request> owned;
+  std::vector<waiting_request> owned = TakeOwned();
   std::map<endpoint_id, endpoint_state> next;
-  for (auto& [id, state] : endpoints_) {
-    std::vector<waiting_request> queued = state.queue.TakeAll();
-    std::move(queued.begin(), queued.end(), std::back_inserter(owned));
-  }
   for (const fleet_endpoint& each : endpoints) {
     const endpoint_id& id = each.instance.endpoint;
     const auto known = endpoints_.find(id);
@@ -74,6 +73,31 @@
   MarkAll();
 }
 
+std::vector<waiting_request> slot_scheduler::TakeOwned() {
+  std::vector<waiting_request> owned;
+  for (auto& [id, state] : endpoints_) {
+    std::vector<waiting_request> queued = state.queue.TakeAll();
+    std::move(queued.begin(), queued.end(), std::back_inserter(owned));
+  }
+  return owned;
+}
+
+void slot_scheduler::SetUnheld(std::vector<unheld_range> unheld, instant now) {
+  unheld_ = std::move(unheld);
+  for (waiting_request& each : TakeOwned()) {
+    Place(std::move(each), now);
+  }
+  MarkAll();
+}
+
+const unheld_range* slot_scheduler::FindUnheld(const permit_ask& ask) const {
+  const auto found =
+      std::find_if(unheld_.begin(), unheld_.end(), [&](const auto& each) {
+        return ask.key && each.range.Contains(*ask.key);
+      });
+  return found == unheld_.end() ? nullptr : &*found;
+}
+
 void slot_scheduler::MarkAll() {
   for (const auto& [id, state] : endpoints_) {
     if (!state.queue.empty()) {
@@ -106,6 +130,7 @@
     if (state != endpoints_.end()) {
       replies_.emplace_back(permit_granted{
           ask.id, service_, state->second.about.instance,
+          state->second.about.where,
           ExpectedAt(state->second, granted->second.work, now)});
     }
     return;
@@ -152,6 +177,15 @@
       Refuse(id, permit_refusal::kOwnerUnavailable, kOwnerRetry);
       return false;
     }
+    const unheld_range* unheld = FindUnheld(request.ask);
+    if (unheld != nullptr && unheld->until > now + kShortMove) {
+      const duration left = std::min<duration>(
+          unheld->until == instant::max() ? kMostRetry : unheld->until - now,
+          kMostRetry);
+      Refuse(id, permit_refusal::kOwnerUnavailable,
+             std::chrono::duration_cast<milliseconds>(left));
+      return false;
+    }
     request.fence = owner.fence;
     wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
     queue = &owner.endpoint->queue;
@@ -352,11 +386,12 @@
   return static_cast<std::uint32_t>(expected.count());
 }
 
-bool slot_scheduler::IsPaused(const epoch& fence, instant now) const {
-  if (paused_.empty()) {
-    return false;
+bool slot_scheduler::IsPaused(const waiting_request& request,
+                              instant now) const {
+  if (FindUnheld(request.ask) != nullptr) {
+    return true;
   }
-  const auto paused = paused_.find(fence);
+  const auto paused = paused_.find(request.fence);
   return paused != paused_.end() && now < paused->second;
 }
 
@@ -405,7 +440,7 @@
   while (!owner.queue.empty() && IsFree(owner, now)) {
     const auto next =
         owner.queue.TakeNext(now, [&](const waiting_request& request) {
-          return !IsPaused(request.fence, now);
+          return !IsPaused(request, now);
         });
     if (!next) {
       return;
@@ -492,7 +527,7 @@
   ++where.running;
   ++running_by_rank_[request.ask.rank];
   const permit_granted granted{request.ask.id, service_, where.about.instance,
-                               ExpectedAt(where, request.work, now)};
+                               where.about.where, ExpectedAt(where, request.work, now)};
   // A request that starts at once needs no word that it waits.
   std::erase_if(replies_, [&](const permit_reply& reply) {
     const auto* queued = std::get_if<permit_queued>(&reply);
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -27,6 +27,7 @@
 #include "bluebell/fleet/fleet_endpoint.h"
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/shard_load.h"
+#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/permits/endpoint_standing.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
@@ -45,6 +46,10 @@
                     const key_table* table,
                     instant now);
 
+  // Keys that their owner doesn't serve at the moment, as far as is known:
+  // requests for them wait, or are refused if that would take long.
+  void SetUnheld(std::vector<unheld_range> unheld, instant now);
+
   // Each ask is answered once by a grant or a refusal; asking again for a
   // permit that waits or was granted repeats that reply.
   void Ask(const permit_ask& ask, instant now);
@@ -100,7 +105,10 @@
   std::uint32_t ExpectedAt(const endpoint_state& state,
                            duration work,
                            instant now) const;
-  bool IsPaused(const epoch& fence, instant now) const;
+  bool IsPaused(const waiting_request& request, instant now) const;
+  // Null if the key is served.
+  const unheld_range* FindUnheld(const permit_ask& ask) const;
+  std::vector<waiting_request> TakeOwned();
 
   key_owner OwnerOf(const permit_ask& ask, instant now);
   // False if the request was refused.
@@ -145,6 +153,7 @@
   // Assignments whose owner doesn't hold the keys yet, and until when not to
   // try them.
   std::map<epoch, instant> paused_;
+  std::vector<unheld_range> unheld_;
   std::vector<permit_reply> replies_;
   // Whose queue may have a request to start.
   std::set<endpoint_id> changed_;
--- /dev/null
+++ b/bluebell/proxy/endpoint_channels_test.cc
@@ -0,0 +1,226 @@
+#include "bluebell/proxy/endpoint_channels.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "bluebell/core/boot_clock.h"
+
+namespace bluebell {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// An endpoint that answers each request on a connection with the next script
+// and counts connections. An empty script closes the connection.
+class scripted_server {
+ public:
+  explicit scripted_server(std::vector<std::string> scripts, bool reset = false)
+      : scripts_(std::move(scripts)),
+        reset_(reset),
+        acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        thread_([this] { Serve(); }) {}
+  scripted_server(const scripted_server&) = delete;
+  scripted_server& operator=(const scripted_server&) = delete;
+  ~scripted_server() {
+    stopping_ = true;
+    boost::system::error_code ignored;
+    tcp::socket wake(io_);
+    wake.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+  }
+
+  fleet_endpoint entry() {
+    fleet_endpoint entry;
+    entry.instance = {endpoint_id("i-1"), incarnation(1)};
+    entry.where =
+        address::Parse("127.0.0.1:" +
+                       std::to_string(acceptor_.local_endpoint().port()))
+            .value();
+    return entry;
+  }
+  int connections() const { return connections_; }
+  int requests() const { return requests_; }
+
+ private:
+  void Serve() {
+    std::size_t next = 0;
+    while (!stopping_) {
+      boost::system::error_code failure;
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, failure);
+      if (failure || stopping_) {
+        return;
+      }
+      ++connections_;
+      std::string received;
+      while (next < scripts_.size()) {
+        const std::size_t size = asio::read_until(
+            socket, asio::dynamic_buffer(received), "\r\n\r\n", failure);
+        if (failure) {
+          break;
+        }
+        received.erase(0, size);
+        ++requests_;
+        const std::string& script = scripts_[next++];
+        asio::write(socket, asio::buffer(script), failure);
+        const bool ends = script.empty() ||
+                          script.find("Content-Length") == std::string::npos;
+        if (ends) {
+          break;
+        }
+      }
+      if (reset_) {
+        socket.set_option(asio::socket_base::linger(true, 0), failure);
+      }
+    }
+  }
+
+  std::vector<std::string> scripts_;
+  bool reset_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> connections_ = 0;
+  std::atomic<int> requests_ = 0;
+  std::thread thread_;
+};
+
+std::string Answer(const std::string& attempt, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
+         "\r\nX-Server-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct client {
+  client() : channels(io) {}
+
+  exchange_end Send(const fleet_endpoint& entry,
+                    const std::string& attempt,
+                    std::optional<milliseconds> overdue = std::nullopt) {
+    http_request request(boost::beast::http::verb::get, "/x", 11);
+    exchange_options options;
+    options.attempt = attempt;
+    options.deadline = BootNow() + seconds(2);
+    options.longest_idle = seconds(5);
+    if (overdue) {
+      options.overdue = BootNow() + *overdue;
+      options.may_abandon = [] { return true; };
+    }
+    std::optional<exchange_end> end;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          end = co_await channels.Send(entry, request, options);
+        },
+        asio::detached);
+    io.restart();
+    while (!end && io.run_one() > 0) {
+    }
+    return std::move(*end);
+  }
+
+  asio::io_context io;
+  endpoint_channels channels;
+};
+
+std::string BodyOf(const exchange_end& end) {
+  const auto* answered = std::get_if<exchange_answered>(&end);
+  return answered == nullptr ? "" : answered->response.body();
+}
+
+TEST_CASE("a connection carries one request after the other") {
+  scripted_server server({Answer("1", "one"), Answer("2", "two")});
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+  CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
+  CHECK(caller.channels.opened() == 1);
+}
+
+TEST_CASE("a late response to another request is passed over") {
+  scripted_server server({Answer("old", "stale") + Answer("1", "one")});
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+}
+
+TEST_CASE("a connection with bytes beyond its response isn't used again") {
+  scripted_server server(
+      {Answer("1", "one") + Answer("1", "one"), Answer("2", "two")});
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+  std::this_thread::sleep_for(milliseconds(50));
+  const exchange_end second = caller.Send(server.entry(), "2");
+  CHECK(caller.channels.opened() == 2);
+}
+
+TEST_CASE("a response that ends early is no response") {
+  const std::string whole = Answer("1", "0123456789");
+  scripted_server server({whole.substr(0, whole.size() - 3), ""});
+  client caller;
+  CHECK(!std::holds_alternative<exchange_answered>(
+      caller.Send(server.entry(), "1", milliseconds(200))));
+}
+
+TEST_CASE("a response without a length is whole only at a clean end") {
+  const std::string unframed =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n\r\nbody";
+  {
+    scripted_server server({unframed});
+    client caller;
+    CHECK(BodyOf(caller.Send(server.entry(), "1")) == "body");
+  }
+  {
+    scripted_server server({unframed}, true);
+    client caller;
+    CHECK(std::holds_alternative<exchange_lost>(
+        caller.Send(server.entry(), "1")));
+  }
+}
+
+TEST_CASE("a refused connection proves that nothing was sent") {
+  fleet_endpoint entry;
+  entry.instance = {endpoint_id("i-1"), incarnation(1)};
+  entry.where = address::Parse("127.0.0.1:1").value();
+  client caller;
+  CHECK(std::holds_alternative<exchange_unsent>(caller.Send(entry, "1")));
+}
+
+TEST_CASE("a connection that closes after the request leaves it open") {
+  scripted_server server({""});
+  client caller;
+  CHECK(std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "1")));
+}
+
+// The pattern: the timer of an overdue attempt fires as its response arrives;
+// it once touched the connection after the exchange had ended.
+TEST_CASE("an overdue exchange is abandoned, and a finished one isn't") {
+  scripted_server silent({"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"});
+  client caller;
+  const exchange_end end =
+      caller.Send(silent.entry(), "1", milliseconds(100));
+  REQUIRE(std::holds_alternative<exchange_lost>(end));
+  CHECK(std::get<exchange_lost>(end).why.code() == errc::kTimeout);
+  scripted_server quick({Answer("2", "two")});
+  CHECK(BodyOf(caller.Send(quick.entry(), "2", milliseconds(1))).size() <= 3);
+  caller.io.restart();
+  caller.io.run_for(milliseconds(50));
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -56,6 +56,15 @@
   return found == lines_.end() ? nullptr : &found->second->scheduler;
 }
 
+void permit_desk::SetUnheld(const service_name& service,
+                            const std::vector<unheld_range>& unheld,
+                            instant now) {
+  if (service_line* line = FindLine(service)) {
+    line->scheduler.SetUnheld(unheld, now);
+    Pump(*line, now);
+  }
+}
+
 void permit_desk::Ask(const permit_ask& ask, reply_sink sink, instant now) {
   service_line* line = FindLine(ask.service);
   if (line == nullptr) {
--- a/bluebell/proxy/permit_desk.h
+++ b/bluebell/proxy/permit_desk.h
@@ -19,6 +19,7 @@
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/slot_scheduler.h"
 
@@ -39,6 +40,10 @@
 
   void SetView(const fleet_view& view, instant now);
 
+  void SetUnheld(const service_name& service,
+                 const std::vector<unheld_range>& unheld,
+                 instant now);
+
   // `sink` is called for each reply until the permit is granted or refused.
   void Ask(const permit_ask& ask, reply_sink sink, instant now);
   void End(const permit_end& end, instant now);
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -270,6 +270,26 @@
   }
 }
 
+std::optional<fleet_endpoint> request_server::EndpointOf(
+    const permit_granted& granted) const {
+  const auto entry = view_->endpoints.find(granted.endpoint.endpoint);
+  if (entry == view_->endpoints.end()) {
+    // The dispatcher may have heard of it earlier.
+    fleet_endpoint endpoint;
+    endpoint.instance = granted.endpoint;
+    endpoint.service = granted.service;
+    endpoint.where = granted.where;
+    return endpoint;
+  }
+  if (entry->second.draining) {
+    return std::nullopt;
+  }
+  fleet_endpoint endpoint = entry->second;
+  endpoint.instance = granted.endpoint;
+  endpoint.where = granted.where;
+  return endpoint;
+}
+
 asio::awaitable<std::optional<http_response>> request_server::Attempt(
     request_context& context) {
   co_await asio::this_coro::throw_if_cancelled(false);
@@ -308,10 +328,9 @@
   settled.service = context.service;
   settled.endpoint = granted.endpoint.endpoint;
   context.endpoint = granted.endpoint.endpoint.value();
-  const auto entry = view_->endpoints.find(granted.endpoint.endpoint);
-  if (entry == view_->endpoints.end() ||
-      entry->second.instance != granted.endpoint || entry->second.draining) {
-    // This daemon's view and the dispatcher's differ for a moment.
+  const std::optional<fleet_endpoint> endpoint = EndpointOf(granted);
+  if (!endpoint) {
+    // This daemon knows better than the dispatcher that it is leaving.
     permits_.Settle(settled);
     ++progress.unsent;
     context.avoid.push_back(granted.endpoint.endpoint);
@@ -344,7 +363,7 @@
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(progress.deadline - permitted);
   exchange_end end = co_await channels_.Send(
-      entry->second,
+      *endpoint,
       platform::MakeEndpointRequest(*context.request, granted.endpoint.endpoint,
                                     time_left),
       options);
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -9,7 +9,9 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <random>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,6 +20,7 @@
 #include "bluebell/dispatch/retry_budget.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/http/http_message.h"
+#include "bluebell/permits/permit_message.h"
 #include "bluebell/proxy/share_picker.h"
 #include "bluebell/settings/gateway_settings.h"
 
@@ -57,6 +60,8 @@
   // One attempt; nothing if another one follows.
   boost::asio::awaitable<std::optional<http_response>> Attempt(
       request_context& context);
+  // The endpoint of a permit; nothing if this daemon must not use it.
+  std::optional<fleet_endpoint> EndpointOf(const permit_granted& granted) const;
   http_response Refuse(const request_context& context,
                        unsigned status,
                        std::string_view reason,
--- a/bluebell/proxy/traffic_side.cc
+++ b/bluebell/proxy/traffic_side.cc
@@ -203,6 +203,13 @@
   asio::post(*io_, [this, to, message] { peers_->Send(to, message); });
 }
 
+void traffic_side::SetUnheld(const service_name& service,
+                             const std::vector<unheld_range>& unheld) {
+  asio::post(*io_, [this, service, unheld] {
+    desk_.SetUnheld(service, unheld, BootNow());
+  });
+}
+
 void traffic_side::Measure(const service_name& service,
                            std::function<void(measured_load load)> done) {
   asio::post(*io_, [this, service, done = std::move(done)] {
--- a/bluebell/proxy/traffic_side.h
+++ b/bluebell/proxy/traffic_side.h
@@ -24,6 +24,7 @@
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/keyspace/shard_load.h"
+#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/proxy/caller_connection.h"
 #include "bluebell/proxy/endpoint_channels.h"
 #include "bluebell/proxy/permit_client.h"
@@ -72,6 +73,9 @@
 
   void Publish(const fleet_view& view);
   void SendPeer(const address& to, const wire_message& message);
+  // What the coordinator in this process knows of keys that nobody serves.
+  void SetUnheld(const service_name& service,
+                 const std::vector<unheld_range>& unheld);
   // Calls `done` on the traffic thread.
   void Measure(const service_name& service,
                std::function<void(measured_load load)> done);
--- /dev/null
+++ b/bluebell/settings/gateway_settings_test.cc
@@ -0,0 +1,58 @@
+#include "bluebell/settings/gateway_settings.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+namespace bluebell {
+namespace {
+
+const std::string kSettings = R"({
+  // As the platform fills the template in.
+  "id": "front-lk-west-a-1", "domain": "lk-west-a",
+  "caller_listen": "10.1.0.18:8381", "ready_listen": "10.1.0.18:8388",
+  "peer_listen": "10.1.0.18:7200", "metrics_listen": "10.1.0.18:7201",
+  "store": "10.200.1.7:8384", "cpu_share": 0.2, "grace_s": 6,
+  "longest_hold_s": 10, "retry_share": 0.2, "retry_reserve": 62
+})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST_CASE("a gateway's settings are read") {
+  const auto parsed = gateway_settings::Parse(kSettings);
+  const auto* settings = std::get_if<gateway_settings>(&parsed);
+  REQUIRE(settings != nullptr);
+  CHECK(settings->id == daemon_id("front-lk-west-a-1"));
+  CHECK(settings->domain == domain_name("lk-west-a"));
+  CHECK(settings->peer_listen.port() == 7'200);
+  CHECK(settings->cpu_millis == 200);
+  CHECK(settings->grace == seconds(6));
+  CHECK(settings->longest_hold == seconds(10));
+  CHECK(settings->retry_percent == 20);
+  CHECK(settings->retry_reserve == 62);
+}
+
+TEST_CASE("all mistakes in a gateway's settings are reported at once") {
+  std::string text = Replaced(kSettings, "\"cpu_share\": 0.2", "\"cpu_share\": 0");
+  text = Replaced(text, "\"store\": \"10.200.1.7:8384\"", "\"store\": 5");
+  text = Replaced(text, "\"retry_reserve\"", "\"retry_reserves\"");
+  const auto parsed = gateway_settings::Parse(text);
+  const auto* problems = std::get_if<std::vector<settings_problem>>(&parsed);
+  REQUIRE(problems != nullptr);
+  CHECK(problems->size() == 3);
+}
+
+TEST_CASE("settings that aren't JSON are refused with the place") {
+  const auto parsed = gateway_settings::Parse("{\n  x");
+  const auto* problems = std::get_if<std::vector<settings_problem>>(&parsed);
+  REQUIRE(problems != nullptr);
+  CHECK(problems->front().path.starts_with("line 2"));
+}
+
+}  // namespace
+}  // namespace bluebell
