--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -95,6 +95,9 @@
   void CheckFormer(instant now);
   void ExcludeFormer(instant until, const std::string& reason);
   void SyncServices(instant now);
+  // Shows the tables that were just written to this daemon's traffic side,
+  // which dispatches by them, before the watch does.
+  void PublishTables();
   void TellUnheld(const service_name& service, service_keys& unit);
   void Measure(const service_name& service, service_keys& unit, instant now);
 
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -26,12 +26,12 @@
 constexpr milliseconds kPauseAfterFailure{150};
 // Changes often come together; one call then brings them all. A daemon that
 // assigns keys or gives out slots hears of them earlier than the others.
-constexpr milliseconds kPauseAfterChange{250};
-constexpr milliseconds kPauseOnDuty{40};
+constexpr milliseconds kPauseAfterChange{900};
+constexpr milliseconds kPauseOnDuty{150};
 // Entries can lapse only in an outage of some length.
 constexpr milliseconds kOutage{1'000};
 // A change arrives by the watch within milliseconds.
-constexpr milliseconds kExpectationTime{800};
+constexpr milliseconds kExpectationTime{1'500};
 // The prefix of every key.
 constexpr const char* kEverything = "";
 
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -100,6 +101,9 @@
   kOwnerUnavailable,
 };
 
+// For logs and for the caller, for example "overloaded".
+std::string_view Describe(permit_refusal reason);
+
 struct permit_refused {
   permit_id id;
   permit_refusal reason = permit_refusal::kOverloaded;
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -68,6 +68,7 @@
   // The work that each endpoint can do, in slots of average speed.
   std::map<endpoint_id, double> Capacities(instant now) const;
 
+  const service_name& service() const { return service_; }
   std::size_t waiting_count() const;
   std::size_t running_count() const { return running_.size(); }
 
--- a/bluebell/proxy/permit_client.cc
+++ b/bluebell/proxy/permit_client.cc
@@ -90,7 +90,9 @@
     if (now >= deadline) {
       Withdraw(ask.id, *pending);
       pending_.erase(ask.id);
-      co_return permit_refused{ask.id, permit_refusal::kOverloaded, 0};
+      co_return acquired_permit{
+          ask.id, pending->asked,
+          permit_refused{ask.id, permit_refusal::kOverloaded, 0}};
     }
     asked_at_[ask.service] = now;
     const std::optional<address> to = DispatcherOf(ask.service);
@@ -121,7 +123,9 @@
     if (cancelled.cancelled() != asio::cancellation_type::none) {
       Withdraw(ask.id, *pending);
       pending_.erase(ask.id);
-      co_return permit_refused{ask.id, permit_refusal::kOverloaded, 0};
+      co_return acquired_permit{
+          ask.id, pending->asked,
+          permit_refused{ask.id, permit_refusal::kOverloaded, 0}};
     }
     if (to) {
       const instant heard = peer_states_[*to].last_heard;
@@ -134,13 +138,13 @@
     }
   }
   pending_.erase(ask.id);
-  const acquired_permit reply = *pending->reply;
-  if (const auto* granted = std::get_if<permit_granted>(&reply)) {
+  const acquired_permit acquired{ask.id, pending->asked, *pending->reply};
+  if (const auto* granted = std::get_if<permit_granted>(&acquired.reply)) {
     used_[ask.id] = {{ask.id, granted->endpoint.endpoint, ask.route, ask.rank},
                      ask.service,
                      pending->asked};
   }
-  co_return reply;
+  co_return acquired;
 }
 
 void permit_client::MarkSilent(const address& peer) {
--- a/bluebell/proxy/permit_client.h
+++ b/bluebell/proxy/permit_client.h
@@ -36,8 +36,13 @@
 class peer_socket;
 class permit_desk;
 
-// A refusal by time means that no permit was given before the deadline.
-using acquired_permit = std::variant<permit_granted, permit_refused>;
+struct acquired_permit {
+  permit_id id;
+  // Whom it was asked of last; nothing: this daemon itself.
+  std::optional<address> dispatcher;
+  // Refused as overloaded also if the deadline came first.
+  std::variant<permit_granted, permit_refused> reply;
+};
 
 class permit_client {
  public:
@@ -70,7 +75,7 @@
     explicit pending_ask(boost::asio::io_context& io) : timer(io) {}
 
     boost::asio::steady_timer timer;
-    std::optional<acquired_permit> reply;
+    std::optional<std::variant<permit_granted, permit_refused>> reply;
     // The dispatcher has the request in its queue.
     bool queued = false;
     service_name service;
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
 
@@ -24,6 +25,7 @@
   if (!view->config) {
     return;
   }
+  revision_ = view->revision;
   for (const fleet_service& service : view->config->services()) {
     std::unique_ptr<service_line>& line = lines_[service.name];
     if (!line) {
@@ -98,6 +100,7 @@
       continue;
     }
     const reply_sink sink = found->second;
+    LogRefusal(line, reply);
     if (!std::holds_alternative<permit_queued>(reply)) {
       line.sinks.erase(found);
     }
@@ -106,6 +109,24 @@
   ScheduleWakeup(line, now);
 }
 
+void permit_desk::LogRefusal(const service_line& line,
+                             const permit_reply& reply) const {
+  const auto* refused = std::get_if<permit_refused>(&reply);
+  if (refused == nullptr) {
+    return;
+  }
+  log_event(log_level::kInfo, "permit refused")
+      .With("permit", refused->id.number)
+      .With("holder", refused->id.holder)
+      .With("service", line.scheduler.service())
+      .With("reason", Describe(refused->reason))
+      .With("retry_after_ms", refused->retry_after_ms)
+      .With("waiting", line.scheduler.waiting_count())
+      .With("running", line.scheduler.running_count())
+      .With("revision", revision_)
+      .Write();
+}
+
 void permit_desk::ScheduleWakeup(service_line& line, instant now) {
   const auto next = line.scheduler.NextWakeup();
   if (!next || (line.wakeup && *line.wakeup <= *next)) {
--- a/bluebell/proxy/permit_desk.h
+++ b/bluebell/proxy/permit_desk.h
@@ -66,9 +66,12 @@
 
   service_line* FindLine(const service_name& service);
   void Pump(service_line& line, instant now);
+  void LogRefusal(const service_line& line, const permit_reply& reply) const;
   void ScheduleWakeup(service_line& line, instant now);
 
   boost::asio::io_context& io_;
+  // Of the view, for the log.
+  store_version revision_;
   std::map<service_name, std::unique_ptr<service_line>> lines_;
 };
 
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -57,18 +57,6 @@
   return {text.data(), text.size()};
 }
 
-std::string_view Describe(permit_refusal reason) {
-  switch (reason) {
-    case permit_refusal::kOverloaded:
-      return "overloaded";
-    case permit_refusal::kNoEndpoint:
-      return "no endpoint in service";
-    case permit_refusal::kOwnerUnavailable:
-      return "the key's owner is unavailable";
-  }
-  return "refused";
-}
-
 std::string_view Describe(attempt_result result) {
   switch (result) {
     case attempt_result::kAnswered:
@@ -150,6 +138,8 @@
   // Of the last attempt, for the log.
   std::string endpoint;
   std::string reason;
+  permit_id permit;
+  std::string dispatcher;
   duration waited{0};
   duration took{0};
 };
@@ -313,16 +303,19 @@
                               context.arrived + route.objective - asked)
                               .count();
   ask.avoid = context.avoid;
-  const acquired_permit permit =
+  const acquired_permit acquired =
       co_await permits_.Acquire(std::move(ask), progress.deadline);
   const instant permitted = BootNow();
   context.waited += permitted - asked;
-  if (const auto* refused = std::get_if<permit_refused>(&permit)) {
+  context.permit = acquired.id;
+  context.dispatcher =
+      acquired.dispatcher ? acquired.dispatcher->ToString() : "self";
+  if (const auto* refused = std::get_if<permit_refused>(&acquired.reply)) {
     context.reason = std::string(Describe(refused->reason));
     co_return end_with(FinalStatus(progress, permitted),
                        milliseconds(refused->retry_after_ms));
   }
-  const auto& granted = std::get<permit_granted>(permit);
+  const auto& granted = std::get<permit_granted>(acquired.reply);
   permit_end settled;
   settled.id = granted.id;
   settled.service = context.service;
@@ -407,6 +400,8 @@
     log_event(log_level::kWarn, "attempt failed")
         .With("id", context.call.attempt)
         .With("service", context.service)
+        .With("permit", context.permit.number)
+        .With("expected_ms", granted.expected_ms)
         .With(*failure)
         .With("took_ms", settled.took_ms)
         .With("retry", std::holds_alternative<try_again>(next))
@@ -451,6 +446,9 @@
             context.route == nullptr ? std::string_view() : context.route->name)
       .With("service", context.service)
       .With("endpoint", context.endpoint)
+      .With("dispatcher", context.dispatcher)
+      .With("permit", context.permit.number)
+      .With("holder", context.permit.holder)
       .With("sent", context.progress.sent)
       .With("waited_ms", in_ms(context.waited))
       .With("took_ms", in_ms(context.took))
