Don't dispatch to endpoints that others know to be gone; bind orders to their endpoint

Change: a permit says the dispatcher's revision and whether the endpoint is known from before an outage only; the entry daemon refuses what it knows to be gone.

--- a/bluebell/fleet/fleet_endpoint.h
+++ b/bluebell/fleet/fleet_endpoint.h
@@ -21,6 +21,8 @@
   std::uint32_t slots = 1;
   // Takes no new requests.
   bool draining = false;
+  // Its entry is missing, which may be due to an outage of the store.
+  bool lapsing = false;
   // How much longer the endpoint stays slow after its start.
   milliseconds warm_up{0};
 
--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -167,7 +167,9 @@
   revisions_.erase(key);
   if (key.starts_with(decoders_.endpoint_prefix)) {
     const endpoint_id id(key.substr(decoders_.endpoint_prefix.size()));
-    if (now < lapses_count_from_ && current_.endpoints.contains(id)) {
+    const auto known = current_.endpoints.find(id);
+    if (now < lapses_count_from_ && known != current_.endpoints.end()) {
+      known->second.lapsing = true;
       lapsing_.insert_or_assign(id, lapses_count_from_);
     } else {
       current_.endpoints.erase(id);
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -110,8 +110,8 @@
   state.Apply(Item(MemberKey(member.instance.id), EncodeMember(member), 1),
               kStart);
   CHECK(state.snapshot().members.at(member.instance.id) == member);
-  const key_table table = key_table().With(
-      {0, 9}, {endpoint_id("a"), incarnation(1)});
+  const key_table table =
+      key_table().With({0, 9}, {endpoint_id("a"), incarnation(1)});
   state.Apply(Item(TableKey(service_name("tracker")), table.ToJson(), 2),
               kStart);
   CHECK(state.snapshot().tables.at(service_name("tracker")) == table);
--- a/bluebell/fleet/route_config_test.cc
+++ b/bluebell/fleet/route_config_test.cc
@@ -20,12 +20,11 @@
     {service_name("tracker"), true, 10}};
 
 TEST_CASE("the longest prefix of the host wins") {
-  const auto config =
-      route_config::Make(config_version(1),
-                         {Route("short", "a.example", "/x/"),
-                          Route("long", "a.example", "/x/y/"),
-                          Route("other", "b.example", "/")},
-                         kServices, {});
+  const auto config = route_config::Make(
+      config_version(1),
+      {Route("short", "a.example", "/x/"), Route("long", "a.example", "/x/y/"),
+       Route("other", "b.example", "/")},
+      kServices, {});
   REQUIRE(config);
   CHECK(config.value().FindRoute("a.example", "/x/y/z")->name == "long");
   CHECK(config.value().FindRoute("A.Example:80", "/x/y")->name == "short");
@@ -34,9 +33,10 @@
   CHECK(config.value().FindRoute("c.example", "/x/") == nullptr);
 }
 
-TEST_CASE("a configuration with an unknown service or a bad prefix is refused") {
-  CHECK(!route_config::Make(config_version(1), {Route("r", "a", "/x/")}, {},
-                            {}));
+TEST_CASE(
+    "a configuration with an unknown service or a bad prefix is refused") {
+  CHECK(
+      !route_config::Make(config_version(1), {Route("r", "a", "/x/")}, {}, {}));
   CHECK(!route_config::Make(config_version(1), {Route("r", "a", "/x")},
                             kServices, {}));
   service_route empty = Route("r", "a", "/x/");
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -508,9 +508,9 @@
     co_return;
   }
   const instant sent = BootNow();
-  const result<http_response> response =
-      co_await AsyncCall(*client, platform::EncodeGrant(order.grant),
-                         timing_.call_timeout, step::kGrantLease);
+  const result<http_response> response = co_await AsyncCall(
+      *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
+      timing_.call_timeout, step::kGrantLease);
   service_keys* unit = FindKeys(service);
   if (unit == nullptr || term != term_) {
     co_return;
@@ -545,9 +545,9 @@
   if (client == nullptr) {
     co_return;
   }
-  const result<http_response> response =
-      co_await AsyncCall(*client, platform::EncodeRelease(order.release),
-                         timing_.release_timeout, step::kGrantLease);
+  const result<http_response> response = co_await AsyncCall(
+      *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
+      timing_.release_timeout, step::kGrantLease);
   service_keys* unit = FindKeys(service);
   if (unit == nullptr || term != term_) {
     co_return;
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -73,7 +73,8 @@
       .With("outage_ms",
             std::chrono::duration_cast<milliseconds>(outage).count())
       .Write();
-  if (outage >= kOutage) {
+  // Entries lapse only if the store was away for all, not for this host alone.
+  if (outage >= kOutage && !std::exchange(others_ahead_, false)) {
     state_.OnStoreBack(now);
   }
   return true;
@@ -84,6 +85,7 @@
     return;
   }
   failing_since_ = now;
+  others_ahead_ = false;
   log_event(log_level::kWarn, "store lost").With(why).Write();
 }
 
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -75,6 +75,8 @@
   change_handler on_change_;
   std::optional<instant> failing_since_;
   std::uint64_t expected_revision_ = 0;
+  // During an outage another daemon has heard of changes.
+  bool others_ahead_ = false;
   bool on_duty_ = false;
   boost::asio::steady_timer expectation_;
   boost::asio::steady_timer lapse_;
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -169,6 +169,12 @@
       // socket at once then.
       ResetOnClose(link->stream.socket());
     }
+    // On a busy host the connection may be ready only after the time is up; a
+    // request must not be written then.
+    if (Now() >= deadline) {
+      co_return self->Failure(errc::kUnavailable, at,
+                              "no time left before sending");
+    }
     link->stream.expires_at(deadline);
     const auto [unsent, sent] =
         co_await bhttp::async_write(link->stream, request, kAwait);
--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -31,6 +31,8 @@
 
 void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
   in_flight_ = false;
+  // The host may have been too busy to send it when it was decided.
+  last_sent_ = std::max(last_sent_.value_or(sent_at), sent_at);
   accepted_ = true;
   handover_.clear();
   next_ = sent_at + timing.renewal;
@@ -43,7 +45,8 @@
   in_flight_ = false;
   if (left_host) {
     last_unanswered_ = sent_at;
-  } else if (last_sent_ == sent_at) {
+    last_sent_ = std::max(last_sent_.value_or(sent_at), sent_at);
+  } else {
     last_sent_ = previous_sent_;
   }
   next_ = now + timing.renewal_retry;
--- a/bluebell/keyspace/grant_record_test.cc
+++ b/bluebell/keyspace/grant_record_test.cc
@@ -8,7 +8,8 @@
 const key_timing kTiming;
 const instant kStart = instant(seconds(1'000));
 
-TEST_CASE("an answered grant counts from its sending until it has surely ended") {
+TEST_CASE(
+    "an answered grant counts from its sending until it has surely ended") {
   grant_record record = grant_record::New("token", kStart);
   CHECK(record.IsDue(kStart));
   record.OnSent(kStart);
@@ -28,6 +29,15 @@
   CHECK(record.LateGrantsUntil(kTiming) == kStart + kTiming.LongestHold());
 }
 
+// The pattern: a busy host sends a grant some time after it was decided.
+TEST_CASE("a grant counts from its sending, not from the decision") {
+  grant_record record = grant_record::New("", kStart);
+  record.OnSent(kStart);
+  const instant sent = kStart + milliseconds(300);
+  record.OnAnswered(sent, kTiming);
+  CHECK(record.HeldUntil(kTiming) == sent + kTiming.LongestHold());
+}
+
 TEST_CASE("an order that never left doesn't lengthen the wait") {
   grant_record record = grant_record::New("", kStart);
   record.OnSent(kStart);
@@ -39,7 +49,8 @@
   CHECK(record.LateGrantsUntil(kTiming) == instant());
 }
 
-TEST_CASE("nothing is known of a former coordinator's grants until it stopped") {
+TEST_CASE(
+    "nothing is known of a former coordinator's grants until it stopped") {
   grant_record record = grant_record::Inherited(std::nullopt, kStart);
   record.OnSent(kStart);
   record.OnAnswered(kStart, kTiming);
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -305,8 +305,15 @@
         std::any_of(moves_.begin(), moves_.end(),
                     [&](const key_move& move) { return move.range == range; });
     if (!known) {
-      moves_.push_back({range, endpoint_instance(), std::nullopt,
-                        grant_record::New({}, now), true, {}, false, now, now});
+      moves_.push_back({range,
+                        endpoint_instance(),
+                        std::nullopt,
+                        grant_record::New({}, now),
+                        true,
+                        {},
+                        false,
+                        now,
+                        now});
     }
   }
   if (moves_.size() != before) {
@@ -401,9 +408,9 @@
     // A release takes as long as the work that is running.
     const instant released = move.started + kUsualRelease;
     unheld.push_back(
-        {move.range, releasing ? released
-                               : std::max(released,
-                                          until.value_or(instant::max()))});
+        {move.range, releasing
+                         ? released
+                         : std::max(released, until.value_or(instant::max()))});
   }
   for (const granted_part& part : parts_) {
     if (!part.grants.was_accepted()) {
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -25,11 +25,11 @@
 #include "bluebell/keyspace/coordinator_action.h"
 #include "bluebell/keyspace/grant_record.h"
 #include "bluebell/keyspace/key_grant.h"
-#include "bluebell/keyspace/shard_load.h"
-#include "bluebell/keyspace/unheld_range.h"
 #include "bluebell/keyspace/key_planner.h"
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/key_timing.h"
+#include "bluebell/keyspace/shard_load.h"
+#include "bluebell/keyspace/unheld_range.h"
 
 namespace bluebell {
 
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -83,7 +83,8 @@
   std::uint64_t revision = 0;
 };
 
-TEST_CASE("keys are granted only after the table that assigns them is written") {
+TEST_CASE(
+    "keys are granted only after the table that assigns them is written") {
   bench test(3);
   const auto first = test.Advance();
   CHECK(Only<write_key_table>(first).size() == 1);
@@ -163,11 +164,10 @@
   test.now += kTiming.call_timeout;
   for (const send_grant& each : renewals) {
     const bool first = each.endpoint == test.entries[0].instance;
-    test.keys.OnGrantReply(
-        each, sent,
-        first ? grant_reply{std::nullopt, true}
-              : grant_reply{grant_verdict::kAccepted, true},
-        test.now);
+    test.keys.OnGrantReply(each, sent,
+                           first ? grant_reply{std::nullopt, true}
+                                 : grant_reply{grant_verdict::kAccepted, true},
+                           test.now);
   }
   test.entries[0].draining = true;
   test.keys.SetEndpoints(test.entries, test.now);
@@ -193,8 +193,8 @@
     REQUIRE(Only<write_key_table>(actions).empty());
   }
   keys.SetFormerUntil(now);
-  CHECK(Only<write_key_table>(keys.Advance(now + kTiming.authority, true,
-                                           now + kTiming.hold))
+  CHECK(Only<write_key_table>(
+            keys.Advance(now + kTiming.authority, true, now + kTiming.hold))
             .empty());
   CHECK(Only<write_key_table>(keys.Advance(now + kTiming.authority, true,
                                            now + kTiming.LongestHold()))
@@ -218,11 +218,11 @@
     resigned = !Only<resign_coordinator>(actions).empty();
     for (const send_grant& each : Only<send_grant>(actions)) {
       const bool reached = each.endpoint == test.entries[0].instance;
-      test.keys.OnGrantReply(
-          each, test.now,
-          reached ? grant_reply{grant_verdict::kAccepted, true}
-                  : grant_reply{std::nullopt, false},
-          test.now);
+      test.keys.OnGrantReply(each, test.now,
+                             reached
+                                 ? grant_reply{grant_verdict::kAccepted, true}
+                                 : grant_reply{std::nullopt, false},
+                             test.now);
     }
   }
   CHECK(resigned);
@@ -279,16 +279,16 @@
         continue;
       }
       if (each.range.first < range.first) {
-        rest.push_back({{each.range.first,
-                         static_cast<shard_key>(range.first - 1)},
-                        each.fence,
-                        each.until});
+        rest.push_back(
+            {{each.range.first, static_cast<shard_key>(range.first - 1)},
+             each.fence,
+             each.until});
       }
       if (range.last < each.range.last) {
-        rest.push_back({{static_cast<shard_key>(range.last + 1),
-                         each.range.last},
-                        each.fence,
-                        each.until});
+        rest.push_back(
+            {{static_cast<shard_key>(range.last + 1), each.range.last},
+             each.fence,
+             each.until});
       }
     }
     held = rest;
@@ -423,8 +423,8 @@
       const bool accepted =
           endpoints_[order.endpoint].Grant(order.grant, now_, now_);
       if (!Chance(0.05)) {
-        reply.verdict = accepted ? grant_verdict::kAccepted
-                                 : grant_verdict::kSuperseded;
+        reply.verdict =
+            accepted ? grant_verdict::kAccepted : grant_verdict::kSuperseded;
       }
     }
     keys_.OnGrantReply(order, sent, reply, now_);
@@ -485,10 +485,9 @@
   }
 
   bool IsUp(const endpoint_instance& instance) const {
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [&](const fleet_endpoint& each) {
-                         return each.instance == instance;
-                       });
+    return std::any_of(
+        entries_.begin(), entries_.end(),
+        [&](const fleet_endpoint& each) { return each.instance == instance; });
   }
 
   int MostHolders() const {
@@ -496,8 +495,7 @@
     for (std::uint32_t key = 0; key < 65'536; key += 97) {
       int holders = 0;
       for (const auto& [instance, endpoint] : endpoints_) {
-        holders +=
-            endpoint.Holds(static_cast<shard_key>(key), now_) ? 1 : 0;
+        holders += endpoint.Holds(static_cast<shard_key>(key), now_) ? 1 : 0;
       }
       most = std::max(most, holders);
     }
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -224,8 +224,7 @@
     const auto owner = assignment == nullptr
                            ? state.owners.end()
                            : state.owners.find(assignment->owner);
-    if (owner == state.owners.end() ||
-        each.slots < kBigKey * owner->second) {
+    if (owner == state.owners.end() || each.slots < kBigKey * owner->second) {
       continue;
     }
     auto fastest = owner;
@@ -284,8 +283,8 @@
     const double excess = loads.at(busiest->first) - mean * busiest->second;
     const double room = mean * state.owners.at(to) - loads.at(to);
     const double wanted = std::min(excess, room);
-    auto piece = wanted <= 0 ? std::nullopt
-                             : BestPiece(state, busiest->first, wanted);
+    auto piece =
+        wanted <= 0 ? std::nullopt : BestPiece(state, busiest->first, wanted);
     if (!piece) {
       // A piece that is too big for an even load still helps if its new owner
       // ends up less busy than the former one was.
--- a/bluebell/keyspace/key_planner.h
+++ b/bluebell/keyspace/key_planner.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
-#include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/key_range.h"
 #include "bluebell/keyspace/key_table.h"
+#include "bluebell/keyspace/shard_load.h"
 
 namespace bluebell {
 
--- a/bluebell/keyspace/key_planner_test.cc
+++ b/bluebell/keyspace/key_planner_test.cc
@@ -14,17 +14,16 @@
 
 key_plan_input EvenInput(int owners, double slots) {
   key_plan_input input;
-  const std::uint32_t width = (std::uint32_t{kLastShardKey} + 1) /
-                              static_cast<std::uint32_t>(owners);
+  const std::uint32_t width =
+      (std::uint32_t{kLastShardKey} + 1) / static_cast<std::uint32_t>(owners);
   for (int i = 0; i < owners; ++i) {
     input.owners[Owner(i)] = slots;
     const auto first = static_cast<std::uint32_t>(i) * width;
     const std::uint32_t last =
         i + 1 == owners ? kLastShardKey : first + width - 1;
-    input.table =
-        input.table.With({static_cast<shard_key>(first),
-                          static_cast<shard_key>(last)},
-                         Owner(i));
+    input.table = input.table.With(
+        {static_cast<shard_key>(first), static_cast<shard_key>(last)},
+        Owner(i));
   }
   return input;
 }
@@ -78,10 +77,9 @@
       input.loads.push_back({key, 6.0 / 200});
     }
   }
-  std::sort(input.loads.begin(), input.loads.end(),
-            [](const shard_load& a, const shard_load& b) {
-              return a.key < b.key;
-            });
+  std::sort(
+      input.loads.begin(), input.loads.end(),
+      [](const shard_load& a, const shard_load& b) { return a.key < b.key; });
   CHECK(HighestUse(input, input.table) > 2.5);
   for (int round = 0; round < 3; ++round) {
     input.table = After(input, PlanRebalance(input));
@@ -98,8 +96,8 @@
   CHECK(input.table.Find(20'000)->owner != input.table.Find(20'001)->owner);
 }
 
-// The pattern: 42% of a service's requests are about one thing, three times what
-// a server can do. The fastest endpoint, by itself, answers most of them.
+// The pattern: 42% of a service's requests are about one thing, three times
+// what a server can do. The fastest endpoint, by itself, answers most of them.
 TEST_CASE("a key that fills an endpoint goes to the fastest one") {
   key_plan_input input = EvenInput(4, 2);
   input.owners[Owner(2)] = 2.9;
--- a/bluebell/keyspace/key_table_test.cc
+++ b/bluebell/keyspace/key_table_test.cc
@@ -25,8 +25,7 @@
   CHECK(table.Find(kLastShardKey) == nullptr);
   CHECK(table.Unassigned() ==
         std::vector<key_range>{{0, 0}, {kLastShardKey, kLastShardKey}});
-  CHECK(key_table().Unassigned() ==
-        std::vector<key_range>{{0, kLastShardKey}});
+  CHECK(key_table().Unassigned() == std::vector<key_range>{{0, kLastShardKey}});
 }
 
 TEST_CASE("a table survives its way through the store") {
@@ -37,7 +36,8 @@
 
 TEST_CASE("a damaged table is refused as a whole") {
   CHECK(!key_table::FromJson("{}"));
-  CHECK(!key_table::FromJson(R"({"highest_fence":1,"assignments":[[5,4,"i",1,1]]})"));
+  CHECK(!key_table::FromJson(
+      R"({"highest_fence":1,"assignments":[[5,4,"i",1,1]]})"));
   CHECK(!key_table::FromJson(
       R"({"highest_fence":9,"assignments":[[0,5,"i",1,1],[5,9,"i",1,2]]})"));
   CHECK(!key_table::FromJson(
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -70,13 +70,17 @@
   address where;
   // How long requests of the route take there on average.
   std::uint32_t expected_ms = 0;
+  // The dispatcher's state of the store.
+  std::uint64_t revision = 0;
+  // The dispatcher knows the endpoint only from before an outage of the store.
+  bool lapsing = false;
 
   friend bool operator==(const permit_granted&,
                          const permit_granted&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, where, expected_ms);
+    archive(id, service, endpoint, where, expected_ms, revision, lapsing);
   }
 };
 
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -70,7 +70,8 @@
     }
   }
   endpoints_ = std::move(next);
-  std::erase_if(paused_, [&](const auto& pause) { return pause.second <= now; });
+  std::erase_if(paused_,
+                [&](const auto& pause) { return pause.second <= now; });
   for (waiting_request& each : owned) {
     Place(std::move(each), now);
   }
@@ -132,10 +133,8 @@
   if (const auto granted = running_.find(ask.id); granted != running_.end()) {
     const auto state = endpoints_.find(granted->second.endpoint);
     if (state != endpoints_.end()) {
-      replies_.emplace_back(permit_granted{
-          ask.id, service_, state->second.about.instance,
-          state->second.about.where,
-          ExpectedAt(state->second, granted->second.work, now)});
+      replies_.emplace_back(
+          MakeGrant(ask.id, state->second, granted->second.work, now));
     }
     return;
   }
@@ -152,8 +151,7 @@
   request.ask = ask;
   request.objective = now + milliseconds(ask.objective_left_ms);
   request.deadline = now + milliseconds(ask.time_left_ms);
-  request.work =
-      work_.Expected(ask.route, milliseconds(ask.objective_left_ms));
+  request.work = work_.Expected(ask.route, milliseconds(ask.objective_left_ms));
   demand_.Add(ask.rank, request.work, now);
   if (keyed_ && ask.key) {
     // Refused requests count as well: a key that is too busy for its owner must
@@ -321,8 +319,8 @@
   for (auto each = running_.lower_bound(first);
        each != running_.end() && each->first.holder == report.holder; ++each) {
     if (listed.contains(each->first)) {
-      each->second.expires = std::max(each->second.expires,
-                                      now + kUnreportedGrant + kExpirySlack);
+      each->second.expires =
+          std::max(each->second.expires, now + kUnreportedGrant + kExpirySlack);
     } else if (each->second.started + kUnreportedGrant < now) {
       unused.push_back(each->first);
     }
@@ -382,12 +380,20 @@
   return now < state.warm_from ? measured * kColdSlowness : measured;
 }
 
-std::uint32_t slot_scheduler::ExpectedAt(const endpoint_state& state,
+permit_granted slot_scheduler::MakeGrant(const permit_id& id,
+                                         const endpoint_state& state,
                                          duration work,
                                          instant now) const {
   const std::chrono::duration<double, std::milli> expected =
       work * Slowness(state, now);
-  return static_cast<std::uint32_t>(expected.count());
+  permit_granted granted;
+  granted.id = id;
+  granted.service = service_;
+  granted.endpoint = state.about.instance;
+  granted.where = state.about.where;
+  granted.expected_ms = static_cast<std::uint32_t>(expected.count());
+  granted.lapsing = state.about.lapsing;
+  return granted;
 }
 
 bool slot_scheduler::IsPaused(const waiting_request& request,
@@ -407,8 +413,8 @@
     return duration(0);
   }
   const double slots = owner.about.slots / Slowness(owner, now);
-  return duration(static_cast<std::int64_t>(
-      static_cast<double>(before.count()) / slots));
+  return duration(
+      static_cast<std::int64_t>(static_cast<double>(before.count()) / slots));
 }
 
 double slot_scheduler::SharedCapacity(instant now) const {
@@ -530,14 +536,12 @@
   running_.insert_or_assign(request.ask.id, std::move(started));
   ++where.running;
   ++running_by_rank_[request.ask.rank];
-  const permit_granted granted{request.ask.id, service_, where.about.instance,
-                               where.about.where, ExpectedAt(where, request.work, now)};
   // A request that starts at once needs no word that it waits.
   std::erase_if(replies_, [&](const permit_reply& reply) {
     const auto* queued = std::get_if<permit_queued>(&reply);
     return queued != nullptr && queued->id == request.ask.id;
   });
-  replies_.emplace_back(granted);
+  replies_.emplace_back(MakeGrant(request.ask.id, where, request.work, now));
 }
 
 void slot_scheduler::RefuseHopeless(instant now) {
@@ -596,8 +600,8 @@
 std::map<endpoint_id, double> slot_scheduler::Capacities(instant now) const {
   std::map<endpoint_id, double> capacities;
   for (const auto& [id, state] : endpoints_) {
-    // Requests at a slow endpoint are late more often, even if it is idle, so it
-    // gets less than its speed would allow.
+    // Requests at a slow endpoint are late more often, even if it is idle, so
+    // it gets less than its speed would allow.
     capacities[id] =
         state.about.slots / std::pow(Slowness(state, now), kSlownessWeight);
   }
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -104,7 +104,8 @@
   bool IsInService(const endpoint_state& state, instant now) const;
   bool IsFree(const endpoint_state& state, instant now) const;
   double Slowness(const endpoint_state& state, instant now) const;
-  std::uint32_t ExpectedAt(const endpoint_state& state,
+  permit_granted MakeGrant(const permit_id& id,
+                           const endpoint_state& state,
                            duration work,
                            instant now) const;
   bool IsPaused(const waiting_request& request, instant now) const;
--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -204,17 +204,16 @@
   CHECK(Only<permit_granted>(scheduler.TakeReplies(kStart)).empty());
   report.open.clear();
   scheduler.Report(report, kStart + milliseconds(500));
-  CHECK(Only<permit_granted>(
-            scheduler.TakeReplies(kStart + milliseconds(500)))
+  CHECK(Only<permit_granted>(scheduler.TakeReplies(kStart + milliseconds(500)))
             .size() == 1);
 }
 
 TEST_CASE("a keyed request goes to the owner of its key only") {
   slot_scheduler scheduler(service_name("manifest"));
   const auto entries = Entries(2, 1);
-  const key_table table =
-      key_table().With({0, 99}, entries[0].instance).With(
-          {100, 199}, entries[1].instance);
+  const key_table table = key_table()
+                              .With({0, 99}, entries[0].instance)
+                              .With({100, 199}, entries[1].instance);
   scheduler.SetEndpoints(entries, &table, kStart);
   scheduler.Ask(MakeAsk(1, 0, 50), kStart);
   scheduler.Ask(MakeAsk(2, 0, 60), kStart);
@@ -342,9 +341,9 @@
           std::stoi(each.endpoint.endpoint.value().substr(2)));
       const double mean = request.kind.mean_ms * slowness[server];
       std::lognormal_distribution<double> work(std::log(mean) - 0.25, 0.7);
-      ends.push({now + microseconds(static_cast<std::int64_t>(
-                           1'000 * work(random))),
-                 each});
+      ends.push(
+          {now + microseconds(static_cast<std::int64_t>(1'000 * work(random))),
+           each});
     }
   }
   std::map<std::uint32_t, double> shares;
@@ -378,8 +377,8 @@
 // The pattern: endpoints of one service differ in speed by more than two.
 TEST_CASE("fast endpoints are preferred while they are free") {
   const load_kind kind{1, 20, 150, 400, 1'500};
-  const auto shares = PlayLoad(
-      {kind}, {0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, seconds(40));
+  const auto shares =
+      PlayLoad({kind}, {0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, seconds(40));
   CHECK(shares.at(1) > 0.85);
 }
 
--- a/bluebell/permits/waiting_request.cc
+++ b/bluebell/permits/waiting_request.cc
@@ -12,8 +12,8 @@
 constexpr double kLeastWork = 0.5;
 
 duration Times(duration work, double factor) {
-  return duration(static_cast<std::int64_t>(
-      static_cast<double>(work.count()) * factor));
+  return duration(
+      static_cast<std::int64_t>(static_cast<double>(work.count()) * factor));
 }
 
 }  // namespace
--- a/bluebell/proxy/endpoint_channels.cc
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -168,15 +168,15 @@
   const auto under_way = std::make_shared<beast::tcp_stream*>(&link->stream);
   if (options.overdue) {
     overdue.expires_after(*options.overdue - BootNow());
-    overdue.async_wait([&abandoned, &options,
-                        watched = std::weak_ptr(under_way)](
-                           boost::system::error_code ended) {
-      const auto stream = watched.lock();
-      if (!ended && stream && options.may_abandon()) {
-        abandoned = true;
-        (*stream)->cancel();
-      }
-    });
+    overdue.async_wait(
+        [&abandoned, &options,
+         watched = std::weak_ptr(under_way)](boost::system::error_code ended) {
+          const auto stream = watched.lock();
+          if (!ended && stream && options.may_abandon()) {
+            abandoned = true;
+            (*stream)->cancel();
+          }
+        });
   }
   for (int stray = 0; stray <= kMaxStrayResponses; ++stray) {
     bhttp::response_parser<bhttp::string_body> parser;
--- a/bluebell/proxy/endpoint_channels_test.cc
+++ b/bluebell/proxy/endpoint_channels_test.cc
@@ -207,7 +207,8 @@
 TEST_CASE("a connection that closes after the request leaves it open") {
   scripted_server server({""});
   client caller;
-  CHECK(std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "1")));
+  CHECK(
+      std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "1")));
 }
 
 // The pattern: the timer of an overdue attempt fires as its response arrives;
@@ -217,8 +218,7 @@
   scripted_server silent(
       {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n", ""});
   client caller;
-  const exchange_end end =
-      caller.Send(silent.entry(), "1", milliseconds(100));
+  const exchange_end end = caller.Send(silent.entry(), "1", milliseconds(100));
   REQUIRE(std::holds_alternative<exchange_lost>(end));
   CHECK(std::get<exchange_lost>(end).why.code() == errc::kTimeout);
   scripted_server quick({Answer("2", "two")});
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -94,7 +94,10 @@
 }
 
 void permit_desk::Pump(service_line& line, instant now) {
-  for (const permit_reply& reply : line.scheduler.TakeReplies(now)) {
+  for (permit_reply& reply : line.scheduler.TakeReplies(now)) {
+    if (auto* granted = std::get_if<permit_granted>(&reply)) {
+      granted->revision = revision_.value();
+    }
     const auto found = line.sinks.find(IdOf(reply));
     if (found == line.sinks.end()) {
       continue;
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -264,7 +264,11 @@
     const permit_granted& granted) const {
   const auto entry = view_->endpoints.find(granted.endpoint.endpoint);
   if (entry == view_->endpoints.end()) {
-    // The dispatcher may have heard of it earlier.
+    if (granted.lapsing || granted.revision <= view_->revision.value()) {
+      // It has left, and the dispatcher doesn't know yet.
+      return std::nullopt;
+    }
+    // The dispatcher has heard of it earlier.
     fleet_endpoint endpoint;
     endpoint.instance = granted.endpoint;
     endpoint.service = granted.service;
@@ -347,9 +351,10 @@
     // An attempt is given up early only for another one.
     options.may_abandon = [&] {
       const instant now = BootNow();
-      const bool worthwhile = now + milliseconds(granted.expected_ms) <
-                              progress.deadline;
-      retry_taken = worthwhile && !leaving_ && BudgetOf(context.service).TryRetry(now);
+      const bool worthwhile =
+          now + milliseconds(granted.expected_ms) < progress.deadline;
+      retry_taken =
+          worthwhile && !leaving_ && BudgetOf(context.service).TryRetry(now);
       return retry_taken;
     };
   }
--- a/bluebell/settings/gateway_settings_test.cc
+++ b/bluebell/settings/gateway_settings_test.cc
@@ -38,7 +38,8 @@
 }
 
 TEST_CASE("all mistakes in a gateway's settings are reported at once") {
-  std::string text = Replaced(kSettings, "\"cpu_share\": 0.2", "\"cpu_share\": 0");
+  std::string text =
+      Replaced(kSettings, "\"cpu_share\": 0.2", "\"cpu_share\": 0");
   text = Replaced(text, "\"store\": \"10.200.1.7:8384\"", "\"store\": 5");
   text = Replaced(text, "\"retry_reserve\"", "\"retry_reserves\"");
   const auto parsed = gateway_settings::Parse(text);
