Renew grants until another daemon can coordinate; pause longer where keys are lost

Change: a daemon that stops hands the role over only when the store has ended its lease; until then, within its grace, it renews the grants. The pause after a 421 doubles up to 1 s, and requests for such keys are refused at once. Ruled out: a successor without the store, which couldn't be told from a second one. Conclusion: a coordinator that is killed while the store is down still costs the rest of the outage.

--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -63,7 +63,9 @@
   state.Apply(kv_deletion{"entries/a", store_version(3)}, kStart);
   state.Apply(kv_deletion{"entries/b", store_version(4)}, kStart);
   CHECK(state.snapshot().endpoints.size() == 2);
+  CHECK(state.snapshot().endpoints.at(endpoint_id("a")).lapsing);
   state.Apply(Item("entries/b", "ok", 5), kStart + seconds(1));
+  CHECK(!state.snapshot().endpoints.at(endpoint_id("b")).lapsing);
   const auto lapse = state.NextLapse();
   REQUIRE(lapse);
   CHECK(*lapse <= kStart + seconds(2));
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -16,8 +16,8 @@
 #include "bluebell/core/overloaded.h"
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/store_watcher.h"
-#include "bluebell/http/async_call.h"
 #include "bluebell/http/http_client.h"
+#include "bluebell/kv/async_call.h"
 #include "bluebell/kv/kv_client.h"
 #include "bluebell/proxy/traffic_side.h"
 #include "bluebell/telemetry/log_event.h"
@@ -40,6 +40,7 @@
 constexpr milliseconds kPlaceStep{150};
 constexpr milliseconds kClaimMessageInterval{100};
 constexpr milliseconds kMeasureInterval{250};
+constexpr milliseconds kHandOverRetry{200};
 constexpr milliseconds kPauseAfterWriteFailure{200};
 // After giving the role up for lack of reach, others get the chance.
 constexpr milliseconds kResignTime{10'000};
@@ -49,13 +50,13 @@
 
 coordinator_role::coordinator_role(asio::io_context& io,
                                    const key_timing& timing,
-                                   const daemon_instance& self,
+                                   daemon_instance self,
                                    kv_client& store,
                                    store_watcher& watcher,
                                    traffic_side& traffic)
     : io_(io),
       timing_(timing),
-      self_(self),
+      self_(std::move(self)),
       store_(store),
       watcher_(watcher),
       traffic_(traffic),
@@ -180,7 +181,8 @@
       .With("revision", claim_revision_)
       .With("former", former ? former->id.value() : std::string())
       .Write();
-  asio::co_spawn(io_, KeepLease(), asio::detached);
+  asio::co_spawn(
+      io_, [this] { return KeepLease(); }, asio::detached);
 }
 
 asio::awaitable<bool> coordinator_role::WriteClaim(
@@ -303,7 +305,7 @@
     } else if (renewed.value()) {
       watcher_.NoteSuccess(BootNow());
       proof_ = sent;
-    } else {
+    } else if (!leaving_) {
       // The lease lapsed in an outage. The role is taken again unless another
       // daemon was faster.
       const result<kv_granted_lease> lease =
@@ -334,11 +336,21 @@
 
 void coordinator_role::Leave() {
   leaving_ = true;
-  if (!holding_) {
-    return;
+  if (holding_) {
+    asio::co_spawn(
+        io_, [this] { return HandOver(); }, asio::detached);
+  }
+}
+
+asio::awaitable<void> coordinator_role::HandOver() {
+  asio::steady_timer timer(io_);
+  while (holding_ && !co_await EndLease()) {
+    timer.expires_after(kHandOverRetry);
+    co_await timer.async_wait(kAwait);
+  }
+  if (holding_) {
+    StopHolding("the daemon is leaving");
   }
-  StopHolding("the daemon is leaving");
-  asio::co_spawn(io_, EndLease(), asio::detached);
 }
 
 void coordinator_role::OnClaim(const address& from,
@@ -473,17 +485,20 @@
   }
   resigned_until_ = BootNow() + kResignTime;
   StopHolding("most owners of keys can't be reached");
-  asio::co_spawn(io_, EndLease(), asio::detached);
+  // A lease that can't be ended now ends by itself.
+  asio::co_spawn(
+      io_, [this]() -> asio::awaitable<void> { co_await EndLease(); },
+      asio::detached);
 }
 
-asio::awaitable<void> coordinator_role::EndLease() {
+asio::awaitable<bool> coordinator_role::EndLease() {
   const result<bool> ended = co_await store_.EndLease(lease_);
   if (!ended) {
-    // It ends by itself.
     log_event(log_level::kWarn, "coordinator lease not ended")
         .With(ended.error())
         .Write();
   }
+  co_return ended.has_value();
 }
 
 http_client* coordinator_role::ClientOf(const address& where) {
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -45,7 +45,7 @@
  public:
   coordinator_role(boost::asio::io_context& io,
                    const key_timing& timing,
-                   const daemon_instance& self,
+                   daemon_instance self,
                    kv_client& store,
                    store_watcher& watcher,
                    traffic_side& traffic);
@@ -55,8 +55,10 @@
 
   void Start();
   void OnView(const fleet_view& view);
-  // Gives the role up for good.
+  // Gives the role up for good, as soon as the store lets another daemon take
+  // it: until then the grants are renewed.
   void Leave();
+  bool holding() const { return holding_; }
 
   void OnClaim(const address& from, const coordinator_claim& claim);
   void OnYield(const address& from, const coordinator_yield& yield);
@@ -91,7 +93,8 @@
   void StopHolding(const std::string& reason);
   // Leaves the role to a daemon that reaches more endpoints.
   void Resign();
-  boost::asio::awaitable<void> EndLease();
+  boost::asio::awaitable<bool> EndLease();
+  boost::asio::awaitable<void> HandOver();
   void CheckFormer(instant now);
   void ExcludeFormer(instant until, const std::string& reason);
   void SyncServices(instant now);
@@ -108,10 +111,10 @@
                                        send_release order);
   boost::asio::awaitable<void> WriteTable(service_name service,
                                           write_key_table order);
-  void OnTableConflict(const service_name& service,
-                       service_keys& unit,
-                       const write_key_table& order,
-                       const kv_conflict& conflict);
+  static void OnTableConflict(const service_name& service,
+                              service_keys& unit,
+                              const write_key_table& order,
+                              const kv_conflict& conflict);
   http_client* ClientOf(const address& where);
   service_keys* FindKeys(const service_name& service);
 
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -176,7 +176,8 @@
       shutdown_done_();
       return;
     }
-    if (stopped_accepting_) {
+    // While the store is down nobody could take over the keys.
+    if (stopped_accepting_ && !role_->holding()) {
       traffic_->CountActive([this](std::size_t active) {
         if (active == 0) {
           asio::post(io_, [this] {
--- a/bluebell/gateway/member_lease.cc
+++ b/bluebell/gateway/member_lease.cc
@@ -40,12 +40,14 @@
     : io_(io), store_(store), watcher_(watcher), self_(std::move(self)) {}
 
 void member_lease::Start() {
-  asio::co_spawn(io_, Run(), asio::detached);
+  asio::co_spawn(
+      io_, [this] { return Run(); }, asio::detached);
 }
 
 void member_lease::Leave() {
   leaving_ = true;
-  asio::co_spawn(io_, End(), asio::detached);
+  asio::co_spawn(
+      io_, [this] { return End(); }, asio::detached);
 }
 
 asio::awaitable<void> member_lease::End() {
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -54,7 +54,8 @@
 
 void store_watcher::Restart() {
   ++reading_;
-  asio::co_spawn(io_, Run(), asio::detached);
+  asio::co_spawn(
+      io_, [this] { return Run(); }, asio::detached);
 }
 
 void store_watcher::NoteSuccess(instant now) {
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -221,9 +221,10 @@
   std::set<endpoint_instance> taken;
   for (const shard_load& each : state.loads) {
     const key_assignment* assignment = state.table.Find(each.key);
-    const auto owner = assignment == nullptr
-                           ? state.owners.end()
-                           : state.owners.find(assignment->owner);
+    if (assignment == nullptr) {
+      continue;
+    }
+    const auto owner = state.owners.find(assignment->owner);
     if (owner == state.owners.end() || each.slots < kBigKey * owner->second) {
       continue;
     }
--- a/bluebell/http/async_call.cc
+++ b/bluebell/kv/async_call.cc
@@ -1,4 +1,4 @@
-#include "bluebell/http/async_call.h"
+#include "bluebell/kv/async_call.h"
 
 #include <memory>
 #include <utility>
--- a/bluebell/http/async_call.h
+++ b/bluebell/kv/async_call.h
@@ -1,7 +1,7 @@
 // `http_client::Call` for coroutines.
 
-#ifndef BLUEBELL_HTTP_ASYNC_CALL_H_
-#define BLUEBELL_HTTP_ASYNC_CALL_H_
+#ifndef BLUEBELL_KV_ASYNC_CALL_H_
+#define BLUEBELL_KV_ASYNC_CALL_H_
 
 #include <boost/asio/awaitable.hpp>
 
@@ -22,4 +22,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_HTTP_ASYNC_CALL_H_
+#endif  // BLUEBELL_KV_ASYNC_CALL_H_
--- a/bluebell/kv/kv_client.cc
+++ b/bluebell/kv/kv_client.cc
@@ -5,8 +5,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "bluebell/http/async_call.h"
 #include "bluebell/http/http_client.h"
+#include "bluebell/kv/async_call.h"
 #include "platform/store_calls.h"
 
 namespace bluebell {
--- a/bluebell/permits/rank_demand.cc
+++ b/bluebell/permits/rank_demand.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-double rank_demand::SlotsAt(const offered& load, instant now) const {
+double rank_demand::SlotsAt(const offered& load, instant now) {
   const std::chrono::duration<double> elapsed = now - load.updated_at;
   return load.slots * std::exp(-std::max(0.0, elapsed / kWindow));
 }
--- a/bluebell/permits/rank_demand.h
+++ b/bluebell/permits/rank_demand.h
@@ -34,7 +34,7 @@
     instant updated_at;
   };
 
-  double SlotsAt(const offered& load, instant now) const;
+  static double SlotsAt(const offered& load, instant now);
 
   std::map<std::uint32_t, offered> by_rank_;
 };
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -23,7 +23,9 @@
 // endpoints equally.
 constexpr double kSlownessWeight = 1.6;
 // After a response that shows that an owner doesn't hold its keys yet.
+// If it goes on, the pause doubles: the owner has lost the keys.
 constexpr milliseconds kMisdirectedPause{40};
+constexpr milliseconds kLongestPause{1'000};
 // Requests wait for keys that are on their way to another owner this long.
 constexpr milliseconds kShortMove{600};
 constexpr milliseconds kOwnerRetry{900};
@@ -70,8 +72,9 @@
     }
   }
   endpoints_ = std::move(next);
-  std::erase_if(paused_,
-                [&](const auto& pause) { return pause.second <= now; });
+  std::erase_if(paused_, [&](const auto& entry) {
+    return entry.second.until + kLongestPause <= now;
+  });
   for (waiting_request& each : owned) {
     Place(std::move(each), now);
   }
@@ -188,6 +191,13 @@
              std::chrono::duration_cast<milliseconds>(left));
       return false;
     }
+    const auto paused = paused_.find(owner.fence);
+    if (paused != paused_.end() && paused->second.until > now + kShortMove) {
+      Refuse(
+          id, permit_refusal::kOwnerUnavailable,
+          std::chrono::duration_cast<milliseconds>(paused->second.until - now));
+      return false;
+    }
     request.fence = owner.fence;
     wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
     queue = &owner.endpoint->queue;
@@ -255,6 +265,7 @@
     case permit_outcome::kAnswered:
       work_.Add(ended.route, took, state.standing.SlownessAt(now));
       state.standing.OnAnswered(took, ended.work, now);
+      paused_.erase(ended.fence);
       break;
     case permit_outcome::kFailed:
     case permit_outcome::kShed:
@@ -262,8 +273,11 @@
       break;
     case permit_outcome::kMisdirected:
       if (ended.fence != epoch()) {
-        paused_[ended.fence] = now + kMisdirectedPause;
-        next_recheck_ = std::min(next_recheck_, paused_[ended.fence]);
+        pause& rest = paused_[ended.fence];
+        rest.length = std::clamp<duration>(rest.length * 2, kMisdirectedPause,
+                                           kLongestPause);
+        rest.until = now + rest.length;
+        next_recheck_ = std::min(next_recheck_, rest.until);
       } else {
         state.standing.OnSilent(end.id.holder, now);
       }
@@ -402,7 +416,7 @@
     return true;
   }
   const auto paused = paused_.find(request.fence);
-  return paused != paused_.end() && now < paused->second;
+  return paused != paused_.end() && now < paused->second.until;
 }
 
 duration slot_scheduler::WaitAtOwner(const endpoint_state& owner,
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -95,6 +95,11 @@
     instant expires;
     duration work{0};
   };
+  // Until when an assignment isn't tried.
+  struct pause {
+    instant until;
+    duration length{0};
+  };
   // The endpoint that owns an ask's key, or why it can't be served.
   struct key_owner {
     endpoint_state* endpoint = nullptr;
@@ -153,9 +158,8 @@
   work_estimate work_;
   rank_demand demand_;
   shard_load_meter key_loads_;
-  // Assignments whose owner doesn't hold the keys yet, and until when not to
-  // try them.
-  std::map<epoch, instant> paused_;
+  // Assignments whose owner doesn't hold the keys.
+  std::map<epoch, pause> paused_;
   std::vector<unheld_range> unheld_;
   std::vector<permit_reply> replies_;
   // Whose queue may have a request to start.
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -37,7 +37,7 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 using asio::ip::tcp;
-using namespace asio::experimental::awaitable_operators;
+using asio::experimental::awaitable_operators::operator||;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -38,10 +38,10 @@
       }
     }
     const auto table = view->tables.find(service.name);
-    static const key_table kNoOwners;
+    static const key_table no_owners;
     const key_table* owners = nullptr;
     if (service.keyed) {
-      owners = table == view->tables.end() ? &kNoOwners : &table->second;
+      owners = table == view->tables.end() ? &no_owners : &table->second;
     }
     line->scheduler.SetEndpoints(endpoints, owners, now);
     Pump(*line, now);
