Split the coordinator's orders from its role; drop what nobody uses

Ruled out: splitting slot_scheduler.cc and key_coordinator.cc now, whose parts share their state closely.

--- a/bluebell/fleet/fleet_snapshot.h
+++ b/bluebell/fleet/fleet_snapshot.h
@@ -26,8 +26,6 @@
   std::optional<daemon_instance> coordinator;
   // The store's revision that this state reflects.
   store_version revision;
-  // This daemon finishes what it has and takes nothing new.
-  bool leaving = false;
 };
 
 using fleet_view = std::shared_ptr<const fleet_snapshot>;
--- a/bluebell/fleet/route_config.cc
+++ b/bluebell/fleet/route_config.cc
@@ -80,12 +80,4 @@
   return found == services_.end() ? nullptr : &*found;
 }
 
-std::size_t route_config::route_count() const {
-  std::size_t count = 0;
-  for (const auto& [host, of_host] : by_host_) {
-    count += of_host.size();
-  }
-  return count;
-}
-
 }  // namespace bluebell
--- a/bluebell/fleet/route_config.h
+++ b/bluebell/fleet/route_config.h
@@ -40,7 +40,6 @@
   const config_version& version() const { return version_; }
   const std::vector<fleet_service>& services() const { return services_; }
   const caller_bounds& bounds() const { return bounds_; }
-  std::size_t route_count() const;
 
   friend bool operator==(const route_config&, const route_config&) = default;
 
--- /dev/null
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -0,0 +1,220 @@
+// The orders of the coordinator: grants and releases to endpoints, and tables
+// to the store.
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/core/overloaded.h"
+#include "bluebell/fleet/store_keys.h"
+#include "bluebell/gateway/coordinator_role.h"
+#include "bluebell/gateway/store_watcher.h"
+#include "bluebell/http/http_client.h"
+#include "bluebell/kv/async_call.h"
+#include "bluebell/kv/kv_client.h"
+#include "bluebell/proxy/traffic_side.h"
+#include "bluebell/telemetry/log_event.h"
+#include "platform/key_orders.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds kPauseAfterWriteFailure{200};
+constexpr milliseconds kGrantConnectionIdle{6'000};
+
+}  // namespace
+
+void coordinator_role::Execute(const service_name& service,
+                               const std::vector<coordinator_action>& actions) {
+  const auto spawn = [this](asio::awaitable<void> work) {
+    asio::co_spawn(io_, std::move(work), asio::detached);
+  };
+  for (const coordinator_action& action : actions) {
+    std::visit(
+        overloaded{
+            [&](const send_grant& order) { spawn(Grant(service, order)); },
+            [&](const send_release& order) { spawn(Release(service, order)); },
+            [&](const write_key_table& order) {
+              services_.at(service)->writing = true;
+              spawn(WriteTable(service, order));
+            },
+            [&](const resign_coordinator&) { Resign(); }},
+        action);
+    if (!holding_) {
+      return;
+    }
+  }
+}
+
+http_client* coordinator_role::ClientOf(const address& where) {
+  std::unique_ptr<http_client>& client = clients_[where];
+  if (!client) {
+    http_client_options options;
+    options.idle = kGrantConnectionIdle;
+    auto made = http_client::Make(io_, where, options);
+    if (!made) {
+      return nullptr;
+    }
+    client = std::move(made.value());
+  }
+  return client.get();
+}
+
+asio::awaitable<void> coordinator_role::Grant(service_name service,
+                                              send_grant order) {
+  const std::uint64_t term = term_;
+  http_client* client = ClientOf(order.where);
+  if (client == nullptr) {
+    co_return;
+  }
+  const instant sent = BootNow();
+  const result<http_response> response = co_await AsyncCall(
+      *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
+      timing_.call_timeout, step::kGrantLease);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  grant_reply reply;
+  if (response) {
+    reply.verdict = platform::DecodeGrantReply(response.value());
+  } else {
+    reply.sent = response.error().code() != errc::kUnavailable;
+  }
+  if (!reply.verdict || *reply.verdict != grant_verdict::kAccepted) {
+    log_event line(log_level::kWarn, "grant failed");
+    line.With("service", service)
+        .With("endpoint", order.endpoint.endpoint)
+        .With("first", order.grant.range.first)
+        .With("last", order.grant.range.last)
+        .With("fence", order.grant.fence);
+    if (response) {
+      line.With("status", response.value().result_int()).Write();
+    } else {
+      line.With(response.error()).Write();
+    }
+  }
+  unit->keys.OnGrantReply(order, sent, reply, BootNow());
+  TellUnheld(service, *unit);
+}
+
+asio::awaitable<void> coordinator_role::Release(service_name service,
+                                                send_release order) {
+  const std::uint64_t term = term_;
+  http_client* client = ClientOf(order.where);
+  if (client == nullptr) {
+    co_return;
+  }
+  const result<http_response> response = co_await AsyncCall(
+      *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
+      timing_.release_timeout, step::kGrantLease);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  std::optional<std::string> handover;
+  if (response) {
+    const result<std::string> read =
+        platform::DecodeReleaseReply(response.value());
+    if (read) {
+      handover = read.value();
+    }
+  }
+  log_event(log_level::kInfo, "keys released")
+      .With("service", service)
+      .With("endpoint", order.endpoint.endpoint)
+      .With("first", order.release.range.first)
+      .With("last", order.release.range.last)
+      .With("confirmed", handover.has_value())
+      .Write();
+  const instant now = BootNow();
+  unit->keys.OnReleaseReply(order, std::move(handover), now);
+  TickHolding(now);
+}
+
+asio::awaitable<void> coordinator_role::WriteTable(service_name service,
+                                                   write_key_table order) {
+  const std::uint64_t term = term_;
+  const kv_write write{{{std::string(kCoordinatorKey), claim_revision_},
+                        {TableKey(service), order.expected}},
+                       {{TableKey(service), order.table.ToJson(), kv_lease()}}};
+  const result<kv_write_result> written = co_await store_.Write(write);
+  service_keys* unit = FindKeys(service);
+  if (unit == nullptr || term != term_) {
+    co_return;
+  }
+  unit->writing = false;
+  const instant now = BootNow();
+  if (!written) {
+    watcher_.NoteFailure(written.error(), now);
+    unit->next_write = now + kPauseAfterWriteFailure;
+    // It may have taken effect; writing the same again tells.
+    unit->keys.OnWriteUnknown();
+    co_return;
+  }
+  std::visit(overloaded{[&](const kv_written& done) {
+                          unit->keys.OnWritten(done.revision, now);
+                          log_event(log_level::kInfo, "keys assigned")
+                              .With("service", service)
+                              .With("ranges", order.table.assignments().size())
+                              .With("highest_fence",
+                                    order.table.highest_fence())
+                              .With("revision", done.revision)
+                              .Write();
+                        },
+                        [&](const kv_conflict& conflict) {
+                          OnTableConflict(service, *unit, order, conflict);
+                        },
+                        [&](const kv_lease_ended&) {}},
+             written.value());
+  TickHolding(now);
+}
+
+void coordinator_role::OnTableConflict(const service_name& service,
+                                       service_keys& unit,
+                                       const write_key_table& order,
+                                       const kv_conflict& conflict) {
+  const instant now = BootNow();
+  unit.next_write = now + kPauseAfterWriteFailure;
+  key_table current;
+  store_version revision;
+  for (const kv_item& item : conflict.items) {
+    if (item.key != TableKey(service)) {
+      continue;
+    }
+    revision = item.revision;
+    result<key_table> read = key_table::FromJson(item.value);
+    if (!read) {
+      log_event(log_level::kError, "key table can't be read")
+          .With(read.error())
+          .Write();
+      return;
+    }
+    current = std::move(read).value();
+  }
+  if (current == order.table && revision != order.expected) {
+    // An earlier try, whose answer was lost, has written it.
+    unit.keys.OnWritten(revision, now);
+    return;
+  }
+  log_event(log_level::kWarn, "keys not assigned")
+      .With("service", service)
+      .With("expected", order.expected)
+      .With("found", revision)
+      .Write();
+  unit.keys.OnNotWritten(current, revision, now);
+}
+
+}  // namespace bluebell
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -83,7 +83,6 @@
 
   const key_table& table() const { return table_; }
   const store_version& revision() const { return revision_; }
-  std::size_t moving_count() const { return moves_.size(); }
 
  private:
   // A range on its way to another owner.
