--- a/bluebell/proxy/endpoint_channels_test.cc
+++ b/bluebell/proxy/endpoint_channels_test.cc
@@ -20,12 +20,14 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "platform/wire_samples.h"
 
 namespace bluebell {
 namespace {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using platform::SampleAnswer;
 
 // An endpoint that answers each request on a connection with the next script
 // and counts connections. An empty script closes the connection.
@@ -104,12 +106,6 @@
   std::thread thread_;
 };
 
-std::string Answer(const std::string& attempt, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
-         "\r\nX-Server-Signature: s\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 struct client {
   client() : channels(io) {}
 
@@ -148,7 +144,7 @@
 }
 
 TEST_CASE("a connection carries one request after the other") {
-  scripted_server server({Answer("1", "one"), Answer("2", "two")});
+  scripted_server server({SampleAnswer("1", "one"), SampleAnswer("2", "two")});
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
   CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
@@ -156,14 +152,15 @@
 }
 
 TEST_CASE("a late response to another request is passed over") {
-  scripted_server server({Answer("old", "stale") + Answer("1", "one")});
+  scripted_server server(
+      {SampleAnswer("old", "stale") + SampleAnswer("1", "one")});
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
 }
 
 TEST_CASE("a connection with bytes beyond its response isn't used again") {
-  scripted_server server(
-      {Answer("1", "one") + Answer("1", "one"), Answer("2", "two")});
+  scripted_server server({SampleAnswer("1", "one") + SampleAnswer("1", "one"),
+                          SampleAnswer("2", "two")});
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
   std::this_thread::sleep_for(milliseconds(50));
@@ -172,7 +169,7 @@
 }
 
 TEST_CASE("a response that ends early is no response") {
-  const std::string whole = Answer("1", "0123456789");
+  const std::string whole = SampleAnswer("1", "0123456789");
   scripted_server server({whole.substr(0, whole.size() - 3), ""});
   client caller;
   CHECK(!std::holds_alternative<exchange_answered>(
@@ -180,8 +177,7 @@
 }
 
 TEST_CASE("a response without a length is whole only at a clean end") {
-  const std::string unframed =
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n\r\nbody";
+  const std::string unframed = platform::SampleUnframedAnswer("1", "body");
   {
     scripted_server server({unframed});
     client caller;
@@ -221,7 +217,7 @@
   const exchange_end end = caller.Send(silent.entry(), "1", milliseconds(100));
   REQUIRE(std::holds_alternative<exchange_lost>(end));
   CHECK(std::get<exchange_lost>(end).why.code() == errc::kTimeout);
-  scripted_server quick({Answer("2", "two")});
+  scripted_server quick({SampleAnswer("2", "two")});
   CHECK(BodyOf(caller.Send(quick.entry(), "2", milliseconds(1))).size() <= 3);
   caller.io.restart();
   caller.io.run_for(milliseconds(50));
