Keep the former coordinator in mind over failed claims; drop a function without a body

A claim that was written but whose reading of the tables failed left this daemon's own name as the last coordinator. The next claim took it for its own former, so it counted the real one as excluded at once, though that one may renew grants for up to 8 s. Change: the former coordinator is noted before the claim is written and kept until it is excluded or another daemon has coordinated. The declaration is gone, and so is the branch for a role that goes on with its tables, which nothing could reach but a claim that had failed halfway. Ruled out: keeping the old tables; they are read anew after each claim anyway. Conclusion: a chain stays open: a coordinator that ends before it has excluded its own former hides that one from its successor.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -150,6 +150,7 @@
 asio::awaitable<void> coordinator_role::Claim() {
   const std::optional<daemon_instance> former =
       watcher_.state().last_coordinator();
+  RememberFormer(former);
   const store_version expected = watcher_.state().RevisionOf(kCoordinatorKey);
   const instant started = BootNow();
   const result<kv_granted_lease> lease = co_await store_.StartLease(kLeaseTerm);
@@ -165,7 +166,7 @@
   lease_ = lease.value().lease;
   proof_ = started;
   claimed_at_ = BootNow();
-  const bool taken = co_await TakeOver(former);
+  const bool taken = co_await TakeOver();
   if (!taken) {
     vacant_since_.reset();
     co_return;
@@ -212,8 +213,19 @@
   co_return false;
 }
 
-asio::awaitable<bool> coordinator_role::TakeOver(
+void coordinator_role::RememberFormer(
     const std::optional<daemon_instance>& former) {
+  // A claim of this run that failed halfway has put its own name in place of
+  // the former coordinator's, which may still renew grants.
+  if (!former || *former == self_) {
+    return;
+  }
+  former_ = former;
+  // A former run of this daemon has ended, since this one has its address.
+  former_excluded_ = former->id == self_.id;
+}
+
+asio::awaitable<bool> coordinator_role::TakeOver() {
   // Only tables read after the claim count: a former coordinator can't write
   // any more.
   const result<kv_listing> tables =
@@ -223,19 +235,10 @@
     co_return false;
   }
   const instant now = BootNow();
-  const bool continues = former == self_ && !services_.empty();
-  former_.reset();
-  former_excluded_ = true;
-  std::optional<instant> former_until = now;
-  if (former && former->id != self_.id) {
-    former_ = former;
-    former_excluded_ = false;
-    former_until.reset();
-    next_claim_message_ = now;
-  }
-  if (!continues) {
-    services_.clear();
-  }
+  const std::optional<instant> former_until =
+      former_excluded_ ? std::optional(now) : std::nullopt;
+  next_claim_message_ = now;
+  services_.clear();
   for (const kv_item& item : tables.value().items) {
     const service_name service(item.key.substr(kTablePrefix.size()));
     result<key_table> table = key_table::FromJson(item.value);
@@ -245,14 +248,10 @@
           .Write();
       co_return false;
     }
-    std::unique_ptr<service_keys>& unit = services_[service];
-    const bool unchanged =
-        unit && continues && unit->keys.revision() == item.revision;
-    if (!unchanged) {
-      unit = std::make_unique<service_keys>(timing_);
-      unit->keys.TakeOver(std::move(table).value(), item.revision, former_until,
-                          now);
-    }
+    auto unit = std::make_unique<service_keys>(timing_);
+    unit->keys.TakeOver(std::move(table).value(), item.revision, former_until,
+                        now);
+    services_.insert_or_assign(service, std::move(unit));
   }
   SyncServices(now);
   co_return true;
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -87,8 +87,8 @@
   boost::asio::awaitable<void> Claim();
   boost::asio::awaitable<bool> WriteClaim(const store_version& expected,
                                           kv_lease lease);
-  boost::asio::awaitable<bool> TakeOver(
-      const std::optional<daemon_instance>& former);
+  void RememberFormer(const std::optional<daemon_instance>& former);
+  boost::asio::awaitable<bool> TakeOver();
   boost::asio::awaitable<void> KeepLease();
   void StopHolding(const std::string& reason);
   // Leaves the role to a daemon that reaches more endpoints.
@@ -98,9 +98,6 @@
   void CheckFormer(instant now);
   void ExcludeFormer(instant until, const std::string& reason);
   void SyncServices(instant now);
-  // Shows the tables that were just written to this daemon's traffic side,
-  // which dispatches by them, before the watch does.
-  void PublishTables();
   void TellUnheld(const service_name& service, service_keys& unit);
   void Measure(const service_name& service, service_keys& unit, instant now);
 
