Use one piece for what the gateway's parts did twice

Cause: read in the whole change. A look at a socket without waiting stood in http_client, endpoint_channels and caller_connection; the endpoints of a service were picked in coordinator_role and permit_desk; a granted lease had a type in platform/ and the same one in kv/; the retry budget's shares were worked out in two functions; a refusal for overload worked out again the wait that led to it. Behaviour stays as it is. Ruled out: the same look in bluebell/daemon and testing, which keep their own for now; merging the bodies of http_client and endpoint_channels, whose errors differ.

--- a/bluebell/fleet/fleet_snapshot.h
+++ b/bluebell/fleet/fleet_snapshot.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "bluebell/core/ids.h"
 #include "bluebell/fleet/fleet_endpoint.h"
@@ -26,6 +27,8 @@
   std::optional<daemon_instance> coordinator;
   // The store's revision that this state reflects.
   store_version revision;
+
+  std::vector<fleet_endpoint> EndpointsOf(const service_name& service) const;
 };
 
 using fleet_view = std::shared_ptr<const fleet_snapshot>;
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -270,13 +270,7 @@
       unit = std::make_unique<service_keys>(timing_);
       unit->keys.TakeOver(key_table(), store_version(), now, now);
     }
-    std::vector<fleet_endpoint> endpoints;
-    for (const auto& [id, endpoint] : view_->endpoints) {
-      if (endpoint.service == service.name) {
-        endpoints.push_back(endpoint);
-      }
-    }
-    unit->keys.SetEndpoints(std::move(endpoints), now);
+    unit->keys.SetEndpoints(view_->EndpointsOf(service.name), now);
   }
 }
 
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -122,12 +122,8 @@
   // False if the server has closed the connection or sent what nobody asked
   // for.
   static bool IsQuiet(connection& candidate) {
-    tcp::socket& socket = candidate.stream.socket();
-    boost::system::error_code failure;
-    socket.non_blocking(true, failure);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-    return failure == asio::error::would_block && candidate.buffer.size() == 0;
+    return candidate.buffer.size() == 0 &&
+           PeekInput(candidate.stream.socket()) == socket_input::kNone;
   }
 
   void Keep(std::shared_ptr<connection> used) {
--- a/bluebell/http/socket_options.cc
+++ b/bluebell/http/socket_options.cc
@@ -3,7 +3,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <cstddef>
+
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/socket_base.hpp>
 
 namespace bluebell {
@@ -38,4 +42,16 @@
   socket.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
+socket_input PeekInput(asio::ip::tcp::socket& socket) {
+  boost::system::error_code state;
+  socket.non_blocking(true, state);
+  char byte = 0;
+  const std::size_t size = socket.receive(
+      asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, state);
+  if (state == asio::error::would_block) {
+    return socket_input::kNone;
+  }
+  return size > 0 ? socket_input::kBytes : socket_input::kEnd;
+}
+
 }  // namespace bluebell
--- a/bluebell/http/socket_options.h
+++ b/bluebell/http/socket_options.h
@@ -3,6 +3,8 @@
 #ifndef BLUEBELL_HTTP_SOCKET_OPTIONS_H_
 #define BLUEBELL_HTTP_SOCKET_OPTIONS_H_
 
+#include <cstdint>
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace bluebell {
@@ -16,6 +18,17 @@
 // arrive after the sender has given up.
 void ResetOnClose(boost::asio::ip::tcp::socket& socket);
 
+// What can be read from a socket without waiting.
+enum class socket_input : std::uint8_t {
+  kNone,
+  kBytes,
+  // The other end has closed the connection, or it is broken.
+  kEnd,
+};
+
+// Takes nothing from the socket, which no longer blocks afterwards.
+socket_input PeekInput(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_HTTP_SOCKET_OPTIONS_H_
--- a/bluebell/kv/kv_client.cc
+++ b/bluebell/kv/kv_client.cc
@@ -102,11 +102,7 @@
   if (!response) {
     co_return response.error();
   }
-  const auto started = platform::DecodeLeaseStart(response.value());
-  if (!started) {
-    co_return started.error();
-  }
-  co_return kv_granted_lease{started.value().lease, started.value().term};
+  co_return platform::DecodeLeaseStart(response.value());
 }
 
 kv_client::awaitable_result<bool> kv_client::RenewLease(kv_lease lease) {
--- a/bluebell/kv/kv_client.h
+++ b/bluebell/kv/kv_client.h
@@ -35,11 +35,6 @@
   store_version revision;
 };
 
-struct kv_granted_lease {
-  kv_lease lease;
-  milliseconds term{0};
-};
-
 class kv_client {
  public:
   template <typename Value>
--- a/bluebell/kv/kv_types.h
+++ b/bluebell/kv/kv_types.h
@@ -9,12 +9,19 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/time.h"
 
 namespace bluebell {
 
 // Zero: no lease.
 using kv_lease = strong_value<struct kv_lease_tag, std::uint64_t>;
 
+struct kv_granted_lease {
+  kv_lease lease;
+  // The term that the store grants, at least the one it was asked for.
+  milliseconds term{0};
+};
+
 struct kv_item {
   std::string key;
   std::string value;
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -207,7 +207,7 @@
     shared_changed_ = true;
   }
   if (now + wait + request.work > request.deadline) {
-    RefuseOverloaded(request, now);
+    RefuseOverloaded(id, wait);
     return false;
   }
   next_hopeless_ = std::min(next_hopeless_, request.HopelessAt());
@@ -222,22 +222,22 @@
       permit_refused{id, reason, static_cast<std::uint32_t>(retry.count())});
 }
 
-void slot_scheduler::RefuseOverloaded(const waiting_request& request,
-                                      instant now) {
-  duration wait(0);
-  if (keyed_ && request.ask.key) {
-    const key_owner owner = OwnerOf(request.ask, now);
-    if (owner.endpoint != nullptr) {
-      wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
-    }
-  } else {
-    wait = WaitForAny(request.ask.rank, now);
-  }
+void slot_scheduler::RefuseOverloaded(const permit_id& id, duration wait) {
   const auto retry = std::clamp<duration>(wait / 2, kLeastRetry, kMostRetry);
-  Refuse(request.ask.id, permit_refusal::kOverloaded,
+  Refuse(id, permit_refusal::kOverloaded,
          std::chrono::duration_cast<milliseconds>(retry));
 }
 
+duration slot_scheduler::WaitOf(const permit_ask& ask, instant now) {
+  if (!keyed_ || !ask.key) {
+    return WaitForAny(ask.rank, now);
+  }
+  const key_owner owner = OwnerOf(ask, now);
+  return owner.endpoint == nullptr
+             ? duration(0)
+             : WaitAtOwner(*owner.endpoint, ask.rank, now);
+}
+
 void slot_scheduler::End(const permit_end& end, instant now) {
   const auto found = running_.find(end.id);
   if (found == running_.end()) {
@@ -560,7 +560,7 @@
   next_hopeless_ = instant::max();
   const auto sweep = [&](wait_queue& queue) {
     for (const waiting_request& each : queue.TakeHopeless(now)) {
-      RefuseOverloaded(each, now);
+      RefuseOverloaded(each.ask.id, WaitOf(each.ask, now));
     }
     if (const auto next = queue.NextHopeless()) {
       next_hopeless_ = std::min(next_hopeless_, *next);
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -122,7 +122,9 @@
   // False if the request was refused.
   bool Place(waiting_request request, instant now);
   void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
-  void RefuseOverloaded(const waiting_request& request, instant now);
+  void RefuseOverloaded(const permit_id& id, duration wait);
+  // How long a request waits if it comes now; zero if its key has no owner.
+  duration WaitOf(const permit_ask& ask, instant now);
   // How long a request of this rank waits if it comes now.
   static duration WaitAtOwner(const endpoint_state& owner,
                               std::uint32_t rank,
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -158,13 +158,7 @@
 }
 
 bool caller_connection::HasLeft() {
-  tcp::socket& socket = stream_.socket();
-  char byte = 0;
-  boost::system::error_code state;
-  socket.non_blocking(true, state);
-  const std::size_t size =
-      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, state);
-  return size == 0 && state != asio::error::would_block;
+  return PeekInput(stream_.socket()) == socket_input::kEnd;
 }
 
 asio::awaitable<void> caller_connection::WaitForClose() {
--- a/bluebell/proxy/endpoint_channels.cc
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -57,12 +57,8 @@
 
   // False if the endpoint has closed it or sent what nobody asked for.
   bool IsQuiet() {
-    tcp::socket& socket = stream.socket();
-    boost::system::error_code state;
-    socket.non_blocking(true, state);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, state);
-    return state == asio::error::would_block && buffer.size() == 0;
+    return buffer.size() == 0 &&
+           PeekInput(stream.socket()) == socket_input::kNone;
   }
 
   beast::tcp_stream stream;
--- a/bluebell/proxy/permit_desk.cc
+++ b/bluebell/proxy/permit_desk.cc
@@ -31,19 +31,13 @@
     if (!line) {
       line = std::make_unique<service_line>(io_, service.name);
     }
-    std::vector<fleet_endpoint> endpoints;
-    for (const auto& [id, endpoint] : view->endpoints) {
-      if (endpoint.service == service.name) {
-        endpoints.push_back(endpoint);
-      }
-    }
     const auto table = view->tables.find(service.name);
     static const key_table no_owners;
     const key_table* owners = nullptr;
     if (service.keyed) {
       owners = table == view->tables.end() ? &no_owners : &table->second;
     }
-    line->scheduler.SetEndpoints(endpoints, owners, now);
+    line->scheduler.SetEndpoints(view->EndpointsOf(service.name), owners, now);
     Pump(*line, now);
   }
 }
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -168,25 +168,22 @@
 void request_server::SetView(fleet_view view) {
   view_ = std::move(view);
   for (auto& [service, budget] : budgets_) {
-    budget.Configure(settings_.retry_percent * kShareOfRetries / kPercent,
-                     static_cast<double>(settings_.retry_reserve) / 2 /
-                         static_cast<double>(
-                             std::max<std::size_t>(1, view_->members.size())));
+    budget.Configure(RetryPercent(), RetryReserve());
   }
 }
 
+std::uint32_t request_server::RetryPercent() const {
+  return settings_.retry_percent * kShareOfRetries / kPercent;
+}
+
+double request_server::RetryReserve() const {
+  const std::size_t members = view_ ? view_->members.size() : 1;
+  return static_cast<double>(settings_.retry_reserve) / 2 /
+         static_cast<double>(std::max<std::size_t>(1, members));
+}
+
 retry_budget& request_server::BudgetOf(const service_name& service) {
-  const auto found = budgets_.find(service);
-  if (found != budgets_.end()) {
-    return found->second;
-  }
-  const double members = static_cast<double>(
-      std::max<std::size_t>(1, view_ ? view_->members.size() : 1));
-  return budgets_
-      .emplace(service,
-               retry_budget(
-                   settings_.retry_percent * kShareOfRetries / kPercent,
-                   static_cast<double>(settings_.retry_reserve) / 2 / members))
+  return budgets_.try_emplace(service, RetryPercent(), RetryReserve())
       .first->second;
 }
 
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -8,6 +8,7 @@
 #define BLUEBELL_PROXY_REQUEST_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -66,6 +67,9 @@
                        unsigned status,
                        std::string_view reason,
                        std::optional<milliseconds> retry_after);
+  // This daemon's part of the second attempts that all may make together.
+  std::uint32_t RetryPercent() const;
+  double RetryReserve() const;
   retry_budget& BudgetOf(const service_name& service);
   void LogEnd(const request_context& context, const http_response& response);
 
