Don't let a release overtake a grant that is on its way

The release went out on another connection and was carried out first; the endpoint confirmed it, then took the renewal and held the keys again for 2.2 s, while the next owner had them too. Both orders had answers, so no wait for late grants applied. Change: a range's release is sent only when no grant of it is on its way. Ruled out: the release's higher fence, which endpoints don't remember; planned moves, which already wait for grants on their way.

--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -39,6 +39,8 @@
 
   // False until the endpoint has accepted its first grant.
   bool was_accepted() const { return accepted_; }
+  // A grant was sent whose end isn't known yet.
+  bool in_flight() const { return in_flight_; }
   bool IsDue(instant now) const { return !in_flight_ && next_ <= now; }
   const std::string& handover() const { return handover_; }
 
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -450,12 +450,16 @@
                                   instant now) {
   for (key_move& move : moves_) {
     const auto where = last_address_.find(move.from);
-    if (move.released || move.release_in_flight || now < move.next_release ||
-        where == last_address_.end() || HasEnded(move.from)) {
+    // A release could overtake a grant on its way, which would then give the
+    // keys back to an endpoint that has confirmed the release.
+    if (move.grants.in_flight() || move.released || move.release_in_flight ||
+        now < move.next_release || where == last_address_.end() ||
+        HasEnded(move.from)) {
       continue;
     }
     move.release_in_flight = true;
-    // A fence above the grant's, so that a former renewal can't follow it.
+    // Endpoints take a grant with the old fence again after this, so only the
+    // waits above and in IsFree() keep the keys from having two holders.
     actions.emplace_back(
         send_release{move.from,
                      where->second,
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -179,6 +179,27 @@
   CHECK(Only<write_key_table>(test.Advance()).size() == 1);
 }
 
+// The pattern: an endpoint drains while a renewal is on its way. On another
+// connection the release may overtake it, and the endpoint then holds the keys
+// again after it has confirmed that it released them.
+TEST_CASE("a release isn't sent while a grant of its keys is on the way") {
+  bench test(3);
+  test.Settle();
+  test.now += kTiming.renewal;
+  const auto renewals = Only<send_grant>(test.Advance());
+  REQUIRE(renewals.size() == 3);
+  const instant sent = test.now;
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries, test.now);
+  test.now += milliseconds(50);
+  CHECK(Only<send_release>(test.Advance()).empty());
+  for (const send_grant& each : renewals) {
+    test.keys.OnGrantReply(each, sent, {grant_verdict::kAccepted, true},
+                           test.now);
+  }
+  CHECK(Only<send_release>(test.Advance()).size() == 1);
+}
+
 TEST_CASE("a new coordinator moves nothing while the former one may renew") {
   bench former(4);
   former.Settle();
