Don't give up a keyed request's work for the same owner

Change: MayAbandon: only work that another endpoint can do is given up early. Conclusion: lookups whose answer is lost now wait for their time limit.

--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -27,6 +27,11 @@
 
 }  // namespace
 
+bool MayAbandon(const request_progress& progress, bool keyed) {
+  return progress.idempotent && !keyed &&
+         progress.sent + 1 < progress.max_attempts;
+}
+
 unsigned FinalStatus(const request_progress& progress, instant now) {
   if (!progress.may_have_run) {
     return kUnavailable;
--- a/bluebell/proxy/attempt_policy.h
+++ b/bluebell/proxy/attempt_policy.h
@@ -64,6 +64,11 @@
 
 using attempt_decision = std::variant<pass_response, try_again, give_up>;
 
+// True if an attempt that takes unusually long may be given up for another one.
+// A keyed request would only go to the same owner again, behind others, and
+// lose the work that was done.
+bool MayAbandon(const request_progress& progress, bool keyed);
+
 // The status with which a request ends that got no response: 503 if it has
 // surely not run, 504 if its time is over, 502 otherwise.
 unsigned FinalStatus(const request_progress& progress, instant now);
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -62,6 +62,16 @@
         attempt_decision(give_up{503}));
 }
 
+// The pattern: a lookup was given up after a second for its key's only owner,
+// got no slot there again and ended as 502, while its work had nearly been
+// done.
+TEST_CASE("work is given up early only for another endpoint") {
+  CHECK(MayAbandon(Progress(true, 0), false));
+  CHECK(!MayAbandon(Progress(true, 0), true));
+  CHECK(!MayAbandon(Progress(false, 0), false));
+  CHECK(!MayAbandon(Progress(true, 1), false));
+}
+
 TEST_CASE("nothing is tried without time left") {
   request_progress progress = Progress(true, 1);
   progress.deadline = kNow + milliseconds(5);
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -342,7 +342,7 @@
   options.longest_idle =
       progress.idempotent ? kAnyConnection : kFreshConnection;
   bool retry_taken = false;
-  if (progress.idempotent && progress.sent + 1 < progress.max_attempts) {
+  if (MayAbandon(progress, context.call.key.has_value())) {
     const milliseconds expected(std::int64_t{granted.expected_ms} * kOverdue);
     options.overdue = permitted + std::max(kLeastAttempt, expected);
     // An attempt is given up early only for another one.
