Keep what is known of grants when a move of keys is cancelled

Cause: two ways to two owners of one key. A move that is cancelled, since its owner is back before anything was released, gave the range a new record of its grants, without those on their way and those without an answer, which may be carried out seconds later. And keys that an owner had released and was about to get back were given to another endpoint at once, without the wait for late grants, if the owner was gone again by the time of the write.

Change: cancelled moves hand their record back; neighbouring parts merge only when no answer is due, into the later times of both. Keys on their way back are free at once only while their owner can take them. The random test of the coordinator now has grants that travel and entries that are away for a while.

Ruled out: reordering of a release and a grant, closed before; the random test keeps that case.

--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -23,6 +23,22 @@
   return record;
 }
 
+bool grant_record::CanMerge(const grant_record& a, const grant_record& b) {
+  return !a.in_flight_ && !b.in_flight_ && a.accepted_ && b.accepted_ &&
+         a.inherited_ == b.inherited_ && a.former_until_ == b.former_until_;
+}
+
+grant_record grant_record::Merged(const grant_record& a,
+                                  const grant_record& b) {
+  grant_record merged = a;
+  // An empty optional is less than any time.
+  merged.last_sent_ = std::max(a.last_sent_, b.last_sent_);
+  merged.previous_sent_ = std::max(a.previous_sent_, b.previous_sent_);
+  merged.last_unanswered_ = std::max(a.last_unanswered_, b.last_unanswered_);
+  merged.next_ = std::min(a.next_, b.next_);
+  return merged;
+}
+
 void grant_record::OnSent(instant now) {
   in_flight_ = true;
   previous_sent_ = last_sent_;
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -9,6 +9,7 @@
 #ifndef BLUEBELL_KEYSPACE_GRANT_RECORD_H_
 #define BLUEBELL_KEYSPACE_GRANT_RECORD_H_
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,11 @@
   static grant_record Inherited(std::optional<instant> former_until,
                                 instant now);
 
+  // One record for two neighbouring ranges of the same owner, whose grants are
+  // to be renewed by one call. Each time is the later one of both.
+  static bool CanMerge(const grant_record& a, const grant_record& b);
+  static grant_record Merged(const grant_record& a, const grant_record& b);
+
   void OnSent(instant now);
   void OnAnswered(instant sent_at, const key_timing& timing);
   // No answer; `left_host` is false if the order surely wasn't sent.
@@ -34,6 +40,8 @@
                     bool left_host,
                     const key_timing& timing,
                     instant now);
+  // The endpoint may have lost the grant: renews it as soon as possible.
+  void RenewNow(instant now) { next_ = std::min(next_, now); }
   // A former coordinator sends nothing after `until`.
   void SetFormerUntil(instant until);
 
--- a/bluebell/keyspace/grant_record_test.cc
+++ b/bluebell/keyspace/grant_record_test.cc
@@ -49,6 +49,24 @@
   CHECK(record.LateGrantsUntil(kTiming) == instant());
 }
 
+TEST_CASE("two records merge into the later times of both") {
+  grant_record early = grant_record::New("", kStart);
+  early.OnSent(kStart);
+  early.OnUnanswered(kStart, true, kTiming, kStart);
+  early.OnSent(kStart + seconds(1));
+  CHECK(!grant_record::CanMerge(early, early));
+  early.OnAnswered(kStart + seconds(1), kTiming);
+  const instant later = kStart + seconds(2);
+  grant_record late = grant_record::New("", later);
+  late.OnSent(later);
+  late.OnAnswered(later, kTiming);
+  REQUIRE(grant_record::CanMerge(early, late));
+  const grant_record merged = grant_record::Merged(early, late);
+  CHECK(merged.HeldUntil(kTiming) == later + kTiming.LongestHold());
+  CHECK(merged.LateGrantsUntil(kTiming) == kStart + kTiming.LongestHold());
+  CHECK(merged.IsDue(kStart + seconds(1) + kTiming.renewal));
+}
+
 TEST_CASE(
     "nothing is known of a former coordinator's grants until it stopped") {
   grant_record record = grant_record::Inherited(std::nullopt, kStart);
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -202,7 +202,7 @@
 std::vector<coordinator_action>
 key_coordinator::Advance(instant authority_until, bool may_write, instant now) {
   std::vector<coordinator_action> actions;
-  RefreshParts(now);
+  RefreshParts();
   if (may_write) {
     CancelMoves(now);
     StartForcedMoves(now);
@@ -244,24 +244,39 @@
   return parts;
 }
 
-key_coordinator::granted_part key_coordinator::MakePart(
-    const key_assignment& assignment,
-    const key_range& range,
-    instant now) const {
-  for (const granted_part& part : parts_) {
-    if (part.fence == assignment.fence && Contains(part.range, range)) {
-      return {range, assignment.fence, assignment.owner, part.grants};
+void key_coordinator::AddParts(const key_assignment& assignment,
+                               const key_range& range,
+                               std::vector<granted_part>& parts) const {
+  for (const granted_part& known : parts_) {
+    const key_range common{std::max(known.range.first, range.first),
+                           std::min(known.range.last, range.last)};
+    if (known.fence != assignment.fence || common.last < common.first) {
+      continue;
+    }
+    granted_part part{common, assignment.fence, assignment.owner, known.grants};
+    granted_part* before = parts.empty() ? nullptr : &parts.back();
+    // Parts whose answers are still to come stay apart, since each answer
+    // belongs to the range that it was asked for.
+    if (before != nullptr && before->fence == part.fence &&
+        before->range.last + 1 == common.first &&
+        grant_record::CanMerge(before->grants, part.grants)) {
+      before->range.last = common.last;
+      before->grants = grant_record::Merged(before->grants, part.grants);
+    } else {
+      parts.push_back(std::move(part));
     }
   }
-  return {range, assignment.fence, assignment.owner,
-          grant_record::Inherited(former_until_, now)};
 }
 
-void key_coordinator::RefreshParts(instant now) {
+void key_coordinator::RefreshParts() {
+  std::sort(parts_.begin(), parts_.end(),
+            [](const granted_part& a, const granted_part& b) {
+              return a.range < b.range;
+            });
   std::vector<granted_part> parts;
   for (const key_assignment& assignment : table_.assignments()) {
     for (const key_range& range : RestingParts(assignment)) {
-      parts.push_back(MakePart(assignment, range, now));
+      AddParts(assignment, range, parts);
     }
   }
   parts_ = std::move(parts);
@@ -286,10 +301,17 @@
     // Its owner was silent for a while and is back. What it has released needs
     // a new fence; it gets that at once, since nobody else can hold the keys.
     move.to = move.from;
-    return !move.released && !move.release_in_flight;
+    const bool cancel = !move.released && !move.release_in_flight;
+    if (cancel) {
+      // A release that stayed without an answer may have ended the grant.
+      move.grants.RenewNow(now);
+      const key_assignment* assignment = table_.Find(move.range.first);
+      parts_.push_back({move.range, assignment->fence, move.from, move.grants});
+    }
+    return cancel;
   });
   if (cancelled > 0) {
-    RefreshParts(now);
+    RefreshParts();
   }
 }
 
@@ -317,7 +339,7 @@
     }
   }
   if (moves_.size() != before) {
-    RefreshParts(now);
+    RefreshParts();
   }
 }
 
@@ -361,11 +383,13 @@
       StartMove(*part, planned.range, planned.to, now);
     }
   }
-  RefreshParts(now);
+  RefreshParts();
 }
 
 bool key_coordinator::IsFree(const key_move& move, instant now) const {
-  const bool back_to_owner = move.to == move.from && move.released;
+  // If the owner can't take the keys back, they go to another endpoint.
+  const bool back_to_owner =
+      move.to == move.from && move.released && IsUsable(move.from);
   if (HasEnded(move.from) || back_to_owner) {
     return true;
   }
@@ -401,7 +425,7 @@
 std::vector<unheld_range> key_coordinator::UnheldRanges() const {
   std::vector<unheld_range> unheld;
   for (const key_move& move : moves_) {
-    const bool releasing = !move.released && IsUsable(move.from);
+    const bool releasing = !move.released;
     const std::optional<instant> until =
         move.released ? move.grants.LateGrantsUntil(timing_)
                       : move.grants.HeldUntil(timing_);
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -124,10 +124,12 @@
   bool HasEnded(const endpoint_instance& instance) const;
   bool IsLost(const endpoint_instance& instance) const;
   void OnContact(const endpoint_instance& instance, bool answered);
-  void RefreshParts(instant now);
-  granted_part MakePart(const key_assignment& assignment,
-                        const key_range& range,
-                        instant now) const;
+  // Brings the parts in line with the table and the moves.
+  void RefreshParts();
+  // Adds what is known of the grants of `range`, which doesn't move.
+  void AddParts(const key_assignment& assignment,
+                const key_range& range,
+                std::vector<granted_part>& parts) const;
 
   // Ends moves off owners that turned out to be well.
   void CancelMoves(instant now);
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -200,6 +200,96 @@
   CHECK(Only<send_release>(test.Advance()).size() == 1);
 }
 
+// The pattern: an entry lapses and is back at once, as in an outage of the
+// store, while a grant to its endpoint is unanswered.
+TEST_CASE("a cancelled move doesn't forget grants that may come late") {
+  bench test(3);
+  test.Settle();
+  for (int round = 0; round < 5; ++round) {
+    test.now += kTiming.renewal;
+    test.Settle();
+  }
+  test.now += kTiming.renewal;
+  const instant sent = test.now;
+  for (const send_grant& each : Only<send_grant>(test.Advance())) {
+    const bool first = each.endpoint == test.entries[0].instance;
+    test.keys.OnGrantReply(each, sent,
+                           first ? grant_reply{std::nullopt, true}
+                                 : grant_reply{grant_verdict::kAccepted, true},
+                           sent);
+  }
+  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
+                                           test.entries.end());
+  test.keys.SetEndpoints(others, test.now);
+  for (const send_release& each : Only<send_release>(test.Advance())) {
+    test.keys.OnReleaseReply(each, std::nullopt, test.now);
+  }
+  test.keys.SetEndpoints(test.entries, test.now);
+  test.now += kTiming.renewal_retry;
+  for (const send_grant& each : Only<send_grant>(test.Advance())) {
+    test.keys.OnGrantReply(each, test.now, {grant_verdict::kAccepted, true},
+                           test.now);
+  }
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries, test.now);
+  for (const send_release& each : Only<send_release>(test.Advance())) {
+    test.keys.OnReleaseReply(each, "token", test.now);
+  }
+  CHECK(Only<write_key_table>(test.Advance()).empty());
+  test.now = sent + kTiming.LongestHold();
+  CHECK(Only<write_key_table>(test.Advance()).size() == 1);
+}
+
+// The pattern: an owner that released its keys is back, so that they are meant
+// to return to it, and is gone again before that is written.
+TEST_CASE("keys meant to return wait for late grants if they go elsewhere") {
+  bench test(3);
+  test.Settle();
+  for (int round = 0; round < 5; ++round) {
+    test.now += kTiming.renewal;
+    test.Settle();
+  }
+  test.now += kTiming.renewal;
+  const instant sent = test.now;
+  for (const send_grant& each : Only<send_grant>(test.Advance())) {
+    const bool first = each.endpoint == test.entries[0].instance;
+    test.keys.OnGrantReply(each, sent,
+                           first ? grant_reply{std::nullopt, true}
+                                 : grant_reply{grant_verdict::kAccepted, true},
+                           sent);
+  }
+  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
+                                           test.entries.end());
+  test.keys.SetEndpoints(others, test.now);
+  const auto releases = Only<send_release>(test.Advance());
+  REQUIRE(releases.size() == 1);
+  test.keys.SetEndpoints(test.entries, test.now);
+  test.Advance();
+  test.keys.OnReleaseReply(releases.front(), "token", test.now);
+  test.keys.SetEndpoints(others, test.now);
+  CHECK(Only<write_key_table>(test.Advance()).empty());
+  test.now = sent + kTiming.LongestHold();
+  CHECK(Only<write_key_table>(test.Advance()).size() == 1);
+}
+
+// The pattern: an entry is away for a moment while a grant is on its way.
+TEST_CASE("a grant on its way is known of after a cancelled move") {
+  bench test(3);
+  test.Settle();
+  test.now += kTiming.renewal;
+  const auto renewals = Only<send_grant>(test.Advance());
+  REQUIRE(renewals.size() == 3);
+  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
+                                           test.entries.end());
+  test.keys.SetEndpoints(others, test.now);
+  test.Advance();
+  test.keys.SetEndpoints(test.entries, test.now);
+  CHECK(Only<send_grant>(test.Advance()).empty());
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries, test.now);
+  CHECK(Only<send_release>(test.Advance()).empty());
+}
+
 TEST_CASE("a new coordinator moves nothing while the former one may renew") {
   bench former(4);
   former.Settle();
@@ -387,7 +477,7 @@
     for (; now_ < kStart + length; now_ += milliseconds(25)) {
       Disturb();
       Deliver();
-      keys_.SetEndpoints(entries_, now_);
+      keys_.SetEndpoints(VisibleEntries(), now_);
       for (const coordinator_action& action :
            keys_.Advance(now_ + kTiming.authority, true, now_)) {
         Execute(action);
@@ -401,6 +491,12 @@
   std::uint64_t written() const { return revision_; }
 
  private:
+  struct travelling_grant {
+    send_grant order;
+    instant sent;
+    std::uint64_t term = 0;
+    instant arrives;
+  };
   struct late_grant {
     endpoint_instance to;
     key_grant grant;
@@ -419,10 +515,14 @@
     if (Chance(0.01)) {
       const auto which = static_cast<std::size_t>(Pick(6));
       fleet_endpoint& entry = entries_[which];
-      switch (Pick(4)) {
+      switch (Pick(5)) {
         case 0:
           entry.draining = true;
           break;
+        case 3:
+          away_ = entry.instance;
+          away_until_ = now_ + milliseconds(100 * Pick(30));
+          break;
         case 1:
           // The process ends; a new one starts at its address.
           endpoints_.erase(entry.instance);
@@ -469,12 +569,31 @@
                action);
   }
 
+  // Entries as the store has them: that of a living endpoint may be away.
+  std::vector<fleet_endpoint> VisibleEntries() const {
+    std::vector<fleet_endpoint> visible = entries_;
+    if (now_ < away_until_) {
+      std::erase_if(visible, [this](const fleet_endpoint& each) {
+        return each.instance == away_;
+      });
+    }
+    return visible;
+  }
+
   bool Reaches(const endpoint_instance& instance) const {
     return !(instance == silent_ && now_ < silent_until_);
   }
 
+  // Grants of a former coordinator arrive too; nobody waits for their answers.
   void Send(const send_grant& order) {
-    const instant sent = now_;
+    const bool at_once = Chance(0.5);
+    const auto longest = static_cast<int>(kTiming.call_timeout.count());
+    travelling_.push_back(
+        {order, now_, term_, now_ + milliseconds(at_once ? 0 : Pick(longest))});
+  }
+
+  void Arrive(const travelling_grant& travelling) {
+    const send_grant& order = travelling.order;
     grant_reply reply{std::nullopt, true};
     if (!Reaches(order.endpoint)) {
       reply.sent = Chance(0.5);
@@ -491,7 +610,9 @@
             accepted ? grant_verdict::kAccepted : grant_verdict::kSuperseded;
       }
     }
-    keys_.OnGrantReply(order, sent, reply, now_);
+    if (travelling.term == term_) {
+      keys_.OnGrantReply(order, travelling.sent, reply, now_);
+    }
   }
 
   void Send(const send_release& order) {
@@ -527,6 +648,14 @@
   }
 
   void Deliver() {
+    const auto arrived = std::stable_partition(
+        travelling_.begin(), travelling_.end(),
+        [this](const travelling_grant& each) { return each.arrives > now_; });
+    const std::vector<travelling_grant> due(arrived, travelling_.end());
+    travelling_.erase(arrived, travelling_.end());
+    for (const travelling_grant& each : due) {
+      Arrive(each);
+    }
     auto pending = std::move(pending_);
     pending_.clear();
     for (auto& each : pending) {
@@ -570,6 +699,7 @@
   key_coordinator keys_;
   std::vector<fleet_endpoint> entries_;
   std::map<endpoint_instance, model_endpoint> endpoints_;
+  std::vector<travelling_grant> travelling_;
   std::vector<late_grant> late_;
   std::vector<std::function<void()>> pending_;
   instant now_ = kStart;
@@ -580,6 +710,8 @@
   std::uint64_t granted_ = 0;
   endpoint_instance silent_;
   instant silent_until_;
+  endpoint_instance away_;
+  instant away_until_;
   instant former_until_ = instant::max();
 };
 
