Follow every coordinator that may still give orders

Cause: a coordinator that ended before it had excluded the one before it hid that one from its successor, which excluded the ended one at once: two coordinators, and so two owners of a key, were possible for up to the authority of 8 s. A claim was bound to the vacant role alone, so one that was planned before another daemon coordinated for a moment followed the wrong daemon; a coordinator whose lease lapsed could resume with its old tables after another one had coordinated. A daemon that answered a claim while its own older claim was under way could take the role afterwards. A daemon could coordinate before its entry named its present run, and others then took it for ended.

Change: the store holds the history of coordinators that aren't excluded (coordinator-history). A claim changes role and history together and expects both as they were read; the holder shortens the history once all are excluded. former_coordinators decides who is left, role_claim builds the writes, and role_lease does the calls; orders of a former term aren't begun.

Ruled out: waiting for the whole authority after each claim: keys of lost endpoints would stay unserved for 8 s longer.

Figures: the cases of former_coordinators and role_claim can't be expressed with the former code, which kept one name.

--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -150,16 +150,20 @@
     current_.tables.insert_or_assign(
         service_name(item.key.substr(kTablePrefix.size())),
         std::move(table).value());
-  } else if (item.key == kCoordinatorKey || item.key == kLastCoordinatorKey) {
+  } else if (item.key == kCoordinatorKey) {
     const result<daemon_instance> daemon = DecodeDaemon(item.key, item.value);
     if (!daemon) {
       note(daemon.error());
       return;
     }
-    last_coordinator_ = daemon.value();
-    if (item.key == kCoordinatorKey) {
-      current_.coordinator = daemon.value();
+    current_.coordinator = daemon.value();
+  } else if (item.key == kCoordinatorHistoryKey) {
+    auto history = DecodeDaemons(item.key, item.value);
+    if (!history) {
+      note(history.error());
+      return;
     }
+    coordinator_history_ = std::move(history).value();
   }
 }
 
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -57,9 +57,10 @@
   const fleet_snapshot& snapshot() const { return current_; }
   // The revision of the value under `key`; zero if there is none.
   store_version RevisionOf(std::string_view key) const;
-  // Whoever coordinated last, also if it doesn't any more.
-  const std::optional<daemon_instance>& last_coordinator() const {
-    return last_coordinator_;
+  // The last coordinator, also if it isn't one any more, and earlier ones that
+  // it hadn't excluded yet.
+  const std::vector<daemon_instance>& coordinator_history() const {
+    return coordinator_history_;
   }
   // Values that couldn't be read since the last call.
   std::vector<error> TakeProblems();
@@ -73,7 +74,7 @@
 
   fleet_decoders decoders_;
   fleet_snapshot current_;
-  std::optional<daemon_instance> last_coordinator_;
+  std::vector<daemon_instance> coordinator_history_;
   std::map<std::string, store_version, std::less<>> revisions_;
   instant lapses_count_from_;
   // Endpoints whose entry is missing, and when they are dropped.
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -90,16 +90,24 @@
   CHECK(state.snapshot().endpoints.at(endpoint_id("b")).draining);
 }
 
-TEST_CASE("the last coordinator is remembered after its lease has ended") {
+TEST_CASE("former coordinators are remembered after their leases have ended") {
   fleet_state state(TestDecoders());
   const daemon_instance first{daemon_id("front-1"), incarnation(5)};
+  const std::vector<daemon_instance> history{
+      first, {daemon_id("front-2"), incarnation(9)}};
   state.Apply(Item(std::string(kCoordinatorKey), EncodeDaemon(first), 1),
               kStart);
+  state.Apply(
+      Item(std::string(kCoordinatorHistoryKey), EncodeDaemons(history), 1),
+      kStart);
   CHECK(state.snapshot().coordinator == first);
   state.Apply(kv_deletion{std::string(kCoordinatorKey), store_version(2)},
               kStart);
   CHECK(!state.snapshot().coordinator);
-  CHECK(state.last_coordinator() == first);
+  CHECK(state.coordinator_history() == history);
+  state.Apply(Item(std::string(kCoordinatorHistoryKey), "[1]", 3), kStart);
+  CHECK(state.coordinator_history() == history);
+  CHECK(state.TakeProblems().size() == 1);
 }
 
 TEST_CASE("members and key tables are kept as they were written") {
--- a/bluebell/fleet/store_keys.cc
+++ b/bluebell/fleet/store_keys.cc
@@ -4,6 +4,7 @@
 #include <exception>
 #include <utility>
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -24,6 +25,15 @@
   return json::value_to<std::string>(root.at(name));
 }
 
+json::object ToJson(const daemon_instance& daemon) {
+  return {{"id", daemon.id.value()}, {"run", daemon.run.value()}};
+}
+
+daemon_instance DaemonFrom(const json::value& root) {
+  return {daemon_id(TextAt(root, "id")),
+          incarnation(root.at("run").to_number<std::uint64_t>())};
+}
+
 }  // namespace
 
 std::string MemberKey(const daemon_id& id) {
@@ -66,17 +76,35 @@
 }
 
 std::string EncodeDaemon(const daemon_instance& daemon) {
-  return json::serialize(
-      json::object{{"id", daemon.id.value()}, {"run", daemon.run.value()}});
+  return json::serialize(ToJson(daemon));
 }
 
 result<daemon_instance> DecodeDaemon(std::string_view key,
                                      std::string_view value) {
   try {
+    return DaemonFrom(json::parse({value.data(), value.size()}));
+  } catch (const std::exception& failure) {
+    return Malformed(key, failure.what());
+  }
+}
+
+std::string EncodeDaemons(const std::vector<daemon_instance>& daemons) {
+  json::array list;
+  for (const daemon_instance& each : daemons) {
+    list.push_back(ToJson(each));
+  }
+  return json::serialize(list);
+}
+
+result<std::vector<daemon_instance>> DecodeDaemons(std::string_view key,
+                                                   std::string_view value) {
+  try {
+    std::vector<daemon_instance> daemons;
     const json::value root = json::parse({value.data(), value.size()});
-    return daemon_instance{
-        daemon_id(TextAt(root, "id")),
-        incarnation(root.at("run").to_number<std::uint64_t>())};
+    for (const json::value& each : root.as_array()) {
+      daemons.push_back(DaemonFrom(each));
+    }
+    return daemons;
   } catch (const std::exception& failure) {
     return Malformed(key, failure.what());
   }
--- a/bluebell/fleet/store_keys.h
+++ b/bluebell/fleet/store_keys.h
@@ -2,8 +2,10 @@
 //
 //   members/<daemon>   a daemon's announcement, under its lease
 //   coordinator        the daemon that assigns keys, under its lease
-//   last-coordinator   the same without a lease, so that a successor knows whom
-//                      it follows
+//   coordinator-history
+//                      the same without a lease and, after it, earlier ones
+//                      that may still give orders, so that a successor knows
+//                      whom it follows
 //   keys/<service>     the key table of a keyed service
 
 #ifndef BLUEBELL_FLEET_STORE_KEYS_H_
@@ -11,6 +13,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
@@ -22,8 +25,9 @@
 inline constexpr std::string_view kMemberPrefix = "bluebell/members/";
 inline constexpr std::string_view kTablePrefix = "bluebell/keys/";
 inline constexpr std::string_view kCoordinatorKey = "bluebell/coordinator";
-inline constexpr std::string_view kLastCoordinatorKey =
-    "bluebell/last-coordinator";
+// Begins with kCoordinatorKey, so that one listing reads both.
+inline constexpr std::string_view kCoordinatorHistoryKey =
+    "bluebell/coordinator-history";
 
 std::string MemberKey(const daemon_id& id);
 std::string TableKey(const service_name& service);
@@ -35,6 +39,10 @@
 result<daemon_instance> DecodeDaemon(std::string_view key,
                                      std::string_view value);
 
+std::string EncodeDaemons(const std::vector<daemon_instance>& daemons);
+result<std::vector<daemon_instance>> DecodeDaemons(std::string_view key,
+                                                   std::string_view value);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_FLEET_STORE_KEYS_H_
--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -42,16 +42,18 @@
     asio::co_spawn(io_, std::move(work), asio::detached);
   };
   for (const coordinator_action& action : actions) {
-    std::visit(
-        overloaded{
-            [&](const send_grant& order) { spawn(Grant(service, order)); },
-            [&](const send_release& order) { spawn(Release(service, order)); },
-            [&](const write_key_table& order) {
-              services_.at(service)->writing = true;
-              spawn(WriteTable(service, order));
-            },
-            [&](const resign_coordinator&) { Resign(); }},
-        action);
+    std::visit(overloaded{[&](const send_grant& order) {
+                            spawn(Grant(term_, service, order));
+                          },
+                          [&](const send_release& order) {
+                            spawn(Release(term_, service, order));
+                          },
+                          [&](const write_key_table& order) {
+                            services_.at(service)->writing = true;
+                            spawn(WriteTable(term_, service, order));
+                          },
+                          [&](const resign_coordinator&) { Resign(); }},
+               action);
     if (!holding_) {
       return;
     }
@@ -72,10 +74,10 @@
   return client.get();
 }
 
-asio::awaitable<void> coordinator_role::Grant(service_name service,
+asio::awaitable<void> coordinator_role::Grant(std::uint64_t term,
+                                              service_name service,
                                               send_grant order) {
-  const std::uint64_t term = term_;
-  http_client* client = ClientOf(order.where);
+  http_client* client = term == term_ ? ClientOf(order.where) : nullptr;
   if (client == nullptr) {
     co_return;
   }
@@ -110,10 +112,10 @@
   TellUnheld(service, *unit);
 }
 
-asio::awaitable<void> coordinator_role::Release(service_name service,
+asio::awaitable<void> coordinator_role::Release(std::uint64_t term,
+                                                service_name service,
                                                 send_release order) {
-  const std::uint64_t term = term_;
-  http_client* client = ClientOf(order.where);
+  http_client* client = term == term_ ? ClientOf(order.where) : nullptr;
   if (client == nullptr) {
     co_return;
   }
@@ -144,10 +146,13 @@
   TickHolding(now);
 }
 
-asio::awaitable<void> coordinator_role::WriteTable(service_name service,
+asio::awaitable<void> coordinator_role::WriteTable(std::uint64_t term,
+                                                   service_name service,
                                                    write_key_table order) {
-  const std::uint64_t term = term_;
-  const kv_write write{{{std::string(kCoordinatorKey), claim_revision_},
+  if (term != term_) {
+    co_return;
+  }
+  const kv_write write{{{std::string(kCoordinatorKey), lease_.revision()},
                         {TableKey(service), order.expected}},
                        {{TableKey(service), order.table.ToJson(), kv_lease()}}};
   const result<kv_write_result> written = co_await store_.Write(write);
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -30,8 +30,6 @@
 
 constexpr milliseconds kTickHolding{50};
 constexpr milliseconds kTickVacant{100};
-// Short, so that a successor renews the grants before they end.
-constexpr milliseconds kLeaseTerm{1'200};
 constexpr milliseconds kLeaseRenewal{350};
 // The k-th in line waits k times this, so that not all claim at once.
 constexpr milliseconds kPlaceStep{150};
@@ -55,7 +53,8 @@
       store_(store),
       watcher_(watcher),
       traffic_(traffic),
-      tick_(io) {}
+      tick_(io),
+      lease_(self_, store, watcher) {}
 
 coordinator_role::~coordinator_role() = default;
 
@@ -77,7 +76,7 @@
   view_ = view;
   const instant now = BootNow();
   if (holding_ && view_->coordinator && *view_->coordinator != self_ &&
-      watcher_.state().RevisionOf(kCoordinatorKey) > claim_revision_) {
+      watcher_.state().RevisionOf(kCoordinatorKey) > lease_.revision()) {
     StopHolding("another daemon coordinates");
   }
   if (holding_) {
@@ -95,6 +94,13 @@
                      [](const fleet_service& each) { return each.keyed; });
 }
 
+bool coordinator_role::IsAnnounced() const {
+  // While the entry names a former run, others would take this one for a
+  // process that has ended.
+  const auto own = view_->members.find(self_.id);
+  return own != view_->members.end() && own->second.instance == self_;
+}
+
 std::size_t coordinator_role::PlaceInLine() const {
   const auto own = view_->members.find(self_.id);
   const auto place = [](const fleet_member& member) {
@@ -117,8 +123,8 @@
 
 void coordinator_role::TickVacant(instant now) {
   const bool candidate = !leaving_ && !claiming_ && HasKeyedService() &&
-                         view_->members.contains(self_.id) &&
-                         now >= resigned_until_ && watcher_.store_is_well();
+                         IsAnnounced() && now >= resigned_until_ &&
+                         watcher_.store_is_well() && lease_.view_is_recent();
   if (!candidate) {
     vacant_since_.reset();
     return;
@@ -148,81 +154,36 @@
 }
 
 asio::awaitable<void> coordinator_role::Claim() {
-  const std::optional<daemon_instance> former =
-      watcher_.state().last_coordinator();
-  RememberFormer(former);
-  const store_version expected = watcher_.state().RevisionOf(kCoordinatorKey);
-  const instant started = BootNow();
-  const result<kv_granted_lease> lease = co_await store_.StartLease(kLeaseTerm);
-  if (!lease) {
-    watcher_.NoteFailure(lease.error(), BootNow());
-    co_return;
-  }
-  const bool claimed = co_await WriteClaim(expected, lease.value().lease);
-  if (!claimed || leaving_) {
+  formers_ = former_coordinators::Before(watcher_.state().coordinator_history(),
+                                         self_);
+  const claim_outcome claimed = co_await lease_.Claim(formers_.pending());
+  if (claimed != claim_outcome::kClaimed || leaving_) {
     vacant_since_.reset();
     co_return;
   }
-  lease_ = lease.value().lease;
-  proof_ = started;
-  claimed_at_ = BootNow();
+  formers_.SetAuthorityUntil(BootNow() + timing_.authority);
   const bool taken = co_await TakeOver();
-  if (!taken) {
+  // A later claim may have been answered meanwhile.
+  if (!taken || lease_.revision() <= yielded_) {
     vacant_since_.reset();
     co_return;
   }
   holding_ = true;
   ++term_;
   log_event(log_level::kInfo, "coordinates keys")
-      .With("revision", claim_revision_)
-      .With("former", former ? former->id.value() : std::string())
+      .With("revision", lease_.revision())
+      .With("former", FormersText())
       .Write();
   asio::co_spawn(
       io_, [this] { return KeepLease(); }, asio::detached);
 }
 
-asio::awaitable<bool> coordinator_role::WriteClaim(
-    const store_version& expected,
-    kv_lease lease) {
-  const std::string value = EncodeDaemon(self_);
-  const kv_write write{{{std::string(kCoordinatorKey), expected}},
-                       {{std::string(kCoordinatorKey), value, lease},
-                        {std::string(kLastCoordinatorKey), value, kv_lease()}}};
-  const result<kv_write_result> written = co_await store_.Write(write);
-  if (written) {
-    const auto* done = std::get_if<kv_written>(&written.value());
-    if (done != nullptr) {
-      claim_revision_ = done->revision;
-    }
-    co_return done != nullptr;
-  }
-  watcher_.NoteFailure(written.error(), BootNow());
-  // The write may have taken effect without an answer.
-  const result<kv_listing> found =
-      co_await store_.List(std::string(kCoordinatorKey));
-  if (!found) {
-    co_return false;
+std::string coordinator_role::FormersText() const {
+  std::string text;
+  for (const daemon_instance& each : formers_.pending()) {
+    text += (text.empty() ? "" : ",") + each.id.value();
   }
-  for (const kv_item& item : found.value().items) {
-    if (item.key == kCoordinatorKey && item.value == value &&
-        item.lease == lease) {
-      claim_revision_ = item.revision;
-      co_return true;
-    }
-  }
-  co_return false;
-}
-
-void coordinator_role::RememberFormer(
-    const std::optional<daemon_instance>& former) {
-  // A claim of this run that failed halfway has put its own name in place of
-  // the former coordinator's, which may still renew grants.
-  if (!former || *former == self_) {
-    return;
-  }
-  former_ = former;
-  // A former run of this daemon has ended, since this one has its address.
-  former_excluded_ = former->id == self_.id;
+  return text;
 }
 
 asio::awaitable<bool> coordinator_role::TakeOver() {
@@ -236,7 +197,7 @@
   }
   const instant now = BootNow();
   const std::optional<instant> former_until =
-      former_excluded_ ? std::optional(now) : std::nullopt;
+      formers_.excluded() ? std::optional(now) : std::nullopt;
   next_claim_message_ = now;
   services_.clear();
   for (const kv_item& item : tables.value().items) {
@@ -280,31 +241,17 @@
   while (holding_ && term_ == term) {
     timer.expires_after(kLeaseRenewal);
     co_await timer.async_wait(kAwait);
-    if (!holding_ || term_ != term) {
+    if (!holding_ || term_ != term || leaving_) {
       break;
     }
-    const instant sent = BootNow();
-    const result<bool> renewed = co_await store_.RenewLease(lease_);
+    const claim_outcome kept = co_await lease_.Renew(formers_.pending());
     if (!holding_ || term_ != term) {
       break;
     }
-    if (!renewed) {
-      watcher_.NoteFailure(renewed.error(), BootNow());
-    } else if (renewed.value()) {
-      watcher_.NoteSuccess(BootNow());
-      proof_ = sent;
-    } else if (!leaving_) {
-      // The lease lapsed in an outage. The role is taken again unless another
-      // daemon was faster.
-      const result<kv_granted_lease> lease =
-          co_await store_.StartLease(kLeaseTerm);
-      if (lease && co_await WriteClaim(store_version(), lease.value().lease)) {
-        lease_ = lease.value().lease;
-        proof_ = sent;
-        log_event(log_level::kInfo, "coordinates keys again")
-            .With("revision", claim_revision_)
-            .Write();
-      }
+    if (kept == claim_outcome::kTaken) {
+      StopHolding("another daemon has coordinated meanwhile");
+    } else if (formers_.excluded()) {
+      co_await lease_.NoteFormersExcluded();
     }
   }
 }
@@ -332,7 +279,7 @@
 
 asio::awaitable<void> coordinator_role::HandOver() {
   asio::steady_timer timer(io_);
-  while (holding_ && !co_await EndLease()) {
+  while (holding_ && !co_await lease_.End()) {
     timer.expires_after(kHandOverRetry);
     co_await timer.async_wait(kAwait);
   }
@@ -343,62 +290,61 @@
 
 void coordinator_role::OnClaim(const address& from,
                                const coordinator_claim& claim) {
-  if (holding_ && claim.revision <= claim_revision_.value()) {
+  const store_version claimed(claim.revision);
+  if (holding_ && claimed <= lease_.revision()) {
     return;
   }
   if (holding_) {
     StopHolding("another daemon has claimed the role");
   }
+  yielded_ = std::max(yielded_, claimed);
   traffic_.SendPeer(from, coordinator_yield{claim.revision});
 }
 
 void coordinator_role::OnYield(const address& from,
                                const coordinator_yield& yield) {
-  if (!holding_ || former_excluded_ || !former_ ||
-      yield.revision != claim_revision_.value()) {
+  if (!holding_ || store_version(yield.revision) != lease_.revision()) {
     return;
   }
-  const auto member = view_->members.find(former_->id);
-  if (member != view_->members.end() && member->second.peer == from) {
-    ExcludeFormer(BootNow(), "it has yielded");
+  if (const auto done = formers_.OnYield(from, view_->members)) {
+    OnExcluded(*done, BootNow());
   }
 }
 
-void coordinator_role::ExcludeFormer(instant until, const std::string& reason) {
-  former_excluded_ = true;
-  for (auto& [service, unit] : services_) {
-    unit->keys.SetFormerUntil(until);
-  }
+void coordinator_role::OnExcluded(const coordinator_exclusion& done,
+                                  instant now) {
   log_event(log_level::kInfo, "former coordinator is excluded")
-      .With("former", former_ ? former_->id.value() : std::string())
-      .With("reason", reason)
+      .With("former", done.daemon.id)
+      .With("reason", std::string(ToText(done.reason)))
       .Write();
+  if (formers_.excluded()) {
+    for (auto& [service, unit] : services_) {
+      unit->keys.SetFormerUntil(now);
+    }
+  }
 }
 
-void coordinator_role::CheckFormer(instant now) {
-  if (former_excluded_ || !former_) {
-    return;
-  }
-  const auto member = view_->members.find(former_->id);
-  if (member != view_->members.end() &&
-      member->second.instance.run != former_->run) {
-    ExcludeFormer(now, "its process has ended");
-    return;
+void coordinator_role::CheckFormers(instant now) {
+  for (const coordinator_exclusion& done :
+       formers_.Advance(view_->members, now)) {
+    OnExcluded(done, now);
   }
-  if (now >= claimed_at_ + timing_.authority) {
-    ExcludeFormer(now, "its authority has run out");
+  if (formers_.excluded() || now < next_claim_message_) {
     return;
   }
-  if (now >= next_claim_message_ && member != view_->members.end()) {
-    next_claim_message_ = now + kClaimMessageInterval;
-    traffic_.SendPeer(member->second.peer,
-                      coordinator_claim{claim_revision_.value()});
+  next_claim_message_ = now + kClaimMessageInterval;
+  for (const daemon_instance& former : formers_.pending()) {
+    const auto member = view_->members.find(former.id);
+    if (member != view_->members.end()) {
+      traffic_.SendPeer(member->second.peer,
+                        coordinator_claim{lease_.revision().value()});
+    }
   }
 }
 
 void coordinator_role::TickHolding(instant now) {
-  CheckFormer(now);
-  const instant authority_until = proof_ + timing_.authority;
+  CheckFormers(now);
+  const instant authority_until = lease_.proof() + timing_.authority;
   for (auto& [service, unit] : services_) {
     Measure(service, *unit, now);
     const bool may_write =
@@ -453,18 +399,8 @@
   StopHolding("most owners of keys can't be reached");
   // A lease that can't be ended now ends by itself.
   asio::co_spawn(
-      io_, [this]() -> asio::awaitable<void> { co_await EndLease(); },
+      io_, [this]() -> asio::awaitable<void> { co_await lease_.End(); },
       asio::detached);
 }
 
-asio::awaitable<bool> coordinator_role::EndLease() {
-  const result<bool> ended = co_await store_.EndLease(lease_);
-  if (!ended) {
-    log_event(log_level::kWarn, "coordinator lease not ended")
-        .With(ended.error())
-        .Write();
-  }
-  co_return ended.has_value();
-}
-
 }  // namespace bluebell
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -22,6 +22,8 @@
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/gateway/former_coordinators.h"
+#include "bluebell/gateway/role_lease.h"
 #include "bluebell/keyspace/coordinator_action.h"
 #include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/keyspace/key_coordinator.h"
@@ -80,33 +82,37 @@
   void Tick(instant now);
   void TickVacant(instant now);
   void TickHolding(instant now);
+  // The fleet knows this run of the daemon.
+  bool IsAnnounced() const;
   // This daemon's place among those that may take the role.
   std::size_t PlaceInLine() const;
   bool HasKeyedService() const;
 
   boost::asio::awaitable<void> Claim();
-  boost::asio::awaitable<bool> WriteClaim(const store_version& expected,
-                                          kv_lease lease);
-  void RememberFormer(const std::optional<daemon_instance>& former);
+  std::string FormersText() const;
   boost::asio::awaitable<bool> TakeOver();
   boost::asio::awaitable<void> KeepLease();
   void StopHolding(const std::string& reason);
   // Leaves the role to a daemon that reaches more endpoints.
   void Resign();
-  boost::asio::awaitable<bool> EndLease();
   boost::asio::awaitable<void> HandOver();
-  void CheckFormer(instant now);
-  void ExcludeFormer(instant until, const std::string& reason);
+  void CheckFormers(instant now);
+  void OnExcluded(const coordinator_exclusion& done, instant now);
   void SyncServices(instant now);
   void TellUnheld(const service_name& service, service_keys& unit);
   void Measure(const service_name& service, service_keys& unit, instant now);
 
   void Execute(const service_name& service,
                const std::vector<coordinator_action>& actions);
-  boost::asio::awaitable<void> Grant(service_name service, send_grant order);
-  boost::asio::awaitable<void> Release(service_name service,
+  // Each ends without effect if the term has ended before it begins.
+  boost::asio::awaitable<void> Grant(std::uint64_t term,
+                                     service_name service,
+                                     send_grant order);
+  boost::asio::awaitable<void> Release(std::uint64_t term,
+                                       service_name service,
                                        send_release order);
-  boost::asio::awaitable<void> WriteTable(service_name service,
+  boost::asio::awaitable<void> WriteTable(std::uint64_t term,
+                                          service_name service,
                                           write_key_table order);
   static void OnTableConflict(const service_name& service,
                               service_keys& unit,
@@ -130,13 +136,10 @@
   bool leaving_ = false;
   // Counts the terms of holding the role; ends what belongs to a former one.
   std::uint64_t term_ = 0;
-  kv_lease lease_;
-  // When the last renewal that succeeded was sent.
-  instant proof_;
-  store_version claim_revision_;
-  instant claimed_at_;
-  std::optional<daemon_instance> former_;
-  bool former_excluded_ = true;
+  role_lease lease_;
+  former_coordinators formers_;
+  // The latest claim of another daemon that was answered.
+  store_version yielded_;
   instant next_claim_message_;
   std::optional<instant> vacant_since_;
   instant resigned_until_;
--- /dev/null
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -0,0 +1,78 @@
+#include "bluebell/gateway/former_coordinators.h"
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "bluebell/core/address.h"
+
+namespace bluebell {
+namespace {
+
+const instant kStart = instant(seconds(1'000));
+const instant kAuthorityEnds = kStart + seconds(8);
+
+daemon_instance Daemon(int number, std::uint64_t run = 1) {
+  return {daemon_id("front-" + std::to_string(number)), incarnation(run)};
+}
+
+address PeerOf(int number) {
+  return address::Parse("10.0.0." + std::to_string(number) + ":7200").value();
+}
+
+former_coordinators::member_map Members(
+    const std::vector<std::pair<int, std::uint64_t>>& runs) {
+  former_coordinators::member_map members;
+  for (const auto& [number, run] : runs) {
+    const daemon_instance daemon = Daemon(number, run);
+    members[daemon.id] = {daemon, domain_name("a"), PeerOf(number), 200, false};
+  }
+  return members;
+}
+
+former_coordinators Before(const std::vector<daemon_instance>& history) {
+  auto formers = former_coordinators::Before(history, Daemon(9));
+  formers.SetAuthorityUntil(kAuthorityEnds);
+  return formers;
+}
+
+// The pattern: a coordinator is killed before it knows that the one before it
+// has stopped. That one may renew grants for seconds to come.
+TEST_CASE("a coordinator that ended doesn't hide the one before it") {
+  former_coordinators formers = Before({Daemon(2), Daemon(1)});
+  const auto members = Members({{1, 1}, {2, 5}});
+  const auto done = formers.Advance(members, kStart);
+  REQUIRE(done.size() == 1);
+  CHECK(done.front() ==
+        coordinator_exclusion{Daemon(2), exclusion_reason::kProcessEnded});
+  CHECK(!formers.excluded());
+  CHECK(formers.pending() == std::vector<daemon_instance>{Daemon(1)});
+  const auto yielded = formers.OnYield(PeerOf(1), members);
+  REQUIRE(yielded);
+  CHECK(yielded->daemon == Daemon(1));
+  CHECK(formers.excluded());
+}
+
+TEST_CASE("an unreachable coordinator counts until its authority has ended") {
+  former_coordinators formers = Before({Daemon(1)});
+  CHECK(formers.Advance({}, kAuthorityEnds - milliseconds(1)).empty());
+  CHECK(!formers.excluded());
+  const auto done = formers.Advance({}, kAuthorityEnds);
+  REQUIRE(done.size() == 1);
+  CHECK(done.front().reason == exclusion_reason::kAuthorityEnded);
+  CHECK(formers.excluded());
+}
+
+TEST_CASE("a former run of the same daemon can't give orders any more") {
+  CHECK(Before({Daemon(9, 4)}).excluded());
+  CHECK(former_coordinators().excluded());
+}
+
+TEST_CASE("a yield of a daemon that never coordinated excludes nobody") {
+  former_coordinators formers = Before({Daemon(1)});
+  CHECK(!formers.OnYield(PeerOf(3), Members({{1, 1}, {3, 1}})));
+  CHECK(!formers.excluded());
+}
+
+}  // namespace
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/gateway/role_claim_test.cc
@@ -0,0 +1,109 @@
+#include "bluebell/gateway/role_claim.h"
+
+#include <map>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "bluebell/fleet/store_keys.h"
+
+namespace bluebell {
+namespace {
+
+daemon_instance Daemon(int number) {
+  return {daemon_id("front-" + std::to_string(number)), incarnation(1)};
+}
+
+// The store's rule for conditional writes.
+class store_model {
+ public:
+  bool Write(const kv_write& write) {
+    for (const kv_condition& each : write.conditions) {
+      const auto found = items_.find(each.key);
+      const store_version current =
+          found == items_.end() ? store_version() : found->second.revision;
+      if (current != each.revision) {
+        return false;
+      }
+    }
+    ++revision_;
+    for (const kv_put& put : write.puts) {
+      items_[put.key] = {put.key, put.value, store_version(revision_),
+                         put.lease};
+    }
+    return true;
+  }
+  void EndRole() { items_.erase(std::string(kCoordinatorKey)); }
+  std::vector<kv_item> Items() const {
+    std::vector<kv_item> items;
+    for (const auto& [key, item] : items_) {
+      items.push_back(item);
+    }
+    return items;
+  }
+  role_versions Versions() const { return FindRoleVersions(Items()); }
+  std::vector<daemon_instance> History() const {
+    const kv_item& item = items_.at(std::string(kCoordinatorHistoryKey));
+    return DecodeDaemons(item.key, item.value).value();
+  }
+
+ private:
+  std::map<std::string, kv_item> items_;
+  std::uint64_t revision_ = 0;
+};
+
+// The pattern: a daemon reads that the role is vacant; another one claims it
+// and ends before the first one's claim arrives. The first one would follow the
+// wrong coordinator.
+TEST_CASE("a claim fails if another daemon coordinated since it was planned") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {}, kv_lease(1))));
+  store.EndRole();
+  const role_versions seen = store.Versions();
+  REQUIRE(store.Write(ClaimWrite(seen, Daemon(2), {Daemon(1)}, kv_lease(2))));
+  store.EndRole();
+  CHECK(!store.Write(ClaimWrite(seen, Daemon(3), {Daemon(1)}, kv_lease(3))));
+  CHECK(store.Write(ClaimWrite(store.Versions(), Daemon(3),
+                               {Daemon(2), Daemon(1)}, kv_lease(3))));
+  CHECK(store.History() ==
+        std::vector<daemon_instance>{Daemon(3), Daemon(2), Daemon(1)});
+}
+
+// The pattern: a lease lapses in an outage; after it another daemon coordinates
+// for a moment, and the first one takes the role again with its old tables.
+TEST_CASE("a coordinator can't resume after another one coordinated") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {}, kv_lease(1))));
+  const role_versions held = store.Versions();
+  store.EndRole();
+  const role_versions vacant{store_version(), held.history};
+  REQUIRE(store.Write(ClaimWrite(vacant, Daemon(2), {Daemon(1)}, kv_lease(2))));
+  store.EndRole();
+  CHECK(!store.Write(ClaimWrite(vacant, Daemon(1), {}, kv_lease(3))));
+}
+
+TEST_CASE("only the holder may shorten the history") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {Daemon(5)}, kv_lease(1))));
+  const role_versions held = store.Versions();
+  CHECK(store.Write(FormersExcludedWrite(held, Daemon(1))));
+  CHECK(store.History() == std::vector<daemon_instance>{Daemon(1)});
+  store.EndRole();
+  REQUIRE(store.Write(
+      ClaimWrite(store.Versions(), Daemon(2), {Daemon(1)}, kv_lease(2))));
+  CHECK(!store.Write(FormersExcludedWrite(held, Daemon(1))));
+  CHECK(store.History().front() == Daemon(2));
+}
+
+TEST_CASE("a claim whose answer was lost is found by its value") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {}, kv_lease(7))));
+  const auto held = FindOwnClaim(store.Items(), Daemon(1));
+  REQUIRE(held);
+  CHECK(held->lease == kv_lease(7));
+  CHECK(held->versions == store.Versions());
+  CHECK(!FindOwnClaim(store.Items(), Daemon(2)));
+}
+
+}  // namespace
+}  // namespace bluebell
