--- a/bluebell/daemon/admin_server.cc
+++ b/bluebell/admin/admin_server.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/admin_server.h"
+#include "bluebell/admin/admin_server.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,11 +18,10 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "bluebell/admin/internal/admin_request.h"
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/internal/admin_request.h"
-#include "bluebell/daemon/internal/open_acceptor.h"
 #include "bluebell/http/http_message.h"
-#include "bluebell/telemetry/log_event.h"
+#include "bluebell/net/tcp_listener.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
@@ -40,7 +39,6 @@
 // A configuration change waits for the store; it is answered or refused well
 // within this time.
 constexpr seconds kAnswerTimeout{15};
-constexpr milliseconds kAcceptPause{50};
 constexpr unsigned kGatewayTimeout = 504;
 constexpr unsigned kPayloadTooLarge = 413;
 constexpr unsigned kBadRequest = 400;
@@ -187,110 +185,38 @@
 
 }  // namespace
 
-class admin_server::impl : public std::enable_shared_from_this<impl> {
- public:
-  impl(asio::io_context& io,
-       const admin_handlers& handlers,
-       metrics_registry& metrics)
-      : handlers_(std::make_shared<admin_handlers>(handlers)),
-        metrics_(metrics),
-        acceptor_(io),
-        pause_(io) {}
-
-  const address& listen_address() const { return listen_address_; }
-
-  result<void> Open(const address& listen) {
-    const result<address> opened = OpenAcceptor(acceptor_, listen);
-    if (!opened) {
-      return opened.error();
-    }
-    listen_address_ = opened.value();
-    return boost::outcome_v2::success();
-  }
-
-  void Start() {
-    asio::post(acceptor_.get_executor(),
-               [self = shared_from_this()] { self->Accept(); });
-  }
-
-  void Close() {
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-      self->pause_.cancel();
-    });
-  }
-
- private:
-  void Accept() {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    acceptor_.async_accept(
-        [self = shared_from_this()](const boost::system::error_code& failure,
-                                    tcp::socket socket) {
-          if (!self->acceptor_.is_open()) {
-            return;
-          }
-          if (failure) {
-            self->PauseAccepting(failure);
-            return;
-          }
-          if (*self->open_ < kMaxSessions) {
-            std::make_shared<session>(std::move(socket), self->handlers_,
-                                      self->metrics_, self->open_)
-                ->Read();
-          }
-          self->Accept();
-        });
-  }
-
-  // A lack of file descriptors must not make the thread spin.
-  void PauseAccepting(const boost::system::error_code& failure) {
-    log_event(log_level::kWarn, "can't accept an operator's connection")
-        .With(error(errc::kUnavailable, step::kListen,
-                    listen_address_.ToString(), failure.message()))
-        .Write();
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([self = shared_from_this()](
-                          const boost::system::error_code& cancelled) {
-      if (!cancelled) {
-        self->Accept();
-      }
-    });
-  }
-
-  std::shared_ptr<const admin_handlers> handlers_;
-  metrics_registry& metrics_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer pause_;
-  address listen_address_;
-  std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
-};
-
 result<std::unique_ptr<admin_server>> admin_server::Make(
     asio::io_context& io,
     const address& listen,
     const admin_handlers& handlers,
     metrics_registry& metrics) {
-  auto state = std::make_shared<impl>(io, handlers, metrics);
-  const result<void> opened = state->Open(listen);
-  if (!opened) {
-    return opened.error();
+  auto listener = tcp_listener::Open(io, listen);
+  if (!listener) {
+    return listener.error();
   }
-  state->Start();
-  return std::unique_ptr<admin_server>(new admin_server(std::move(state)));
+  const auto shared_handlers = std::make_shared<const admin_handlers>(handlers);
+  const auto open = std::make_shared<std::size_t>(0);
+  listener.value()->Start(
+      [shared_handlers, open, &metrics](tcp::socket socket) {
+        if (*open < kMaxSessions) {
+          std::make_shared<session>(std::move(socket), shared_handlers, metrics,
+                                    open)
+              ->Read();
+        }
+      });
+  return std::unique_ptr<admin_server>(
+      new admin_server(std::move(listener).value()));
 }
 
-admin_server::admin_server(std::shared_ptr<impl> state)
-    : impl_(std::move(state)) {}
+admin_server::admin_server(std::shared_ptr<tcp_listener> listener)
+    : listener_(std::move(listener)) {}
 
 admin_server::~admin_server() {
-  impl_->Close();
+  listener_->Close();
 }
 
 const address& admin_server::listen_address() const {
-  return impl_->listen_address();
+  return listener_->listen_address();
 }
 
 }  // namespace bluebell
--- a/bluebell/daemon/admin_server.h
+++ b/bluebell/admin/admin_server.h
@@ -7,8 +7,8 @@
 //
 //   auto server = admin_server::Make(io, listen, handlers, metrics);
 
-#ifndef BLUEBELL_DAEMON_ADMIN_SERVER_H_
-#define BLUEBELL_DAEMON_ADMIN_SERVER_H_
+#ifndef BLUEBELL_ADMIN_ADMIN_SERVER_H_
+#define BLUEBELL_ADMIN_ADMIN_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -25,6 +25,7 @@
 namespace bluebell {
 
 class metrics_registry;
+class tcp_listener;
 
 struct admin_handlers {
   using reply_handler = std::function<void(operator_reply)>;
@@ -54,12 +55,11 @@
   const address& listen_address() const;
 
  private:
-  class impl;
-  explicit admin_server(std::shared_ptr<impl> state);
+  explicit admin_server(std::shared_ptr<tcp_listener> listener);
 
-  std::shared_ptr<impl> impl_;
+  std::shared_ptr<tcp_listener> listener_;
 };
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ADMIN_SERVER_H_
+#endif  // BLUEBELL_ADMIN_ADMIN_SERVER_H_
--- a/bluebell/daemon/admin_server_test.cc
+++ b/bluebell/admin/admin_server_test.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/admin_server.h"
+#include "bluebell/admin/admin_server.h"
 
 #include <optional>
 #include <string>
--- a/bluebell/daemon/internal/admin_request.cc
+++ b/bluebell/admin/internal/admin_request.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/internal/admin_request.h"
+#include "bluebell/admin/internal/admin_request.h"
 
 #include <algorithm>
 #include <charconv>
--- a/bluebell/daemon/internal/admin_request.h
+++ b/bluebell/admin/internal/admin_request.h
@@ -1,7 +1,7 @@
 // Reads what an operator's HTTP request asks for.
 
-#ifndef BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
-#define BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
+#ifndef BLUEBELL_ADMIN_INTERNAL_ADMIN_REQUEST_H_
+#define BLUEBELL_ADMIN_INTERNAL_ADMIN_REQUEST_H_
 
 #include <string>
 #include <variant>
@@ -40,4 +40,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INTERNAL_ADMIN_REQUEST_H_
+#endif  // BLUEBELL_ADMIN_INTERNAL_ADMIN_REQUEST_H_
--- a/bluebell/daemon/control_loop.cc
+++ b/bluebell/daemon/control_loop.cc
@@ -13,7 +13,7 @@
 
 #include "bluebell/core/overloaded.h"
 #include "bluebell/daemon/internal/action_executor.h"
-#include "bluebell/daemon/internal/heartbeat_socket.h"
+#include "bluebell/peer/heartbeat_socket.h"
 #include "bluebell/store/http_platform.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
--- a/bluebell/daemon/control_loop.h
+++ b/bluebell/daemon/control_loop.h
@@ -17,7 +17,7 @@
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
 #include "bluebell/daemon/control_decisions.h"
-#include "bluebell/daemon/peer_server.h"
+#include "bluebell/peer/peer_server.h"
 #include "bluebell/routing/snapshot_holder.h"
 #include "bluebell/settings/daemon_settings.h"
 #include "bluebell/store/platform_client.h"
--- a/bluebell/daemon/control_loop_test.cc
+++ b/bluebell/daemon/control_loop_test.cc
@@ -13,7 +13,7 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/peer_server.h"
+#include "bluebell/peer/peer_server.h"
 #include "bluebell/store/memory_platform.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
--- a/bluebell/daemon/daemon.cc
+++ b/bluebell/daemon/daemon.cc
@@ -6,13 +6,13 @@
 #include <string>
 #include <utility>
 
+#include "bluebell/admin/admin_server.h"
 #include "bluebell/control/control_state.h"
-#include "bluebell/daemon/admin_server.h"
-#include "bluebell/daemon/clock.h"
 #include "bluebell/daemon/control_loop.h"
 #include "bluebell/daemon/peer_requests.h"
-#include "bluebell/daemon/peer_server.h"
 #include "bluebell/daemon/traffic_plane.h"
+#include "bluebell/peer/peer_server.h"
+#include "bluebell/runtime/clock.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
--- a/bluebell/daemon/internal/action_executor.h
+++ b/bluebell/daemon/internal/action_executor.h
@@ -12,9 +12,9 @@
 #include "bluebell/control/control_action.h"
 #include "bluebell/control/control_event.h"
 #include "bluebell/daemon/control_loop.h"
-#include "bluebell/daemon/internal/heartbeat_socket.h"
 #include "bluebell/daemon/internal/lease_sender.h"
-#include "bluebell/daemon/peer_link.h"
+#include "bluebell/peer/heartbeat_socket.h"
+#include "bluebell/peer/peer_link.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
--- a/bluebell/daemon/peer_requests.cc
+++ b/bluebell/daemon/peer_requests.cc
@@ -5,10 +5,10 @@
 #include <utility>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
 #include "bluebell/daemon/control_loop.h"
-#include "bluebell/daemon/forward_mapping.h"
 #include "bluebell/daemon/traffic_plane.h"
+#include "bluebell/entry/forward_mapping.h"
+#include "bluebell/runtime/clock.h"
 #include "bluebell/telemetry/metric.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
--- a/bluebell/daemon/peer_requests.h
+++ b/bluebell/daemon/peer_requests.h
@@ -6,7 +6,7 @@
 #ifndef BLUEBELL_DAEMON_PEER_REQUESTS_H_
 #define BLUEBELL_DAEMON_PEER_REQUESTS_H_
 
-#include "bluebell/daemon/peer_server.h"
+#include "bluebell/peer/peer_server.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/traffic_plane.cc
+++ b/bluebell/daemon/traffic_plane.cc
@@ -4,9 +4,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
-#include "bluebell/daemon/caller_acceptor.h"
-#include "bluebell/daemon/clock.h"
 #include "bluebell/daemon/shard_gather.h"
+#include "bluebell/net/tcp_listener.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
@@ -40,24 +40,35 @@
     const plane_hooks& hooks) {
   std::unique_ptr<traffic_plane> plane(
       new traffic_plane(settings, metrics, hooks));
-  std::vector<traffic_shard*> shards;
-  for (const auto& shard : plane->shards_) {
-    shards.push_back(shard.get());
-  }
-  auto acceptor = caller_acceptor::Listen(shards, settings.caller_listen);
-  if (!acceptor) {
-    return acceptor.error();
+  auto listener =
+      tcp_listener::Open(plane->shards_.front()->io(), settings.caller_listen);
+  if (!listener) {
+    return listener.error();
   }
-  plane->acceptor_ = acceptor.value();
+  plane->listener_ = std::move(listener).value();
+  plane->AcceptCallers();
   for (const auto& shard : plane->shards_) {
     shard->Start();
   }
   return plane;
 }
 
+// One listener that hands connections round spreads few of them evenly, which
+// the hash of SO_REUSEPORT doesn't.
+void traffic_plane::AcceptCallers() {
+  listener_->Start(
+      [this](boost::asio::ip::tcp::socket socket) {
+        shards_[accepting_]->Take(std::move(socket));
+      },
+      [this]() -> boost::asio::io_context& {
+        accepting_ = (accepting_ + 1) % shards_.size();
+        return shards_[accepting_]->io();
+      });
+}
+
 traffic_plane::~traffic_plane() {
-  if (acceptor_) {
-    acceptor_->Close();
+  if (listener_) {
+    listener_->Close();
   }
   for (const auto& shard : shards_) {
     shard->Stop();
@@ -152,7 +163,7 @@
 
 void traffic_plane::Drain(
     std::function<void(std::vector<ledger_transfer> ledgers)> done) {
-  acceptor_->Close();
+  listener_->Close();
   for (const auto& shard : shards_) {
     shard->Drain();
   }
@@ -211,7 +222,7 @@
 }
 
 std::uint16_t traffic_plane::caller_port() const {
-  return acceptor_->port();
+  return listener_->listen_address().port();
 }
 
 }  // namespace bluebell
--- a/bluebell/daemon/traffic_plane.h
+++ b/bluebell/daemon/traffic_plane.h
@@ -16,8 +16,8 @@
 
 #include "bluebell/core/request_id.h"
 #include "bluebell/core/result.h"
-#include "bluebell/daemon/dispatch_gateway.h"
 #include "bluebell/daemon/traffic_shard.h"
+#include "bluebell/entry/dispatch_gateway.h"
 #include "bluebell/routing/routing_snapshot.h"
 #include "bluebell/settings/daemon_settings.h"
 #include "bluebell/wire/ledger_transfer.h"
@@ -25,7 +25,7 @@
 
 namespace bluebell {
 
-class caller_acceptor;
+class tcp_listener;
 class metrics_registry;
 
 // What the control side needs to hear. Called on traffic threads; must not
@@ -85,6 +85,7 @@
                 metrics_registry& metrics,
                 const plane_hooks& hooks);
 
+  void AcceptCallers();
   void OnLoad(std::size_t shard, const load_report& load);
   void SharePressures(const std::vector<pressure_update>& updates);
   void CheckDrained(
@@ -93,7 +94,9 @@
   plane_hooks hooks_;
   dispatch_gateway gateway_;
   std::vector<std::unique_ptr<traffic_shard>> shards_;
-  std::shared_ptr<caller_acceptor> acceptor_;
+  std::shared_ptr<tcp_listener> listener_;
+  // The shard of the connection that is accepted next.
+  std::size_t accepting_ = 0;
   // Touched on the first shard's thread only.
   std::vector<load_report> loads_;
 };
--- a/bluebell/daemon/traffic_shard.cc
+++ b/bluebell/daemon/traffic_shard.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <utility>
 
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/dispatch_gateway.h"
+#include "bluebell/entry/dispatch_gateway.h"
+#include "bluebell/runtime/clock.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
--- a/bluebell/daemon/traffic_shard.h
+++ b/bluebell/daemon/traffic_shard.h
@@ -16,13 +16,13 @@
 #include <vector>
 
 #include "bluebell/control/control_event.h"
-#include "bluebell/daemon/caller_server.h"
-#include "bluebell/daemon/dispatcher_set.h"
-#include "bluebell/daemon/entry_router.h"
-#include "bluebell/daemon/load_meter.h"
-#include "bluebell/daemon/peer_forwarder.h"
-#include "bluebell/daemon/traffic_context.h"
 #include "bluebell/daemon/traffic_thread.h"
+#include "bluebell/dispatcher/dispatcher_set.h"
+#include "bluebell/entry/caller_server.h"
+#include "bluebell/entry/entry_router.h"
+#include "bluebell/entry/peer_forwarder.h"
+#include "bluebell/runtime/load_meter.h"
+#include "bluebell/runtime/traffic_context.h"
 #include "bluebell/settings/daemon_settings.h"
 #include "bluebell/wire/pressure_update.h"
 
--- a/bluebell/daemon/dispatch_claim.cc
+++ b/bluebell/dispatcher/dispatch_claim.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/dispatch_claim.h"
+#include "bluebell/dispatcher/dispatch_claim.h"
 
 #include <algorithm>
 #include <chrono>
--- a/bluebell/daemon/dispatch_claim.h
+++ b/bluebell/dispatcher/dispatch_claim.h
@@ -8,8 +8,8 @@
 //
 //   dispatch_claim claim = dispatch_claim::Make(timing, checks_epoch, now);
 
-#ifndef BLUEBELL_DAEMON_DISPATCH_CLAIM_H_
-#define BLUEBELL_DAEMON_DISPATCH_CLAIM_H_
+#ifndef BLUEBELL_DISPATCHER_DISPATCH_CLAIM_H_
+#define BLUEBELL_DISPATCHER_DISPATCH_CLAIM_H_
 
 #include <cstdint>
 #include <optional>
@@ -52,4 +52,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DISPATCH_CLAIM_H_
+#endif  // BLUEBELL_DISPATCHER_DISPATCH_CLAIM_H_
--- a/bluebell/daemon/dispatcher.cc
+++ b/bluebell/dispatcher/dispatcher.cc
@@ -1,14 +1,14 @@
-#include "bluebell/daemon/dispatcher.h"
+#include "bluebell/dispatcher/dispatcher.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/endpoint_pool.h"
-#include "bluebell/daemon/order_attempt.h"
+#include "bluebell/dispatcher/order_attempt.h"
+#include "bluebell/endpoint/endpoint_pool.h"
 #include "bluebell/routing/owned_hash.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/dispatcher.h
+++ b/bluebell/dispatcher/dispatcher.h
@@ -4,8 +4,8 @@
 //   auto dispatcher = dispatcher::Make(context, endpoint, snapshot).value();
 //   dispatcher->Submit({request, waiter, std::move(sink)});
 
-#ifndef BLUEBELL_DAEMON_DISPATCHER_H_
-#define BLUEBELL_DAEMON_DISPATCHER_H_
+#ifndef BLUEBELL_DISPATCHER_DISPATCHER_H_
+#define BLUEBELL_DISPATCHER_DISPATCHER_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -23,15 +23,15 @@
 #include "bluebell/core/request_outcome.h"
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/dispatch_claim.h"
-#include "bluebell/daemon/order_permission.h"
-#include "bluebell/daemon/order_rules.h"
-#include "bluebell/daemon/outcome_sink.h"
-#include "bluebell/daemon/traffic_context.h"
 #include "bluebell/dispatch/endpoint_queue.h"
 #include "bluebell/dispatch/request_ledger.h"
 #include "bluebell/dispatch/retry_budget.h"
+#include "bluebell/dispatcher/dispatch_claim.h"
+#include "bluebell/dispatcher/order_permission.h"
+#include "bluebell/dispatcher/order_rules.h"
+#include "bluebell/dispatcher/outcome_sink.h"
 #include "bluebell/routing/routing_snapshot.h"
+#include "bluebell/runtime/traffic_context.h"
 #include "bluebell/wire/ledger_transfer.h"
 #include "bluebell/wire/request_query.h"
 
@@ -169,4 +169,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DISPATCHER_H_
+#endif  // BLUEBELL_DISPATCHER_DISPATCHER_H_
--- a/bluebell/daemon/dispatcher_orders.cc
+++ b/bluebell/dispatcher/dispatcher_orders.cc
@@ -6,13 +6,13 @@
 #include <utility>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/dispatcher.h"
-#include "bluebell/daemon/endpoint_pool.h"
-#include "bluebell/daemon/invariant.h"
-#include "bluebell/daemon/load_meter.h"
-#include "bluebell/daemon/order_attempt.h"
-#include "bluebell/daemon/order_cancel.h"
+#include "bluebell/dispatcher/dispatcher.h"
+#include "bluebell/dispatcher/order_attempt.h"
+#include "bluebell/dispatcher/order_cancel.h"
+#include "bluebell/endpoint/endpoint_pool.h"
+#include "bluebell/runtime/clock.h"
+#include "bluebell/runtime/invariant.h"
+#include "bluebell/runtime/load_meter.h"
 #include "bluebell/telemetry/metric.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
--- a/bluebell/daemon/dispatcher_set.cc
+++ b/bluebell/dispatcher/dispatcher_set.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/dispatcher_set.h"
+#include "bluebell/dispatcher/dispatcher_set.h"
 
 #include <algorithm>
 #include <functional>
--- a/bluebell/daemon/dispatcher_set.h
+++ b/bluebell/dispatcher/dispatcher_set.h
@@ -3,8 +3,8 @@
 //   set.Adopt(snapshot);
 //   set.Submit(target, std::move(submission));
 
-#ifndef BLUEBELL_DAEMON_DISPATCHER_SET_H_
-#define BLUEBELL_DAEMON_DISPATCHER_SET_H_
+#ifndef BLUEBELL_DISPATCHER_DISPATCHER_SET_H_
+#define BLUEBELL_DISPATCHER_DISPATCHER_SET_H_
 
 #include <cstddef>
 #include <functional>
@@ -14,9 +14,9 @@
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
-#include "bluebell/daemon/dispatcher.h"
-#include "bluebell/daemon/traffic_context.h"
+#include "bluebell/dispatcher/dispatcher.h"
 #include "bluebell/routing/routing_snapshot.h"
+#include "bluebell/runtime/traffic_context.h"
 #include "bluebell/wire/ledger_transfer.h"
 #include "bluebell/wire/pressure_update.h"
 
@@ -77,4 +77,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DISPATCHER_SET_H_
+#endif  // BLUEBELL_DISPATCHER_DISPATCHER_SET_H_
--- a/bluebell/daemon/order_attempt.cc
+++ b/bluebell/dispatcher/order_attempt.cc
@@ -1,12 +1,12 @@
-#include "bluebell/daemon/order_attempt.h"
+#include "bluebell/dispatcher/order_attempt.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/endpoint_pool.h"
+#include "bluebell/endpoint/endpoint_pool.h"
 #include "bluebell/http/endpoint_protocol.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/order_attempt.h
+++ b/bluebell/dispatcher/order_attempt.h
@@ -4,8 +4,8 @@
 //   auto attempt = std::make_shared<order_attempt>(io, pool, plan, on_event);
 //   attempt->Begin();
 
-#ifndef BLUEBELL_DAEMON_ORDER_ATTEMPT_H_
-#define BLUEBELL_DAEMON_ORDER_ATTEMPT_H_
+#ifndef BLUEBELL_DISPATCHER_ORDER_ATTEMPT_H_
+#define BLUEBELL_DISPATCHER_ORDER_ATTEMPT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,9 +15,9 @@
 
 #include "bluebell/core/caller_request.h"
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/endpoint_connection.h"
-#include "bluebell/daemon/order_permission.h"
-#include "bluebell/daemon/order_rules.h"
+#include "bluebell/dispatcher/order_permission.h"
+#include "bluebell/dispatcher/order_rules.h"
+#include "bluebell/endpoint/endpoint_connection.h"
 
 namespace bluebell {
 
@@ -74,4 +74,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ORDER_ATTEMPT_H_
+#endif  // BLUEBELL_DISPATCHER_ORDER_ATTEMPT_H_
--- a/bluebell/daemon/order_cancel.cc
+++ b/bluebell/dispatcher/order_cancel.cc
@@ -1,14 +1,14 @@
-#include "bluebell/daemon/order_cancel.h"
+#include "bluebell/dispatcher/order_cancel.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <string_view>
 #include <utility>
 
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/endpoint_connection.h"
-#include "bluebell/daemon/endpoint_pool.h"
+#include "bluebell/endpoint/endpoint_connection.h"
+#include "bluebell/endpoint/endpoint_pool.h"
 #include "bluebell/http/endpoint_protocol.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/order_cancel.h
+++ b/bluebell/dispatcher/order_cancel.h
@@ -2,8 +2,8 @@
 //
 //   CancelOrder(io, pool, id, instance, where, [](bool unrun) { ... });
 
-#ifndef BLUEBELL_DAEMON_ORDER_CANCEL_H_
-#define BLUEBELL_DAEMON_ORDER_CANCEL_H_
+#ifndef BLUEBELL_DISPATCHER_ORDER_CANCEL_H_
+#define BLUEBELL_DISPATCHER_ORDER_CANCEL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -28,4 +28,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ORDER_CANCEL_H_
+#endif  // BLUEBELL_DISPATCHER_ORDER_CANCEL_H_
--- a/bluebell/daemon/order_permission.cc
+++ b/bluebell/dispatcher/order_permission.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/order_permission.h"
+#include "bluebell/dispatcher/order_permission.h"
 
 #include <string>
 
--- a/bluebell/daemon/order_permission.h
+++ b/bluebell/dispatcher/order_permission.h
@@ -4,8 +4,8 @@
 //   order_permission may = PermitOrder(*snapshot, instance, request, hash,
 //   now);
 
-#ifndef BLUEBELL_DAEMON_ORDER_PERMISSION_H_
-#define BLUEBELL_DAEMON_ORDER_PERMISSION_H_
+#ifndef BLUEBELL_DISPATCHER_ORDER_PERMISSION_H_
+#define BLUEBELL_DISPATCHER_ORDER_PERMISSION_H_
 
 #include <optional>
 #include <variant>
@@ -31,4 +31,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ORDER_PERMISSION_H_
+#endif  // BLUEBELL_DISPATCHER_ORDER_PERMISSION_H_
--- a/bluebell/daemon/order_rules.cc
+++ b/bluebell/dispatcher/order_rules.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/order_rules.h"
+#include "bluebell/dispatcher/order_rules.h"
 
 #include <utility>
 
--- a/bluebell/daemon/order_rules.h
+++ b/bluebell/dispatcher/order_rules.h
@@ -8,8 +8,8 @@
 //   next_step next = AfterAttempt(progress, end, now, budget);
 //   std::visit(overloaded{...}, next);
 
-#ifndef BLUEBELL_DAEMON_ORDER_RULES_H_
-#define BLUEBELL_DAEMON_ORDER_RULES_H_
+#ifndef BLUEBELL_DISPATCHER_ORDER_RULES_H_
+#define BLUEBELL_DISPATCHER_ORDER_RULES_H_
 
 #include <cstdint>
 #include <string>
@@ -130,4 +130,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ORDER_RULES_H_
+#endif  // BLUEBELL_DISPATCHER_ORDER_RULES_H_
--- a/bluebell/daemon/outcome_sink.cc
+++ b/bluebell/dispatcher/outcome_sink.cc
@@ -1,8 +1,8 @@
-#include "bluebell/daemon/outcome_sink.h"
+#include "bluebell/dispatcher/outcome_sink.h"
 
 #include <utility>
 
-#include "bluebell/daemon/invariant.h"
+#include "bluebell/runtime/invariant.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/outcome_sink.h
+++ b/bluebell/dispatcher/outcome_sink.h
@@ -5,8 +5,8 @@
 //   outcome_sink sink(id, metrics, [](request_end end) { ... });
 //   std::move(sink).Deliver(outcome);
 
-#ifndef BLUEBELL_DAEMON_OUTCOME_SINK_H_
-#define BLUEBELL_DAEMON_OUTCOME_SINK_H_
+#ifndef BLUEBELL_DISPATCHER_OUTCOME_SINK_H_
+#define BLUEBELL_DISPATCHER_OUTCOME_SINK_H_
 
 #include <functional>
 
@@ -48,4 +48,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_OUTCOME_SINK_H_
+#endif  // BLUEBELL_DISPATCHER_OUTCOME_SINK_H_
--- a/bluebell/daemon/pressure_board.cc
+++ b/bluebell/dispatcher/pressure_board.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/pressure_board.h"
+#include "bluebell/dispatcher/pressure_board.h"
 
 #include <algorithm>
 
--- a/bluebell/daemon/pressure_board.h
+++ b/bluebell/dispatcher/pressure_board.h
@@ -4,8 +4,8 @@
 //   board.Update(update, now);
 //   duration wait = board.ExpectedWait(instance, rank::kUrgent, now);
 
-#ifndef BLUEBELL_DAEMON_PRESSURE_BOARD_H_
-#define BLUEBELL_DAEMON_PRESSURE_BOARD_H_
+#ifndef BLUEBELL_DISPATCHER_PRESSURE_BOARD_H_
+#define BLUEBELL_DISPATCHER_PRESSURE_BOARD_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -45,4 +45,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_PRESSURE_BOARD_H_
+#endif  // BLUEBELL_DISPATCHER_PRESSURE_BOARD_H_
--- a/bluebell/daemon/endpoint_connection.cc
+++ b/bluebell/endpoint/endpoint_connection.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/endpoint_connection.h"
+#include "bluebell/endpoint/endpoint_connection.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -10,7 +10,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
-#include "bluebell/daemon/clock.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/endpoint_connection.h
+++ b/bluebell/endpoint/endpoint_connection.h
@@ -6,8 +6,8 @@
 //     connection->Exchange(order, [](exchange_end& end) { ... });
 //   });
 
-#ifndef BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
-#define BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
+#ifndef BLUEBELL_ENDPOINT_ENDPOINT_CONNECTION_H_
+#define BLUEBELL_ENDPOINT_ENDPOINT_CONNECTION_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -95,4 +95,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ENDPOINT_CONNECTION_H_
+#endif  // BLUEBELL_ENDPOINT_ENDPOINT_CONNECTION_H_
--- a/bluebell/daemon/endpoint_pool.cc
+++ b/bluebell/endpoint/endpoint_pool.cc
@@ -1,9 +1,9 @@
-#include "bluebell/daemon/endpoint_pool.h"
+#include "bluebell/endpoint/endpoint_pool.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "bluebell/daemon/endpoint_connection.h"
+#include "bluebell/endpoint/endpoint_connection.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/endpoint_pool.h
+++ b/bluebell/endpoint/endpoint_pool.h
@@ -5,8 +5,8 @@
 //     pool.GiveBack(connection, now);
 //   }
 
-#ifndef BLUEBELL_DAEMON_ENDPOINT_POOL_H_
-#define BLUEBELL_DAEMON_ENDPOINT_POOL_H_
+#ifndef BLUEBELL_ENDPOINT_ENDPOINT_POOL_H_
+#define BLUEBELL_ENDPOINT_ENDPOINT_POOL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -64,4 +64,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ENDPOINT_POOL_H_
+#endif  // BLUEBELL_ENDPOINT_ENDPOINT_POOL_H_
--- a/bluebell/daemon/caller_server.cc
+++ b/bluebell/entry/caller_server.cc
@@ -1,10 +1,10 @@
-#include "bluebell/daemon/caller_server.h"
+#include "bluebell/entry/caller_server.h"
 
 #include <utility>
 #include <vector>
 
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/entry_router.h"
+#include "bluebell/entry/entry_router.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/caller_server.h
+++ b/bluebell/entry/caller_server.h
@@ -3,8 +3,8 @@
 //   caller_server server(context, limits, router);
 //   server.Take(std::move(socket));
 
-#ifndef BLUEBELL_DAEMON_CALLER_SERVER_H_
-#define BLUEBELL_DAEMON_CALLER_SERVER_H_
+#ifndef BLUEBELL_ENTRY_CALLER_SERVER_H_
+#define BLUEBELL_ENTRY_CALLER_SERVER_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,8 +12,8 @@
 #include <memory>
 #include <unordered_map>
 
-#include "bluebell/daemon/caller_session.h"
-#include "bluebell/daemon/traffic_context.h"
+#include "bluebell/entry/caller_session.h"
+#include "bluebell/runtime/traffic_context.h"
 
 namespace bluebell {
 
@@ -56,4 +56,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_CALLER_SERVER_H_
+#endif  // BLUEBELL_ENTRY_CALLER_SERVER_H_
--- a/bluebell/daemon/caller_session.cc
+++ b/bluebell/entry/caller_session.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/caller_session.h"
+#include "bluebell/entry/caller_session.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -14,9 +14,9 @@
 #include <utility>
 
 #include "bluebell/core/outcome.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/entry_router.h"
-#include "bluebell/daemon/invariant.h"
+#include "bluebell/entry/entry_router.h"
+#include "bluebell/runtime/clock.h"
+#include "bluebell/runtime/invariant.h"
 #include "bluebell/telemetry/metric.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
--- a/bluebell/daemon/caller_session.h
+++ b/bluebell/entry/caller_session.h
@@ -5,8 +5,8 @@
 //                                                   router, observer);
 //   session->Start();
 
-#ifndef BLUEBELL_DAEMON_CALLER_SESSION_H_
-#define BLUEBELL_DAEMON_CALLER_SESSION_H_
+#ifndef BLUEBELL_ENTRY_CALLER_SESSION_H_
+#define BLUEBELL_ENTRY_CALLER_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,9 +22,9 @@
 #include "bluebell/core/caller_request.h"
 #include "bluebell/core/error.h"
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/traffic_context.h"
 #include "bluebell/http/caller_protocol.h"
 #include "bluebell/http/http_message.h"
+#include "bluebell/runtime/traffic_context.h"
 
 namespace bluebell {
 
@@ -110,4 +110,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_CALLER_SESSION_H_
+#endif  // BLUEBELL_ENTRY_CALLER_SESSION_H_
--- a/bluebell/daemon/dispatch_gateway.cc
+++ b/bluebell/entry/dispatch_gateway.cc
@@ -1,11 +1,11 @@
-#include "bluebell/daemon/dispatch_gateway.h"
+#include "bluebell/entry/dispatch_gateway.h"
 
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <utility>
 
-#include "bluebell/daemon/dispatcher_set.h"
-#include "bluebell/daemon/peer_forwarder.h"
+#include "bluebell/dispatcher/dispatcher_set.h"
+#include "bluebell/entry/peer_forwarder.h"
 
 namespace bluebell {
 
--- a/bluebell/daemon/dispatch_gateway.h
+++ b/bluebell/entry/dispatch_gateway.h
@@ -4,8 +4,8 @@
 //
 //   gateway.Dispatch(my_thread, instance, std::move(submission));
 
-#ifndef BLUEBELL_DAEMON_DISPATCH_GATEWAY_H_
-#define BLUEBELL_DAEMON_DISPATCH_GATEWAY_H_
+#ifndef BLUEBELL_ENTRY_DISPATCH_GATEWAY_H_
+#define BLUEBELL_ENTRY_DISPATCH_GATEWAY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -15,7 +15,7 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/request_id.h"
-#include "bluebell/daemon/dispatcher.h"
+#include "bluebell/dispatcher/dispatcher.h"
 #include "bluebell/routing/route.h"
 
 namespace bluebell {
@@ -66,4 +66,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DISPATCH_GATEWAY_H_
+#endif  // BLUEBELL_ENTRY_DISPATCH_GATEWAY_H_
--- a/bluebell/daemon/entry_router.cc
+++ b/bluebell/entry/entry_router.cc
@@ -1,13 +1,13 @@
-#include "bluebell/daemon/entry_router.h"
+#include "bluebell/entry/entry_router.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/dispatch_gateway.h"
-#include "bluebell/daemon/invariant.h"
+#include "bluebell/entry/dispatch_gateway.h"
+#include "bluebell/runtime/clock.h"
+#include "bluebell/runtime/invariant.h"
 #include "bluebell/telemetry/metric.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
--- a/bluebell/daemon/entry_router.h
+++ b/bluebell/entry/entry_router.h
@@ -6,8 +6,8 @@
 //   std::uint64_t ticket = router.Submit(request, std::move(sink));
 //   router.Abandon(ticket);
 
-#ifndef BLUEBELL_DAEMON_ENTRY_ROUTER_H_
-#define BLUEBELL_DAEMON_ENTRY_ROUTER_H_
+#ifndef BLUEBELL_ENTRY_ENTRY_ROUTER_H_
+#define BLUEBELL_ENTRY_ENTRY_ROUTER_H_
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -21,14 +21,14 @@
 #include "bluebell/core/caller_request.h"
 #include "bluebell/core/ids.h"
 #include "bluebell/core/request_outcome.h"
-#include "bluebell/daemon/decision_log.h"
-#include "bluebell/daemon/outcome_sink.h"
-#include "bluebell/daemon/pressure_board.h"
-#include "bluebell/daemon/reroute_rules.h"
-#include "bluebell/daemon/traffic_context.h"
 #include "bluebell/dispatch/retry_budget.h"
+#include "bluebell/dispatcher/outcome_sink.h"
+#include "bluebell/dispatcher/pressure_board.h"
+#include "bluebell/entry/reroute_rules.h"
 #include "bluebell/routing/route.h"
 #include "bluebell/routing/routing_snapshot.h"
+#include "bluebell/runtime/decision_log.h"
+#include "bluebell/runtime/traffic_context.h"
 
 namespace bluebell {
 
@@ -100,4 +100,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_ENTRY_ROUTER_H_
+#endif  // BLUEBELL_ENTRY_ENTRY_ROUTER_H_
--- a/bluebell/daemon/forward_mapping.cc
+++ b/bluebell/entry/forward_mapping.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/forward_mapping.h"
+#include "bluebell/entry/forward_mapping.h"
 
 #include <chrono>
 
--- a/bluebell/daemon/forward_mapping.h
+++ b/bluebell/entry/forward_mapping.h
@@ -1,7 +1,7 @@
 // Maps requests to the messages that forward them and back.
 
-#ifndef BLUEBELL_DAEMON_FORWARD_MAPPING_H_
-#define BLUEBELL_DAEMON_FORWARD_MAPPING_H_
+#ifndef BLUEBELL_ENTRY_FORWARD_MAPPING_H_
+#define BLUEBELL_ENTRY_FORWARD_MAPPING_H_
 
 #include "bluebell/core/caller_request.h"
 #include "bluebell/core/ids.h"
@@ -24,4 +24,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_FORWARD_MAPPING_H_
+#endif  // BLUEBELL_ENTRY_FORWARD_MAPPING_H_
--- a/bluebell/daemon/peer_forwarder.cc
+++ b/bluebell/entry/peer_forwarder.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/peer_forwarder.h"
+#include "bluebell/entry/peer_forwarder.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -7,10 +7,10 @@
 #include <utility>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
-#include "bluebell/daemon/forward_mapping.h"
-#include "bluebell/daemon/invariant.h"
-#include "bluebell/daemon/peer_link.h"
+#include "bluebell/entry/forward_mapping.h"
+#include "bluebell/peer/peer_link.h"
+#include "bluebell/runtime/clock.h"
+#include "bluebell/runtime/invariant.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
--- a/bluebell/daemon/peer_forwarder.h
+++ b/bluebell/entry/peer_forwarder.h
@@ -3,17 +3,17 @@
 //
 //   forwarder.Forward(target, std::move(submission));
 
-#ifndef BLUEBELL_DAEMON_PEER_FORWARDER_H_
-#define BLUEBELL_DAEMON_PEER_FORWARDER_H_
+#ifndef BLUEBELL_ENTRY_PEER_FORWARDER_H_
+#define BLUEBELL_ENTRY_PEER_FORWARDER_H_
 
 #include <map>
 #include <memory>
 #include <vector>
 
 #include "bluebell/core/address.h"
-#include "bluebell/daemon/dispatcher.h"
-#include "bluebell/daemon/traffic_context.h"
+#include "bluebell/dispatcher/dispatcher.h"
 #include "bluebell/routing/route.h"
+#include "bluebell/runtime/traffic_context.h"
 #include "bluebell/wire/ledger_transfer.h"
 #include "bluebell/wire/pressure_update.h"
 
@@ -49,4 +49,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_PEER_FORWARDER_H_
+#endif  // BLUEBELL_ENTRY_PEER_FORWARDER_H_
--- a/bluebell/daemon/reroute_rules.cc
+++ b/bluebell/entry/reroute_rules.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/reroute_rules.h"
+#include "bluebell/entry/reroute_rules.h"
 
 #include <algorithm>
 #include <utility>
--- a/bluebell/daemon/reroute_rules.h
+++ b/bluebell/entry/reroute_rules.h
@@ -1,8 +1,8 @@
 // Decides whether a request whose attempt at one dispatcher ended is routed
 // again or ends. No I/O.
 
-#ifndef BLUEBELL_DAEMON_REROUTE_RULES_H_
-#define BLUEBELL_DAEMON_REROUTE_RULES_H_
+#ifndef BLUEBELL_ENTRY_REROUTE_RULES_H_
+#define BLUEBELL_ENTRY_REROUTE_RULES_H_
 
 #include <cstdint>
 #include <variant>
@@ -53,4 +53,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_REROUTE_RULES_H_
+#endif  // BLUEBELL_ENTRY_REROUTE_RULES_H_
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -22,6 +22,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "bluebell/http/socket_options.h"
+#include "bluebell/net/socket_address.h"
 
 namespace bluebell {
 
@@ -205,14 +206,12 @@
     asio::io_context& io,
     const address& where,
     const http_client_options& options) {
-  boost::system::error_code failure;
-  const auto number = asio::ip::make_address(where.ip(), failure);
-  if (failure) {
-    return error(errc::kInvalidArgument, step::kConnect, where.ToString(),
-                 "not an IP number");
+  const auto target = ToSocketAddress<tcp>(where, step::kConnect);
+  if (!target) {
+    return target.error();
   }
-  return std::unique_ptr<http_client>(new http_client(std::make_shared<impl>(
-      io, where, tcp::endpoint(number, where.port()), options)));
+  return std::unique_ptr<http_client>(new http_client(
+      std::make_shared<impl>(io, where, target.value(), options)));
 }
 
 http_client::http_client(std::shared_ptr<impl> state)
--- a/bluebell/daemon/internal/socket_address.h
+++ b/bluebell/net/socket_address.h
@@ -1,7 +1,7 @@
 // Conversions between addresses and Asio's endpoints.
 
-#ifndef BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
-#define BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
+#ifndef BLUEBELL_NET_SOCKET_ADDRESS_H_
+#define BLUEBELL_NET_SOCKET_ADDRESS_H_
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -37,4 +37,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INTERNAL_SOCKET_ADDRESS_H_
+#endif  // BLUEBELL_NET_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/bluebell/net/tcp_listener.cc
@@ -0,0 +1,107 @@
+#include "bluebell/net/tcp_listener.h"
+
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "bluebell/core/time.h"
+#include "bluebell/net/socket_address.h"
+#include "bluebell/telemetry/log_event.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// A lack of descriptors lasts until others are closed.
+constexpr milliseconds kPauseAfterFailure{50};
+
+}  // namespace
+
+result<std::shared_ptr<tcp_listener>> tcp_listener::Open(asio::io_context& io,
+                                                         const address& where) {
+  const auto local = ToSocketAddress<tcp>(where, step::kListen);
+  if (!local) {
+    return local.error();
+  }
+  try {
+    tcp::acceptor acceptor(io);
+    acceptor.open(local.value().protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(local.value());
+    acceptor.listen();
+    address listening = FromSocketAddress(acceptor.local_endpoint());
+    return std::shared_ptr<tcp_listener>(
+        new tcp_listener(io, std::move(acceptor), std::move(listening)));
+  } catch (const boost::system::system_error& failure) {
+    return error(errc::kUnavailable, step::kListen, where.ToString(),
+                 failure.code().message());
+  }
+}
+
+tcp_listener::tcp_listener(asio::io_context& io,
+                           tcp::acceptor acceptor,
+                           address listen_address)
+    : io_(io),
+      acceptor_(std::move(acceptor)),
+      pause_(io),
+      listen_address_(std::move(listen_address)) {}
+
+void tcp_listener::Start(handler on_connection, io_chooser choose) {
+  on_connection_ = std::move(on_connection);
+  choose_ = std::move(choose);
+  asio::post(io_, [self = shared_from_this()] { self->Accept(); });
+}
+
+void tcp_listener::Close() {
+  asio::dispatch(io_, [self = shared_from_this()] {
+    boost::system::error_code ignored;
+    self->acceptor_.close(ignored);
+    self->pause_.cancel();
+    // Not now, since one of them may be running.
+    asio::post(self->io_, [self] {
+      self->on_connection_ = nullptr;
+      self->choose_ = nullptr;
+    });
+  });
+}
+
+void tcp_listener::Accept() {
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  asio::io_context& runs_on = choose_ ? choose_() : io_;
+  acceptor_.async_accept(runs_on, [self = shared_from_this()](
+                                      const boost::system::error_code& failure,
+                                      tcp::socket socket) {
+    if (!self->acceptor_.is_open()) {
+      return;
+    }
+    if (failure) {
+      self->Pause(failure);
+      return;
+    }
+    self->on_connection_(std::move(socket));
+    self->Accept();
+  });
+}
+
+void tcp_listener::Pause(const boost::system::error_code& failure) {
+  log_event(log_level::kWarn, "can't accept a connection")
+      .With(error(errc::kUnavailable, step::kListen, listen_address_.ToString(),
+                  failure.message()))
+      .Write();
+  pause_.expires_after(kPauseAfterFailure);
+  pause_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          self->Accept();
+        }
+      });
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/bluebell/net/tcp_listener.h
@@ -0,0 +1,67 @@
+// Accepts TCP connections on one address. A failure, such as a lack of
+// descriptors, is logged and the next try comes after a pause.
+//
+//   auto listener = tcp_listener::Open(io, where).value();
+//   listener->Start([](tcp::socket socket) { ... });
+
+#ifndef BLUEBELL_NET_TCP_LISTENER_H_
+#define BLUEBELL_NET_TCP_LISTENER_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/result.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+class tcp_listener : public std::enable_shared_from_this<tcp_listener> {
+ public:
+  using handler = std::function<void(boost::asio::ip::tcp::socket socket)>;
+  // Chooses who runs the next connection.
+  using io_chooser = std::function<boost::asio::io_context&()>;
+
+  // `io` is run by one thread, on which the handlers are called. Fails with
+  // errc::kUnavailable and step::kListen.
+  static result<std::shared_ptr<tcp_listener>> Open(boost::asio::io_context& io,
+                                                    const address& where);
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+  ~tcp_listener() = default;
+
+  // From any thread, once. Without `choose` the connections run where the
+  // listener does.
+  void Start(handler on_connection, io_chooser choose = nullptr);
+  // From any thread; at once on the listener's own. The handlers aren't called
+  // any more. Connections that wait to be accepted are refused.
+  void Close();
+
+  // Where it listens; differs from the address asked for if that had port 0.
+  const address& listen_address() const { return listen_address_; }
+
+ private:
+  tcp_listener(boost::asio::io_context& io,
+               boost::asio::ip::tcp::acceptor acceptor,
+               address listen_address);
+
+  void Accept();
+  void Pause(const boost::system::error_code& failure);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  address listen_address_;
+  handler on_connection_;
+  io_chooser choose_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_NET_TCP_LISTENER_H_
--- a/bluebell/daemon/internal/heartbeat_socket.cc
+++ b/bluebell/peer/heartbeat_socket.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/internal/heartbeat_socket.h"
+#include "bluebell/peer/heartbeat_socket.h"
 
 #include <string>
 #include <string_view>
@@ -6,7 +6,7 @@
 
 #include <boost/asio/buffer.hpp>
 
-#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/net/socket_address.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
--- a/bluebell/daemon/internal/heartbeat_socket.h
+++ b/bluebell/peer/heartbeat_socket.h
@@ -1,7 +1,7 @@
 // Heartbeats by UDP, one frame a datagram.
 
-#ifndef BLUEBELL_DAEMON_INTERNAL_HEARTBEAT_SOCKET_H_
-#define BLUEBELL_DAEMON_INTERNAL_HEARTBEAT_SOCKET_H_
+#ifndef BLUEBELL_PEER_HEARTBEAT_SOCKET_H_
+#define BLUEBELL_PEER_HEARTBEAT_SOCKET_H_
 
 #include <array>
 #include <functional>
@@ -12,8 +12,8 @@
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/result.h"
-#include "bluebell/daemon/internal/log_limiter.h"
 #include "bluebell/membership/heartbeat.h"
+#include "bluebell/runtime/log_limiter.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
 
@@ -51,4 +51,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INTERNAL_HEARTBEAT_SOCKET_H_
+#endif  // BLUEBELL_PEER_HEARTBEAT_SOCKET_H_
--- a/bluebell/daemon/internal/frame_channel.cc
+++ b/bluebell/peer/internal/frame_channel.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/internal/frame_channel.h"
+#include "bluebell/peer/internal/frame_channel.h"
 
 #include <algorithm>
 #include <iterator>
--- a/bluebell/daemon/internal/frame_channel.h
+++ b/bluebell/peer/internal/frame_channel.h
@@ -1,8 +1,8 @@
 // Frames over one TCP connection, for both ends of a link. All functions run on
 // the thread of the socket's io_context.
 
-#ifndef BLUEBELL_DAEMON_INTERNAL_FRAME_CHANNEL_H_
-#define BLUEBELL_DAEMON_INTERNAL_FRAME_CHANNEL_H_
+#ifndef BLUEBELL_PEER_INTERNAL_FRAME_CHANNEL_H_
+#define BLUEBELL_PEER_INTERNAL_FRAME_CHANNEL_H_
 
 #include <cstddef>
 #include <deque>
@@ -16,7 +16,7 @@
 
 #include "bluebell/core/error.h"
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/internal/log_limiter.h"
+#include "bluebell/runtime/log_limiter.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
 
@@ -70,4 +70,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INTERNAL_FRAME_CHANNEL_H_
+#endif  // BLUEBELL_PEER_INTERNAL_FRAME_CHANNEL_H_
--- a/bluebell/daemon/peer_link.cc
+++ b/bluebell/peer/peer_link.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/peer_link.h"
+#include "bluebell/peer/peer_link.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -13,8 +13,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/internal/frame_channel.h"
-#include "bluebell/daemon/internal/socket_address.h"
+#include "bluebell/net/socket_address.h"
+#include "bluebell/peer/internal/frame_channel.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
--- a/bluebell/daemon/peer_link.h
+++ b/bluebell/peer/peer_link.h
@@ -7,8 +7,8 @@
 //   link.value()->Ask(query, milliseconds(200),
 //                     [](result<wire_message> reply) { ... });
 
-#ifndef BLUEBELL_DAEMON_PEER_LINK_H_
-#define BLUEBELL_DAEMON_PEER_LINK_H_
+#ifndef BLUEBELL_PEER_PEER_LINK_H_
+#define BLUEBELL_PEER_PEER_LINK_H_
 
 #include <functional>
 #include <memory>
@@ -16,7 +16,7 @@
 #include "bluebell/core/address.h"
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
-#include "bluebell/daemon/peer_link_options.h"
+#include "bluebell/peer/peer_link_options.h"
 #include "bluebell/wire/wire_message.h"
 
 namespace boost::asio {
@@ -69,4 +69,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_PEER_LINK_H_
+#endif  // BLUEBELL_PEER_PEER_LINK_H_
--- a/bluebell/daemon/peer_link_options.h
+++ b/bluebell/peer/peer_link_options.h
@@ -1,7 +1,7 @@
 // Bounds of a link to another daemon.
 
-#ifndef BLUEBELL_DAEMON_PEER_LINK_OPTIONS_H_
-#define BLUEBELL_DAEMON_PEER_LINK_OPTIONS_H_
+#ifndef BLUEBELL_PEER_PEER_LINK_OPTIONS_H_
+#define BLUEBELL_PEER_PEER_LINK_OPTIONS_H_
 
 #include <cstddef>
 
@@ -34,4 +34,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_PEER_LINK_OPTIONS_H_
+#endif  // BLUEBELL_PEER_PEER_LINK_OPTIONS_H_
--- a/bluebell/daemon/peer_link_test.cc
+++ b/bluebell/peer/peer_link_test.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/peer_link.h"
+#include "bluebell/peer/peer_link.h"
 
 #include <algorithm>
 #include <functional>
@@ -12,7 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include "bluebell/daemon/peer_server.h"
+#include "bluebell/peer/peer_server.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
 
--- a/bluebell/daemon/peer_server.cc
+++ b/bluebell/peer/peer_server.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/peer_server.h"
+#include "bluebell/peer/peer_server.h"
 
 #include <atomic>
 #include <cstddef>
@@ -11,11 +11,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "bluebell/daemon/internal/frame_channel.h"
-#include "bluebell/daemon/internal/open_acceptor.h"
-#include "bluebell/daemon/internal/socket_address.h"
-#include "bluebell/daemon/peer_link_options.h"
-#include "bluebell/telemetry/log_event.h"
+#include "bluebell/net/socket_address.h"
+#include "bluebell/net/tcp_listener.h"
+#include "bluebell/peer/internal/frame_channel.h"
+#include "bluebell/peer/peer_link_options.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "bluebell/wire/frame.h"
 
@@ -28,9 +27,6 @@
 
 // Connections that one worker holds; more are closed on arrival.
 constexpr std::size_t kMaxChannels = 20'000;
-// The wait after a failed accept, so that a lack of file descriptors doesn't
-// make the thread spin.
-constexpr milliseconds kAcceptPause{50};
 
 // The connections of one worker, touched on its thread only.
 class worker : public std::enable_shared_from_this<worker> {
@@ -157,20 +153,20 @@
   impl(const std::vector<asio::io_context*>& workers,
        const peer_handler& handler,
        metrics_registry& metrics)
-      : acceptor_(*workers.front()), pause_(*workers.front()) {
+      : acceptor_io_(*workers.front()) {
     for (asio::io_context* io : workers) {
       workers_.push_back(std::make_shared<worker>(*io, handler, metrics));
     }
   }
 
-  const address& listen_address() const { return listen_address_; }
+  const address& listen_address() const { return listener_->listen_address(); }
 
   result<void> Open(const address& listen) {
-    const result<address> opened = OpenAcceptor(acceptor_, listen);
+    auto opened = tcp_listener::Open(acceptor_io_, listen);
     if (!opened) {
       return opened.error();
     }
-    listen_address_ = opened.value();
+    listener_ = std::move(opened).value();
     return boost::outcome_v2::success();
   }
 
@@ -178,17 +174,16 @@
     for (const auto& entry : workers_) {
       asio::post(entry->io(), [entry] { entry->SweepIdle(); });
     }
-    asio::post(acceptor_.get_executor(),
-               [self = shared_from_this()] { self->Accept(); });
+    listener_->Start(
+        [self = shared_from_this()](tcp::socket socket) {
+          self->Adopt(std::move(socket));
+        },
+        [self = shared_from_this()]() -> asio::io_context& {
+          return self->ChooseWorker()->io();
+        });
   }
 
-  void StopAccepting() {
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-      boost::system::error_code ignored;
-      self->acceptor_.close(ignored);
-      self->pause_.cancel();
-    });
-  }
+  void StopAccepting() { listener_->Close(); }
 
   void Close() {
     StopAccepting();
@@ -198,50 +193,23 @@
   }
 
  private:
-  void Accept() {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    const std::shared_ptr<worker>& chosen =
-        workers_[next_worker_++ % workers_.size()];
-    acceptor_.async_accept(
-        chosen->io(),
-        [self = shared_from_this(), chosen](
-            const boost::system::error_code& failure, tcp::socket socket) {
-          if (!self->acceptor_.is_open()) {
-            return;
-          }
-          if (failure) {
-            self->PauseAccepting(failure);
-            return;
-          }
-          asio::post(chosen->io(),
-                     [chosen, socket = std::move(socket)]() mutable {
-                       chosen->Adopt(std::move(socket));
-                     });
-          self->Accept();
-        });
+  const std::shared_ptr<worker>& ChooseWorker() {
+    chosen_ = (chosen_ + 1) % workers_.size();
+    return workers_[chosen_];
   }
 
-  void PauseAccepting(const boost::system::error_code& failure) {
-    log_event(log_level::kWarn, "can't accept a link")
-        .With(error(errc::kUnavailable, step::kListen,
-                    listen_address_.ToString(), failure.message()))
-        .Write();
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([self = shared_from_this()](
-                          const boost::system::error_code& cancelled) {
-      if (!cancelled) {
-        self->Accept();
-      }
+  // Connections are accepted one by one, so the last choice is this socket's.
+  void Adopt(tcp::socket socket) {
+    const std::shared_ptr<worker>& chosen = workers_[chosen_];
+    asio::post(chosen->io(), [chosen, socket = std::move(socket)]() mutable {
+      chosen->Adopt(std::move(socket));
     });
   }
 
-  tcp::acceptor acceptor_;
-  asio::steady_timer pause_;
-  address listen_address_;
+  asio::io_context& acceptor_io_;
+  std::shared_ptr<tcp_listener> listener_;
   std::vector<std::shared_ptr<worker>> workers_;
-  std::size_t next_worker_ = 0;
+  std::size_t chosen_ = 0;
 };
 
 result<std::unique_ptr<peer_server>> peer_server::Make(
--- a/bluebell/daemon/peer_server.h
+++ b/bluebell/peer/peer_server.h
@@ -2,8 +2,8 @@
 //
 //   auto server = peer_server::Make({&io}, listen, handler, metrics);
 
-#ifndef BLUEBELL_DAEMON_PEER_SERVER_H_
-#define BLUEBELL_DAEMON_PEER_SERVER_H_
+#ifndef BLUEBELL_PEER_PEER_SERVER_H_
+#define BLUEBELL_PEER_PEER_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -63,4 +63,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_PEER_SERVER_H_
+#endif  // BLUEBELL_PEER_PEER_SERVER_H_
--- a/bluebell/proxy/endpoint_channels.cc
+++ b/bluebell/proxy/endpoint_channels.cc
@@ -21,6 +21,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/http/socket_options.h"
+#include "bluebell/net/socket_address.h"
 
 namespace bluebell {
 
@@ -128,16 +129,14 @@
   if (!link) {
     link = std::make_unique<channel>(io_);
     ++opened_;
-    boost::system::error_code unreadable;
-    const auto number = asio::ip::make_address(endpoint.where.ip(), unreadable);
-    if (unreadable) {
-      co_return exchange_unsent{error(errc::kInvalidArgument, step::kConnect,
-                                      peer, "not an IP number")};
+    const auto target = ToSocketAddress<tcp>(endpoint.where, step::kConnect);
+    if (!target) {
+      co_return exchange_unsent{target.error()};
     }
     link->stream.expires_after(
         std::min<duration>(kConnectTimeout, options.deadline - started));
-    const auto [failure] = co_await link->stream.async_connect(
-        tcp::endpoint(number, endpoint.where.port()), kAwait);
+    const auto [failure] =
+        co_await link->stream.async_connect(target.value(), kAwait);
     if (failure) {
       co_return exchange_unsent{
           error(errc::kUnavailable, step::kConnect, peer, failure.message())};
--- a/bluebell/proxy/page_server.cc
+++ b/bluebell/proxy/page_server.cc
@@ -14,7 +14,7 @@
 
 #include "bluebell/core/time.h"
 #include "bluebell/http/socket_options.h"
-#include "bluebell/proxy/tcp_listener.h"
+#include "bluebell/net/tcp_listener.h"
 
 namespace bluebell {
 
@@ -69,11 +69,13 @@
   return server;
 }
 
-page_server::page_server(std::unique_ptr<tcp_listener> listener,
+page_server::page_server(std::shared_ptr<tcp_listener> listener,
                          responder respond)
     : listener_(std::move(listener)),
       respond_(std::make_shared<const responder>(std::move(respond))) {}
 
-page_server::~page_server() = default;
+page_server::~page_server() {
+  listener_->Close();
+}
 
 }  // namespace bluebell
--- a/bluebell/proxy/page_server.h
+++ b/bluebell/proxy/page_server.h
@@ -38,9 +38,9 @@
   ~page_server();
 
  private:
-  page_server(std::unique_ptr<tcp_listener> listener, responder respond);
+  page_server(std::shared_ptr<tcp_listener> listener, responder respond);
 
-  std::unique_ptr<tcp_listener> listener_;
+  std::shared_ptr<tcp_listener> listener_;
   std::shared_ptr<const responder> respond_;
 };
 
--- a/bluebell/proxy/peer_socket.cc
+++ b/bluebell/proxy/peer_socket.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include "bluebell/net/socket_address.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/wire/frame.h"
 
@@ -20,22 +21,12 @@
 // Of datagrams that can't be decoded, only the first ones are logged.
 constexpr std::size_t kLoggedMalformed = 20;
 
-result<udp::endpoint> EndpointOf(const address& where) {
-  boost::system::error_code failure;
-  const auto number = boost::asio::ip::make_address(where.ip(), failure);
-  if (failure) {
-    return error(errc::kInvalidArgument, step::kListen, where.ToString(),
-                 "not an IP number");
-  }
-  return udp::endpoint(number, where.port());
-}
-
 }  // namespace
 
 result<std::unique_ptr<peer_socket>> peer_socket::Open(
     boost::asio::io_context& io,
     const address& where) {
-  const result<udp::endpoint> local = EndpointOf(where);
+  const auto local = ToSocketAddress<udp>(where, step::kListen);
   if (!local) {
     return local.error();
   }
@@ -85,23 +76,21 @@
 void peer_socket::Take(std::size_t size) {
   const result<frame> decoded =
       DecodeFrame(std::string_view(inbox_.data(), size));
-  const result<address> from = address::Parse(
-      sender_.address().to_string() + ':' + std::to_string(sender_.port()));
-  if (!decoded || !from) {
+  if (!decoded) {
     if (++malformed_ <= kLoggedMalformed) {
       log_event(log_level::kWarn, "dropped a datagram")
-          .With(decoded ? from.error() : decoded.error())
+          .With(decoded.error())
           .Write();
     }
     return;
   }
-  on_message_(from.value(), decoded.value().message);
+  on_message_(FromSocketAddress(sender_), decoded.value().message);
 }
 
 void peer_socket::Send(const address& to, const wire_message& message) {
   const result<std::string> bytes =
       EncodeFrame({exchange_kind::kOneWay, 0, message});
-  const result<udp::endpoint> target = EndpointOf(to);
+  const auto target = ToSocketAddress<udp>(to, step::kConnect);
   if (!bytes || !target) {
     log_event(log_level::kWarn, "message not sent")
         .With(bytes ? target.error() : bytes.error())
--- a/bluebell/proxy/traffic_side.cc
+++ b/bluebell/proxy/traffic_side.cc
@@ -7,10 +7,10 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/net/tcp_listener.h"
 #include "bluebell/permits/slot_scheduler.h"
 #include "bluebell/proxy/page_server.h"
 #include "bluebell/proxy/peer_socket.h"
-#include "bluebell/proxy/tcp_listener.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "platform/proxy_headers.h"
--- a/bluebell/proxy/traffic_side.h
+++ b/bluebell/proxy/traffic_side.h
@@ -117,7 +117,7 @@
   request_server server_;
   std::shared_ptr<caller_state> caller_state_;
   std::vector<std::weak_ptr<caller_connection>> callers_;
-  std::unique_ptr<tcp_listener> listener_;
+  std::shared_ptr<tcp_listener> listener_;
   std::unique_ptr<page_server> ready_page_;
   std::unique_ptr<page_server> metrics_page_;
   boost::asio::steady_timer cleaning_;
--- a/bluebell/daemon/clock.h
+++ b/bluebell/runtime/clock.h
@@ -1,8 +1,8 @@
 // The clocks as the event loops read them. Decisions get the time as an
 // argument.
 
-#ifndef BLUEBELL_DAEMON_CLOCK_H_
-#define BLUEBELL_DAEMON_CLOCK_H_
+#ifndef BLUEBELL_RUNTIME_CLOCK_H_
+#define BLUEBELL_RUNTIME_CLOCK_H_
 
 #include <chrono>
 
@@ -22,4 +22,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_CLOCK_H_
+#endif  // BLUEBELL_RUNTIME_CLOCK_H_
--- a/bluebell/daemon/decision_log.cc
+++ b/bluebell/runtime/decision_log.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/decision_log.h"
+#include "bluebell/runtime/decision_log.h"
 
 #include <sstream>
 #include <utility>
@@ -6,8 +6,8 @@
 #include "bluebell/core/key_hash.h"
 #include "bluebell/core/outcome.h"
 #include "bluebell/core/overloaded.h"
-#include "bluebell/daemon/clock.h"
 #include "bluebell/http/endpoint_protocol.h"
+#include "bluebell/runtime/clock.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
--- a/bluebell/daemon/decision_log.h
+++ b/bluebell/runtime/decision_log.h
@@ -4,8 +4,8 @@
 //   decision_log decisions(settings);
 //   decisions.Record(request, decision);
 
-#ifndef BLUEBELL_DAEMON_DECISION_LOG_H_
-#define BLUEBELL_DAEMON_DECISION_LOG_H_
+#ifndef BLUEBELL_RUNTIME_DECISION_LOG_H_
+#define BLUEBELL_RUNTIME_DECISION_LOG_H_
 
 #include <cstdint>
 #include <string>
@@ -13,8 +13,8 @@
 
 #include "bluebell/core/caller_request.h"
 #include "bluebell/core/request_outcome.h"
-#include "bluebell/daemon/decision_ring.h"
 #include "bluebell/routing/route.h"
+#include "bluebell/runtime/decision_ring.h"
 
 namespace bluebell {
 
@@ -40,4 +40,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DECISION_LOG_H_
+#endif  // BLUEBELL_RUNTIME_DECISION_LOG_H_
--- a/bluebell/daemon/decision_ring.cc
+++ b/bluebell/runtime/decision_ring.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/decision_ring.h"
+#include "bluebell/runtime/decision_ring.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
--- a/bluebell/daemon/decision_ring.h
+++ b/bluebell/runtime/decision_ring.h
@@ -4,8 +4,8 @@
 //   ring.Add({request, now, service, rank, "dispatch", instance, epoch, why});
 //   std::vector<decision_record> steps = ring.Find(request);
 
-#ifndef BLUEBELL_DAEMON_DECISION_RING_H_
-#define BLUEBELL_DAEMON_DECISION_RING_H_
+#ifndef BLUEBELL_RUNTIME_DECISION_RING_H_
+#define BLUEBELL_RUNTIME_DECISION_RING_H_
 
 #include <cstddef>
 #include <string>
@@ -54,4 +54,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_DECISION_RING_H_
+#endif  // BLUEBELL_RUNTIME_DECISION_RING_H_
--- a/bluebell/daemon/invariant.cc
+++ b/bluebell/runtime/invariant.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/invariant.h"
+#include "bluebell/runtime/invariant.h"
 
 #include <array>
 #include <cstddef>
--- a/bluebell/daemon/invariant.h
+++ b/bluebell/runtime/invariant.h
@@ -4,8 +4,8 @@
 //     ReportViolation(metrics, invariant::kOneOutcome, id, "second outcome");
 //   }
 
-#ifndef BLUEBELL_DAEMON_INVARIANT_H_
-#define BLUEBELL_DAEMON_INVARIANT_H_
+#ifndef BLUEBELL_RUNTIME_INVARIANT_H_
+#define BLUEBELL_RUNTIME_INVARIANT_H_
 
 #include <cstdint>
 #include <string_view>
@@ -39,4 +39,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INVARIANT_H_
+#endif  // BLUEBELL_RUNTIME_INVARIANT_H_
--- a/bluebell/daemon/load_meter.cc
+++ b/bluebell/runtime/load_meter.cc
@@ -1,4 +1,4 @@
-#include "bluebell/daemon/load_meter.h"
+#include "bluebell/runtime/load_meter.h"
 
 #include <algorithm>
 
--- a/bluebell/daemon/load_meter.h
+++ b/bluebell/runtime/load_meter.h
@@ -4,8 +4,8 @@
 //   meter.Add(service, slice.first, where, service_time);
 //   load_report report = meter.Take(now);
 
-#ifndef BLUEBELL_DAEMON_LOAD_METER_H_
-#define BLUEBELL_DAEMON_LOAD_METER_H_
+#ifndef BLUEBELL_RUNTIME_LOAD_METER_H_
+#define BLUEBELL_RUNTIME_LOAD_METER_H_
 
 #include <cstddef>
 #include <map>
@@ -53,4 +53,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_LOAD_METER_H_
+#endif  // BLUEBELL_RUNTIME_LOAD_METER_H_
--- a/bluebell/daemon/internal/log_limiter.h
+++ b/bluebell/runtime/log_limiter.h
@@ -1,7 +1,7 @@
 // Keeps a repeated fault from flooding the log: at most one line a second.
 
-#ifndef BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
-#define BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
+#ifndef BLUEBELL_RUNTIME_LOG_LIMITER_H_
+#define BLUEBELL_RUNTIME_LOG_LIMITER_H_
 
 #include <cstdint>
 #include <optional>
@@ -32,4 +32,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_INTERNAL_LOG_LIMITER_H_
+#endif  // BLUEBELL_RUNTIME_LOG_LIMITER_H_
--- a/bluebell/daemon/traffic_context.h
+++ b/bluebell/runtime/traffic_context.h
@@ -1,7 +1,7 @@
 // What the parts on one traffic thread share.
 
-#ifndef BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
-#define BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
+#ifndef BLUEBELL_RUNTIME_TRAFFIC_CONTEXT_H_
+#define BLUEBELL_RUNTIME_TRAFFIC_CONTEXT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -25,4 +25,4 @@
 
 }  // namespace bluebell
 
-#endif  // BLUEBELL_DAEMON_TRAFFIC_CONTEXT_H_
+#endif  // BLUEBELL_RUNTIME_TRAFFIC_CONTEXT_H_
