Divide the simulated world of decisions; read the status page in one place

GetStatus() serves the commands; endpoint_queue refuses what arrives after its deadline.

Ruled out: a base for the two queues: their common declarations are the interface of the variant's alternatives, and no line of logic is left that both hold.

--- a/bluebell/ctl/internal/config_commands.cc
+++ b/bluebell/ctl/internal/config_commands.cc
@@ -230,17 +230,14 @@
   constexpr milliseconds kPollInterval{200};
   const instant limit = world.now() + wanted.limit;
   while (true) {
-    const auto body = Get(world, "/status");
-    if (const auto* failed = std::get_if<exit_status>(&body)) {
+    const auto got = GetStatus(world);
+    if (const auto* failed = std::get_if<exit_status>(&got)) {
       return *failed;
     }
-    const auto status = ReadStatus(std::get<std::string>(body));
-    if (!status) {
-      return Unreadable(world, status.error());
-    }
-    const std::string missing = MissingText(status.value(), wanted.version);
+    const auto& status = std::get<status_page>(got);
+    const std::string missing = MissingText(status, wanted.version);
     if (missing.empty()) {
-      return ReportInForce(wanted, status.value(), world, json);
+      return ReportInForce(wanted, status, world, json);
     }
     if (world.now() >= limit) {
       return ReportMissing(wanted, missing, world, json);
@@ -275,22 +272,19 @@
 exit_status Run(const drain_command& wanted,
                 const surroundings& world,
                 bool json) {
-  const auto body = Get(world, "/status");
-  if (const auto* failed = std::get_if<exit_status>(&body)) {
+  const auto got = GetStatus(world);
+  if (const auto* failed = std::get_if<exit_status>(&got)) {
     return *failed;
   }
-  const auto status = ReadStatus(std::get<std::string>(body));
-  if (!status) {
-    return Unreadable(world, status.error());
-  }
-  const auto& endpoints = status.value().endpoints;
+  const auto& status = std::get<status_page>(got);
+  const auto& endpoints = status.endpoints;
   const bool known = std::any_of(
       endpoints.begin(), endpoints.end(),
       [&](const auto& row) { return row.id == wanted.endpoint.value(); });
   if (!known) {
     Complain(world,
              "endpoint " + wanted.endpoint.value() + " is unknown to daemon " +
-                 status.value().daemon,
+                 status.daemon,
              "`bluebellctl status --all` lists the endpoints; use `except add` "
              "for one that has yet to come");
     return exit_status::kRefused;
--- a/bluebell/ctl/internal/exchange.cc
+++ b/bluebell/ctl/internal/exchange.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "bluebell/ctl/internal/admin_page.h"
-
 namespace bluebell::ctl::internal {
 
 namespace {
@@ -94,4 +92,16 @@
   return std::move(config.value());
 }
 
+std::variant<status_page, exit_status> GetStatus(const surroundings& world) {
+  auto body = Get(world, "/status");
+  if (const auto* failed = std::get_if<exit_status>(&body)) {
+    return *failed;
+  }
+  auto status = ReadStatus(std::get<std::string>(body));
+  if (!status) {
+    return Unreadable(world, status.error());
+  }
+  return std::move(status.value());
+}
+
 }  // namespace bluebell::ctl::internal
--- a/bluebell/ctl/internal/exchange.h
+++ b/bluebell/ctl/internal/exchange.h
@@ -12,6 +12,7 @@
 #include "bluebell/config/fleet_config.h"
 #include "bluebell/core/error.h"
 #include "bluebell/ctl/exit_status.h"
+#include "bluebell/ctl/internal/admin_page.h"
 #include "bluebell/ctl/run_command.h"
 
 namespace bluebell::ctl::internal {
@@ -37,6 +38,9 @@
 // complaint.
 std::variant<fleet_config, exit_status> GetConfig(const surroundings& world);
 
+// What the daemon knows of the fleet, or the exit status after a complaint.
+std::variant<status_page, exit_status> GetStatus(const surroundings& world);
+
 }  // namespace bluebell::ctl::internal
 
 #endif  // BLUEBELL_CTL_INTERNAL_EXCHANGE_H_
--- a/bluebell/ctl/internal/show_commands.cc
+++ b/bluebell/ctl/internal/show_commands.cc
@@ -184,15 +184,12 @@
 exit_status Run(const domain_lost_command& wanted,
                 const surroundings& world,
                 bool json) {
-  const auto body = Get(world, "/status");
-  if (const auto* failed = std::get_if<exit_status>(&body)) {
+  const auto got = GetStatus(world);
+  if (const auto* failed = std::get_if<exit_status>(&got)) {
     return *failed;
   }
-  const auto status = ReadStatus(std::get<std::string>(body));
-  if (!status) {
-    return Unreadable(world, status.error());
-  }
-  const auto& daemons = status.value().daemons;
+  const auto& status = std::get<status_page>(got);
+  const auto& daemons = status.daemons;
   const auto alive =
       std::find_if(daemons.begin(), daemons.end(), [&](const auto& row) {
         return row.live && row.domain == wanted.domain.value();
--- a/bluebell/dispatch/endpoint_queue.cc
+++ b/bluebell/dispatch/endpoint_queue.cc
@@ -61,6 +61,9 @@
 endpoint_queue::~endpoint_queue() = default;
 
 admission endpoint_queue::Submit(const queued_request& request, instant now) {
+  if (request.deadline <= now) {
+    return rejected{rejection_cause::kDeadlineExpired, milliseconds(0)};
+  }
   return state_->Visit([&](auto& queue) { return queue.Submit(request, now); });
 }
 
--- a/bluebell/dispatch/internal/fifo_queue.cc
+++ b/bluebell/dispatch/internal/fifo_queue.cc
@@ -12,10 +12,7 @@
   Configure(values, instant());
 }
 
-admission fifo_queue::Submit(const queued_request& request, instant now) {
-  if (request.deadline <= now) {
-    return rejected{rejection_cause::kDeadlineExpired, milliseconds(0)};
-  }
+admission fifo_queue::Submit(const queued_request& request, instant /*now*/) {
   if (waiting_.size() >= queue_limit_) {
     return rejected{rejection_cause::kQueueFull,
                     std::chrono::ceil<milliseconds>(ExpectedWait())};
--- a/bluebell/dispatch/internal/ranked_queue.cc
+++ b/bluebell/dispatch/internal/ranked_queue.cc
@@ -27,9 +27,6 @@
       limit_(slots, values.warm_up, now) {}
 
 admission ranked_queue::Submit(const queued_request& request, instant now) {
-  if (request.deadline <= now) {
-    return rejected{rejection_cause::kDeadlineExpired, milliseconds(0)};
-  }
   caller_queues& queue = waiting_[RankIndex(request.priority)];
   const std::size_t ahead = queue.CountAhead(request.caller);
   const duration wait = ExpectedWait(request.priority, ahead, now);
--- a/testing/decision_run.cc
+++ b/testing/decision_run.cc
@@ -87,7 +87,7 @@
         break;
       case 7:
         // The platform is cut off from all.
-        world_.Split({decision_world::kPlatform}, until);
+        world_.network().Split({decision_world::kPlatform}, until);
         break;
       case 8:
         // Two failure domains together lose the third and the platform.
@@ -106,7 +106,7 @@
         Drain(endpoint, until);
         break;
       case 13:
-        world_.SlowNetwork(until);
+        world_.network().Slow(until);
         break;
     }
   }
@@ -159,7 +159,7 @@
         group.insert(endpoint.host.name);
       }
     }
-    world_.Split(std::move(group), until);
+    world_.network().Split(std::move(group), until);
   }
 
   // Separates a daemon, sometimes with its neighbours, and an endpoint of its
@@ -178,7 +178,7 @@
         group.insert(endpoint.host.name);
       }
     }
-    world_.Split(std::move(group), until);
+    world_.network().Split(std::move(group), until);
   }
 
   void Drain(std::size_t index, sim_time until) {
--- a/testing/decision_world.h
+++ b/testing/decision_world.h
@@ -9,9 +9,7 @@
 #ifndef TESTING_DECISION_WORLD_H_
 #define TESTING_DECISION_WORLD_H_
 
-#include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,7 +17,6 @@
 #include <ostream>
 #include <queue>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,12 +24,11 @@
 #include "bluebell/control/control_state.h"
 #include "bluebell/core/time.h"
 #include "testing/endpoint_model.h"
+#include "testing/sim_network.h"
+#include "testing/sim_time.h"
 
 namespace bluebell {
 
-// Time since the beginning of the run, as no process in it can see it.
-using sim_time = nanoseconds;
-
 // A process's monotonic clock: its own start and a rate within the bound on
 // drift.
 struct sim_clock {
@@ -104,11 +100,9 @@
   // Calls `what` after `delay`.
   void After(sim_time delay, std::function<void()> what);
 
-  // Separates the nodes of `group` from all others until the given time. Nodes
-  // are named by daemon id, endpoint id or kPlatform.
-  void Split(std::set<std::string> group, sim_time until);
-  // Delays many messages for long until the given time.
-  void SlowNetwork(sim_time until) { slow_network_until_ = until; }
+  // Its nodes are named by daemon id, endpoint id or kPlatform.
+  sim_network& network() { return network_; }
+  // Ends all that disturbs the network, the store and the processes.
   void Heal();
 
   void StartDaemon(std::size_t index);
@@ -143,10 +137,6 @@
       return std::pair(at, order) > std::pair(other.at, other.order);
     }
   };
-  struct network_split {
-    std::set<std::string> group;
-    sim_time until{0};
-  };
   struct executor;
 
   void Tick(std::size_t index, incarnation run);
@@ -155,18 +145,20 @@
              std::size_t target,
              const lease_request& request,
              const std::function<void(std::optional<lease_reply>)>& answer);
+  void StartChecks();
   void Observe();
   void SendRequest();
   void RunOrder(std::size_t target,
                 endpoint_instance to,
                 key_hash where,
                 slice_claim claim);
-  bool Reaches(const std::string& a, const std::string& b) const;
+  bool Reaches(const std::string& a, const std::string& b) const {
+    return network_.Reaches(a, b, now_);
+  }
   const std::string& NameOf(std::size_t daemon) const {
     return daemons_[daemon].settings.id.value();
   }
-  // A network delay: mostly short, now and then up to three seconds.
-  sim_time Delay();
+  sim_time Delay() { return network_.Delay(random_, now_); }
   bool Chance(double probability);
   std::optional<std::size_t> DaemonAt(const address& where) const;
   std::optional<std::size_t> EndpointAt(const address& where) const;
@@ -181,8 +173,7 @@
   std::vector<sim_daemon> daemons_;
   std::vector<sim_endpoint> endpoints_;
   sim_store store_;
-  std::vector<network_split> splits_;
-  sim_time slow_network_until_{0};
+  sim_network network_;
   std::map<std::uint64_t, std::function<void(const operator_reply&)>> asked_;
   std::uint64_t tokens_ = 0;
   std::uint64_t runs_ = 0;
--- a/testing/fixed_routes.cc
+++ b/testing/fixed_routes.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
-#include "bluebell/daemon/clock.h"
 #include "bluebell/placement/slice_range.h"
+#include "bluebell/runtime/clock.h"
 
 namespace bluebell {
 
