Release keys at a process that has taken its predecessor's grants

Cause: an endpoint that starts again with its id at its address takes renewals that are meant for its former process until its entry tells of the new one: grants name an endpoint by its id only. The coordinator took the keys of the ended process for free at once and gave them to another endpoint, while the new process held them for up to 2.2 s.

Change: keys of a process that was replaced by one with its id and address are released there first, as at any owner; they are free at once only where the new process has another id, which refuses such orders, or another address.

Ruled out: naming the process in the grant: the platform's orders can't.

--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -94,20 +94,35 @@
 }
 
 bool key_coordinator::HasEnded(const endpoint_instance& instance) const {
-  const auto address_known = last_address_.find(instance);
   return std::any_of(endpoints_.begin(), endpoints_.end(),
                      [&](const fleet_endpoint& each) {
-                       if (each.instance.run <= instance.run) {
-                         return false;
-                       }
-                       // A later process with its id, or at its address, which
-                       // a process holds for itself.
-                       return each.instance.endpoint == instance.endpoint ||
-                              (address_known != last_address_.end() &&
-                               each.where == address_known->second);
+                       return each.instance.run > instance.run &&
+                              (each.instance.endpoint == instance.endpoint ||
+                               IsAddressOf(instance, each.where));
                      });
 }
 
+bool key_coordinator::IsAddressOf(const endpoint_instance& instance,
+                                  const address& where) const {
+  const auto known = last_address_.find(instance);
+  return known != last_address_.end() && known->second == where;
+}
+
+std::optional<address> key_coordinator::HolderAddress(
+    const endpoint_instance& instance) const {
+  const auto known = last_address_.find(instance);
+  const fleet_endpoint* entry = FindEndpoint(instance.endpoint);
+  if (entry != nullptr && entry->instance.run > instance.run) {
+    const bool elsewhere =
+        known != last_address_.end() && known->second != entry->where;
+    return elsewhere ? std::nullopt : std::optional(entry->where);
+  }
+  if (known == last_address_.end() || HasEnded(instance)) {
+    return std::nullopt;
+  }
+  return known->second;
+}
+
 void key_coordinator::OnContact(const endpoint_instance& instance,
                                 bool answered) {
   contact& known = contacts_[instance];
@@ -390,7 +405,8 @@
   // If the owner can't take the keys back, they go to another endpoint.
   const bool back_to_owner =
       move.to == move.from && move.released && IsUsable(move.from);
-  if (HasEnded(move.from) || back_to_owner) {
+  const bool nobody_holds = HasEnded(move.from) && !HolderAddress(move.from);
+  if (nobody_holds || back_to_owner) {
     return true;
   }
   const std::optional<instant> until =
@@ -425,7 +441,9 @@
 std::vector<unheld_range> key_coordinator::UnheldRanges() const {
   std::vector<unheld_range> unheld;
   for (const key_move& move : moves_) {
-    const bool releasing = !move.released;
+    const bool answers = IsUsable(move.from) ||
+                         (HasEnded(move.from) && HolderAddress(move.from));
+    const bool releasing = !move.released && answers;
     const std::optional<instant> until =
         move.released ? move.grants.LateGrantsUntil(timing_)
                       : move.grants.HeldUntil(timing_);
@@ -473,12 +491,11 @@
 void key_coordinator::AddReleases(std::vector<coordinator_action>& actions,
                                   instant now) {
   for (key_move& move : moves_) {
-    const auto where = last_address_.find(move.from);
+    const std::optional<address> where = HolderAddress(move.from);
     // A release could overtake a grant on its way, which would then give the
     // keys back to an endpoint that has confirmed the release.
     if (move.grants.in_flight() || move.released || move.release_in_flight ||
-        now < move.next_release || where == last_address_.end() ||
-        HasEnded(move.from)) {
+        now < move.next_release || !where) {
       continue;
     }
     move.release_in_flight = true;
@@ -486,7 +503,7 @@
     // waits above and in IsFree() keep the keys from having two holders.
     actions.emplace_back(
         send_release{move.from,
-                     where->second,
+                     *where,
                      {move.range, epoch(table_.highest_fence().value() + 1)}});
   }
 }
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -122,6 +122,12 @@
   bool IsUsable(const endpoint_instance& instance) const;
   // True if the process that was `instance` has surely ended.
   bool HasEnded(const endpoint_instance& instance) const;
+  bool IsAddressOf(const endpoint_instance& instance,
+                   const address& where) const;
+  // Where somebody may hold keys that were granted to `instance`: there itself,
+  // or, if it has ended, a later process with its id and address, which takes
+  // grants that were meant for the former one. Nothing if nobody can.
+  std::optional<address> HolderAddress(const endpoint_instance& instance) const;
   bool IsLost(const endpoint_instance& instance) const;
   void OnContact(const endpoint_instance& instance, bool answered);
   // Brings the parts in line with the table and the moves.
