Run the gateway's processes under faults from outside

Change: testing/gateway holds a stand-in of the platform's store and of endpoints with grants, callers that keep their connections, a proxy on each connection to callers, store and endpoints, and a schedule of faults by seed: processes killed, frozen, stopped and started, the store down, slow, forgetful or losing answers, connections delayed, cut one way, reset, truncated or silenced, endpoints that end, drain, start again or carry orders out late, configurations and settings that change; every third seed has planned work only. promise_check and key_holders judge what callers and endpoints saw: one owner a key, rising fences, at most once, true refusals, whole answers to their own caller, drain, configuration in force and never back, nothing cut by planned work, recovery. Started processes inherit no sockets any more, which had kept ports bound.

Ruled out: proxies between the daemons: each answers the address that it hears from, so a proxy there would need the daemons' help.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 1..200
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cc' '*.h')
 
-.PHONY: check demo soak measure install build format format-check lint test sanitize
+.PHONY: check demo soak fault-soak measure install build format format-check lint test sanitize
 
 check: install format-check build lint test
 
@@ -34,6 +34,10 @@
 soak: install build
 	@$(BUILD)/testing/soak --seeds=$(SEEDS)
 
+# The gateway's processes under faults from outside.
+fault-soak: install build
+	@$(BUILD)/testing/gateway/fault_soak --program=$(BUILD)/programs/bluebellgw --seeds=$(SEEDS)
+
 measure: install build
 	@$(BUILD)/testing/measure --out=measure.json
 
--- a/testing/child_process.cc
+++ b/testing/child_process.cc
@@ -25,6 +25,8 @@
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   ::dup2(log, STDOUT_FILENO);
   ::dup2(log, STDERR_FILENO);
+  // Sockets of the parent would otherwise stay open and bound in the child.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::execv(arguments[0], arguments);
   ::_exit(kExecFailed);
 }
--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -148,6 +148,16 @@
   return std::shared_ptr<proxy_port>(new proxy_port(port));
 }
 
+void proxy_port::Close() {
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->datagrams.close(ignored);
+  const auto links = state_->links;
+  for (const auto& link : links) {
+    link->Reset();
+  }
+}
+
 result<bool> proxy_port::Apply(const fault_order& order) {
   const bool was_refusing = std::holds_alternative<refuse_all>(*state_->fault);
   const bool refuses = std::holds_alternative<refuse_all>(order.fault);
--- a/testing/fault_proxy.h
+++ b/testing/fault_proxy.h
@@ -26,6 +26,9 @@
 
   const std::string& name() const;
 
+  // Ends all connections and frees the port, for good.
+  void Close();
+
   // Puts the fault of `order` in place of the present one.
   result<bool> Apply(const fault_order& order);
 
--- /dev/null
+++ b/testing/gateway/fault_schedule.cc
@@ -0,0 +1,287 @@
+#include "testing/gateway/fault_schedule.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <vector>
+
+#include "bluebell/core/boot_clock.h"
+#include "testing/gateway/gateway_world.h"
+
+namespace bluebell {
+
+namespace {
+
+constexpr double kPlannedShare = 0.3;
+// A daemon that was killed is started again, and an endpoint too.
+constexpr int kLeastDownMs = 100;
+constexpr int kMostDownMs = 2'500;
+
+}  // namespace
+
+void fault_schedule::Start(milliseconds length) {
+  ends_ = BootNow() + length;
+  Next();
+}
+
+std::size_t fault_schedule::Pick(std::size_t count) {
+  return std::uniform_int_distribution<std::size_t>(0,
+                                                    count - 1)(world_.random());
+}
+
+milliseconds fault_schedule::PickTime(int least, int most) {
+  return milliseconds(
+      std::uniform_int_distribution<int>(least, most)(world_.random()));
+}
+
+void fault_schedule::Next() {
+  if (healed_ || BootNow() >= ends_) {
+    return;
+  }
+  const bool planned = planned_only_ || std::bernoulli_distribution(
+                                            kPlannedShare)(world_.random());
+  if (planned) {
+    DoPlanned();
+  } else {
+    DoFault();
+  }
+  // Series and overlaps: short pauses and long ones.
+  const bool soon = Pick(2) == 0;
+  world_.After(soon ? PickTime(0, 200) : PickTime(200, 1'500),
+               [this] { Next(); });
+}
+
+milliseconds fault_schedule::Begin(const std::string& what,
+                                   milliseconds length) {
+  const instant now = BootNow();
+  const auto left = std::chrono::duration_cast<milliseconds>(ends_ - now);
+  const milliseconds lasts = std::clamp(length, milliseconds(0), left);
+  world_.record().disturbances.push_back({now, now + lasts});
+  ++faults_;
+  log_ << now.time_since_epoch().count() / 1'000'000 << " " << what << " for "
+       << lasts.count() << " ms\n";
+  return lasts;
+}
+
+void fault_schedule::Planned(const std::string& what, milliseconds length) {
+  const instant now = BootNow();
+  world_.record().planned.push_back({now, now + length});
+  ++faults_;
+  log_ << now.time_since_epoch().count() / 1'000'000 << " planned: " << what
+       << "\n";
+}
+
+void fault_schedule::DoPlanned() {
+  switch (Pick(5)) {
+    case 0:
+    case 1:
+      StopGateway(Pick(world_.gateways()));
+      break;
+    case 2:
+      Planned("settings read again", milliseconds(0));
+      world_.SignalGateway(Pick(world_.gateways()), SIGHUP);
+      break;
+    case 3:
+      Planned("configuration", milliseconds(0));
+      world_.ChangeConfig();
+      break;
+    default:
+      DrainEndpoint(Pick(world_.endpoints().size()));
+      break;
+  }
+}
+
+void fault_schedule::DoFault() {
+  switch (Pick(9)) {
+    case 0:
+      KillGateway(Pick(world_.gateways()));
+      break;
+    case 1:
+      if (const auto coordinator = world_.Coordinator()) {
+        KillGateway(*coordinator);
+      }
+      break;
+    case 2:
+      FreezeGateway(world_.Coordinator().value_or(Pick(world_.gateways())));
+      break;
+    case 3:
+    case 4:
+      DisturbStore();
+      break;
+    case 5:
+    case 6:
+      DisturbLink();
+      break;
+    case 7:
+      KillEndpoint(Pick(world_.endpoints().size()));
+      break;
+    default:
+      TakeOrdersLate(Pick(world_.endpoints().size()));
+      break;
+  }
+}
+
+void fault_schedule::StopGateway(std::size_t index) {
+  // Callers would find nobody if all were stopped at the same time.
+  std::size_t running = 0;
+  for (std::size_t i = 0; i < world_.gateways(); ++i) {
+    running += world_.GatewayRuns(i) ? 1 : 0;
+  }
+  if (!world_.GatewayRuns(index) || running < 3) {
+    return;
+  }
+  Planned("stop front-" + std::to_string(index), milliseconds(0));
+  world_.SignalGateway(index, SIGTERM);
+  ReplaceWhenEnded(index);
+}
+
+void fault_schedule::ReplaceWhenEnded(std::size_t index) {
+  constexpr milliseconds kCheck{50};
+  world_.After(kCheck, [this, index] {
+    if (world_.GatewayRuns(index) && world_.GatewayEnded(index)) {
+      world_.StartGateway(index);
+    } else if (world_.GatewayRuns(index)) {
+      ReplaceWhenEnded(index);
+    }
+  });
+}
+
+void fault_schedule::KillGateway(std::size_t index) {
+  if (!world_.GatewayRuns(index)) {
+    return;
+  }
+  const milliseconds down = Begin("kill front-" + std::to_string(index),
+                                  PickTime(kLeastDownMs, kMostDownMs));
+  world_.SignalGateway(index, SIGKILL);
+  world_.After(down, [this, index] {
+    if (world_.GatewayRuns(index) && world_.GatewayEnded(index)) {
+      world_.StartGateway(index);
+    }
+  });
+}
+
+void fault_schedule::FreezeGateway(std::size_t index) {
+  const milliseconds frozen =
+      Begin("freeze front-" + std::to_string(index), PickTime(100, 5'000));
+  world_.SignalGateway(index, SIGSTOP);
+  world_.After(frozen, [this, index] {
+    world_.SignalGateway(index, SIGCONT);
+    // What it had sent or decided before may still arrive now.
+    constexpr milliseconds kThaw{300};
+    for (const auto& endpoint : world_.endpoints()) {
+      endpoint->ExcuseGrants(BootNow() + kThaw);
+    }
+  });
+}
+
+void fault_schedule::DisturbStore() {
+  if (Pick(5) == 0) {
+    Begin("store forgets its history", milliseconds(0));
+    world_.store().ForgetHistory();
+    return;
+  }
+  store_fault fault = store_well();
+  std::string name;
+  switch (Pick(3)) {
+    case 0:
+      fault = store_down{Pick(2) == 0, Pick(2) == 0};
+      name = "store down";
+      break;
+    case 1:
+      fault = store_slow{PickTime(50, 800)};
+      name = "store slow";
+      break;
+    default:
+      fault = store_loses_answers{0.4};
+      name = "store loses answers";
+      break;
+  }
+  const milliseconds lasts = Begin(name, PickTime(300, 6'000));
+  world_.store().SetFault(fault);
+  world_.After(lasts, [this] { world_.store().SetFault(store_well()); });
+}
+
+void fault_schedule::DisturbLink() {
+  const std::size_t kind = Pick(3);
+  const std::size_t index =
+      kind == 2 ? Pick(world_.endpoints().size()) : Pick(world_.gateways());
+  const std::string link = (kind == 0   ? "front-"
+                            : kind == 1 ? "store-"
+                                        : "endpoint-") +
+                           std::to_string(index);
+  const std::vector<proxy_fault> choices{delay_bytes{PickTime(5, 100)},
+                                         lose_bytes{true, true},
+                                         lose_bytes{true, false},
+                                         lose_bytes{false, true},
+                                         refuse_all{},
+                                         truncate_answers{Pick(400)},
+                                         lose_answers{},
+                                         pass_all{}};
+  const std::size_t chosen = Pick(choices.size());
+  const bool silence_open = Pick(3) == 0;
+  const milliseconds lasts = Begin(
+      "fault " + std::to_string(chosen) + " on " + link, PickTime(100, 5'000));
+  world_.SetLinkFault(link, choices[chosen], silence_open);
+  world_.After(lasts,
+               [this, link] { world_.SetLinkFault(link, pass_all(), false); });
+}
+
+void fault_schedule::KillEndpoint(std::size_t index) {
+  if (!world_.endpoints()[index]->running()) {
+    return;
+  }
+  const milliseconds down = Begin("kill endpoint-" + std::to_string(index),
+                                  PickTime(kLeastDownMs, kMostDownMs));
+  world_.KillEndpoint(index);
+  world_.After(down, [this, index] {
+    if (!world_.endpoints()[index]->running()) {
+      world_.StartEndpoint(index);
+    }
+  });
+}
+
+void fault_schedule::DrainEndpoint(std::size_t index) {
+  soak_endpoint& endpoint = *world_.endpoints()[index];
+  // One at a time, so that each service keeps some.
+  const bool others_drain = std::any_of(
+      world_.endpoints().begin(), world_.endpoints().end(),
+      [](const auto& each) { return !each->running() || each->draining(); });
+  if (others_drain || !endpoint.running()) {
+    return;
+  }
+  Planned("drain endpoint-" + std::to_string(index), milliseconds(0));
+  world_.DrainEndpoint(index);
+  // It serves on until nothing may come any more, and a little longer.
+  world_.After(PickTime(3'000, 4'000), [this, index] {
+    if (world_.endpoints()[index]->draining()) {
+      world_.KillEndpoint(index);
+      world_.StartEndpoint(index);
+    }
+  });
+}
+
+void fault_schedule::TakeOrdersLate(std::size_t index) {
+  const milliseconds lasts = Begin(
+      "late orders at endpoint-" + std::to_string(index), PickTime(500, 4'000));
+  world_.endpoints()[index]->TakeOrdersLate(BootNow() + lasts);
+}
+
+void fault_schedule::Heal() {
+  healed_ = true;
+  for (std::size_t i = 0; i < world_.gateways(); ++i) {
+    world_.SignalGateway(i, SIGCONT);
+    if (!world_.GatewayRuns(i) || world_.GatewayEnded(i)) {
+      world_.StartGateway(i);
+    }
+  }
+  world_.store().SetFault(store_well());
+  for (std::size_t i = 0; i < world_.endpoints().size(); ++i) {
+    if (!world_.endpoints()[i]->running()) {
+      world_.StartEndpoint(i);
+    }
+  }
+  world_.record().healed = BootNow();
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/testing/gateway/fault_schedule.h
@@ -0,0 +1,69 @@
+// The random faults and planned changes of one run of the gateway. They come in
+// series and overlap; all end before the run does.
+//
+//   fault_schedule faults(world, planned_only);
+//   faults.Start(length);
+
+#ifndef TESTING_GATEWAY_FAULT_SCHEDULE_H_
+#define TESTING_GATEWAY_FAULT_SCHEDULE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <ostream>
+#include <string>
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+class gateway_world;
+
+class fault_schedule {
+ public:
+  // With `planned_only` daemons are stopped and started, settings and
+  // configurations change and endpoints are emptied, and nothing else happens.
+  fault_schedule(gateway_world& world, bool planned_only, std::ostream& log)
+      : world_(world), planned_only_(planned_only), log_(log) {}
+  fault_schedule(const fault_schedule&) = delete;
+  fault_schedule& operator=(const fault_schedule&) = delete;
+  ~fault_schedule() = default;
+
+  // Faults begin within `length` and have ended by its end.
+  void Start(milliseconds length);
+  // Ends whatever still lasts.
+  void Heal();
+
+  std::uint64_t faults() const { return faults_; }
+
+ private:
+  void Next();
+  void DoPlanned();
+  void DoFault();
+
+  void StopGateway(std::size_t index);
+  void ReplaceWhenEnded(std::size_t index);
+  void DrainEndpoint(std::size_t index);
+  void KillGateway(std::size_t index);
+  void FreezeGateway(std::size_t index);
+  void DisturbStore();
+  void DisturbLink();
+  void KillEndpoint(std::size_t index);
+  void TakeOrdersLate(std::size_t index);
+
+  std::size_t Pick(std::size_t count);
+  milliseconds PickTime(int least, int most);
+  // Notes a fault that lasts for `length` and ends before the run's faults do.
+  milliseconds Begin(const std::string& what, milliseconds length);
+  void Planned(const std::string& what, milliseconds length);
+
+  gateway_world& world_;
+  bool planned_only_;
+  std::ostream& log_;
+  instant ends_;
+  bool healed_ = false;
+  std::uint64_t faults_ = 0;
+};
+
+}  // namespace bluebell
+
+#endif  // TESTING_GATEWAY_FAULT_SCHEDULE_H_
--- /dev/null
+++ b/testing/gateway/fault_soak_main.cc
@@ -0,0 +1,171 @@
+// Runs the gateway's real processes under random faults for a range of seeds
+// and checks what callers and endpoints saw.
+//
+//   fault_soak --program=build/programs/bluebellgw --seeds=1..50
+
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "bluebell/core/boot_clock.h"
+#include "testing/gateway/fault_schedule.h"
+#include "testing/gateway/gateway_world.h"
+#include "testing/gateway/promise_check.h"
+
+namespace {
+
+constexpr const char* kUsage =
+    R"(Runs the gateway's processes under random faults.
+
+Usage:
+  fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
+             [--seconds=N] [--logs=FOLDER] [--port=N]
+
+Options:
+  --program=FILE  The program bluebellgw.
+  --seeds=RANGE   First and last seed [default: 1..4].
+  --jobs=N        Runs at a time [default: 3].
+  --gateways=N    Daemons in each run [default: 5].
+  --seconds=N     How long faults last in each run [default: 14].
+  --logs=FOLDER   Logs of runs that broke a promise [default: fault-soak-logs].
+  --port=N        The first port on loopback [default: 21000].
+)";
+
+using bluebell::milliseconds;
+
+constexpr milliseconds kStart{3'000};
+// After the faults: time to recover, and then to be seen serving.
+constexpr milliseconds kHealed{7'000};
+// Every third seed has planned changes only.
+constexpr std::uint64_t kPlannedOnlyEach = 3;
+constexpr std::size_t kShownViolations = 5;
+
+struct totals {
+  std::mutex mutex;
+  std::uint64_t runs = 0;
+  std::uint64_t faults = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t served = 0;
+  std::uint64_t violations = 0;
+};
+
+struct soak_options {
+  std::string program;
+  std::string logs;
+  std::size_t gateways = 0;
+  milliseconds length{0};
+};
+
+// Returns the promises that the run broke.
+std::vector<std::string> RunSeed(std::uint64_t seed,
+                                 std::uint16_t port,
+                                 const soak_options& soak,
+                                 totals& sum) {
+  bluebell::gateway_world_options options;
+  options.seed = seed;
+  options.program = soak.program;
+  options.folder = soak.logs + "/seed-" + std::to_string(seed);
+  options.first_port = port;
+  options.gateways = soak.gateways;
+  auto made = bluebell::gateway_world::Make(options);
+  if (!made) {
+    return {"not run: " + made.error().ToString()};
+  }
+  bluebell::gateway_world& world = *made.value();
+  std::ofstream log(options.folder + "/faults.log");
+  bluebell::fault_schedule faults(world, seed % kPlannedOnlyEach == 0, log);
+  world.RunFor(kStart);
+  faults.Start(soak.length);
+  world.RunFor(soak.length);
+  faults.Heal();
+  world.RunFor(kHealed);
+  world.StopCallers();
+  bluebell::soak_record& record = world.record();
+  const std::vector<std::string>& shared = world.holders().violations();
+  record.violations.insert(record.violations.end(), shared.begin(),
+                           shared.end());
+  const std::lock_guard lock(sum.mutex);
+  sum.faults += faults.faults();
+  sum.requests += record.requests.size();
+  for (const bluebell::sent_request& each : record.requests) {
+    sum.served += each.status == 200 ? 1 : 0;
+  }
+  return bluebell::FindBrokenPromises(record);
+}
+
+void RunSeeds(std::atomic<std::uint64_t>& next,
+              std::uint64_t last,
+              std::uint16_t port,
+              const soak_options& soak,
+              totals& sum) {
+  for (std::uint64_t seed = next++; seed <= last; seed = next++) {
+    const std::vector<std::string> broken = RunSeed(seed, port, soak, sum);
+    const std::lock_guard lock(sum.mutex);
+    ++sum.runs;
+    sum.violations += broken.size();
+    for (std::size_t i = 0; i < std::min(kShownViolations, broken.size());
+         ++i) {
+      std::cout << "seed " << seed << ": " << broken[i] << '\n';
+    }
+    if (broken.empty()) {
+      std::filesystem::remove_all(soak.logs + "/seed-" + std::to_string(seed));
+    } else {
+      std::cout << "seed " << seed << ": " << broken.size()
+                << " violations; logs in " << soak.logs << "/seed-" << seed
+                << '\n';
+    }
+  }
+}
+
+int Run(std::map<std::string, docopt::value>& options) {
+  const std::string range = options["--seeds"].asString();
+  const std::size_t dots = range.find("..");
+  std::atomic<std::uint64_t> next = std::stoull(range.substr(0, dots));
+  const std::uint64_t last = dots == std::string::npos
+                                 ? next.load()
+                                 : std::stoull(range.substr(dots + 2));
+  const soak_options soak{
+      options["--program"].asString(), options["--logs"].asString(),
+      static_cast<std::size_t>(options["--gateways"].asLong()),
+      std::chrono::seconds(options["--seconds"].asLong())};
+  totals sum;
+  std::vector<std::thread> threads;
+  const auto jobs = static_cast<std::uint16_t>(options["--jobs"].asLong());
+  const auto port = static_cast<std::uint16_t>(options["--port"].asLong());
+  for (std::uint16_t i = 0; i < jobs; ++i) {
+    const auto own = static_cast<std::uint16_t>(
+        port + i * bluebell::gateway_world::kPortsPerWorld);
+    threads.emplace_back([&, own] { RunSeeds(next, last, own, soak, sum); });
+  }
+  for (std::thread& each : threads) {
+    each.join();
+  }
+  std::cout << "served " << sum.served << "\nruns " << sum.runs << ", faults "
+            << sum.faults << ", requests " << sum.requests << ", violations "
+            << sum.violations << '\n';
+  return sum.violations == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    std::map<std::string, docopt::value> options =
+        docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+    return Run(options);
+  } catch (const std::exception& failure) {
+    std::cerr << "fault_soak: " << failure.what() << '\n';
+    return 2;
+  }
+}
--- /dev/null
+++ b/testing/gateway/soak_endpoint.cc
@@ -0,0 +1,278 @@
+#include "testing/gateway/soak_endpoint.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "bluebell/core/boot_clock.h"
+
+namespace bluebell {
+
+namespace {
+
+namespace bhttp = boost::beast::http;
+namespace json = boost::json;
+
+constexpr unsigned kHttp11 = 11;
+constexpr unsigned kOk = 200;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kUnavailable = 503;
+constexpr double kMillisPerSecond = 1'000;
+// The term of a grant runs from its arrival, by a clock that is 2% slow.
+constexpr double kSlowClock = 1.02;
+// After its announcement an endpoint may be sent requests for this long.
+constexpr milliseconds kDrainTime{2'000};
+constexpr double kLateShare = 0.5;
+
+std::string Header(const http_request& request, const char* name) {
+  const auto found = request.find(name);
+  return found == request.end() ? std::string() : std::string(found->value());
+}
+
+}  // namespace
+
+soak_endpoint::soak_endpoint(boost::asio::io_context& io,
+                             soak_endpoint_options options,
+                             key_holders& holders,
+                             soak_record& record,
+                             std::uint64_t seed)
+    : io_(io),
+      options_(std::move(options)),
+      holders_(holders),
+      record_(record),
+      random_(seed) {}
+
+result<bool> soak_endpoint::Start() {
+  http_server_options server;
+  server.listen = options_.listen;
+  auto started = http_server::Start(
+      io_, server,
+      [weak = weak_from_this()](const http_request& request,
+                                const http_responder& respond) {
+        if (const auto self = weak.lock()) {
+          self->Serve(request, respond);
+        }
+      });
+  if (!started) {
+    return started.error();
+  }
+  server_ = std::move(started).value();
+  ++life_;
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto now = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(since_epoch).count());
+  born_ = std::max(born_ + 1, now);
+  sequence_ = 0;
+  draining_ = false;
+  announced_.reset();
+  return true;
+}
+
+void soak_endpoint::Kill() {
+  if (!running()) {
+    return;
+  }
+  holders_.Forget(ProcessName());
+  server_->Stop();
+  server_.reset();
+  running_.clear();
+  waiting_.clear();
+  releases_.clear();
+  ++life_;
+}
+
+std::string soak_endpoint::ProcessName() const {
+  return options_.id + "/" + std::to_string(life_);
+}
+
+std::string soak_endpoint::EntryKey() const {
+  return "servers/" + options_.id;
+}
+
+std::string soak_endpoint::Entry() {
+  return json::serialize(json::object{
+      {"Address", options_.shown.ToString()},
+      {"born", born_},
+      {"Information", json::object{{"Service", options_.service},
+                                   {"Zone", options_.domain},
+                                   {"Version", "1"},
+                                   {"Slots", options_.slots}}},
+      {"Status", json::object{{"State", draining_ ? "draining" : "ready"},
+                              {"Sequence", ++sequence_},
+                              {"WarmupRemainingS", 0}}}});
+}
+
+http_response soak_endpoint::NotRun(unsigned status) const {
+  http_response response(bhttp::int_to_status(status), kHttp11);
+  response.set("X-Not-Executed", "1");
+  response.set("X-Instance-Id", options_.id);
+  return response;
+}
+
+void soak_endpoint::After(milliseconds delay, std::function<void()> what) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait(
+      [timer, what = std::move(what), life = life_,
+       weak = weak_from_this()](const boost::system::error_code& cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self && self->life_ == life) {
+          what();
+        }
+      });
+}
+
+void soak_endpoint::Serve(const http_request& request,
+                          const http_responder& respond) {
+  const std::string target(request.target());
+  const std::string expected = Header(request, "X-Expected-Instance");
+  if (!expected.empty() && expected != options_.id) {
+    respond(NotRun(kMisdirected));
+  } else if (target == "/grant" || target == "/release") {
+    TakeOrder(request, respond);
+  } else if (target == "/health") {
+    http_response response(
+        draining_ ? bhttp::status::service_unavailable : bhttp::status::ok,
+        kHttp11);
+    response.set("X-Instance-Id", options_.id);
+    respond(response);
+  } else {
+    const std::string key = Header(request, "X-Shard-Key");
+    std::optional<shard_key> read;
+    if (options_.keyed) {
+      read = static_cast<shard_key>(std::stoul(key.empty() ? "0" : key));
+    }
+    TakeWork({request, respond, read});
+  }
+}
+
+void soak_endpoint::TakeOrder(const http_request& request,
+                              const http_responder& respond) {
+  const instant arrived = BootNow();
+  if (arrived < late_until_ &&
+      std::bernoulli_distribution(kLateShare)(random_)) {
+    const milliseconds delay(
+        std::uniform_int_distribution<int>(300, 8'000)(random_));
+    After(delay, [this, request, arrived] {
+      CarryOut(
+          request, [](const http_response& /*unsent*/) {},
+          grant_timing::kTakenLate, arrived);
+    });
+    return;
+  }
+  CarryOut(
+      request, respond,
+      arrived < excused_until_ ? grant_timing::kHeldUp : grant_timing::kPrompt,
+      arrived);
+}
+
+void soak_endpoint::CarryOut(const http_request& request,
+                             const http_responder& respond,
+                             grant_timing timing,
+                             instant arrived) {
+  const instant now = BootNow();
+  const json::value body = json::parse(request.body());
+  const key_range range{body.at("From").to_number<shard_key>(),
+                        body.at("Target").to_number<shard_key>()};
+  if (request.target() == "/release") {
+    holders_.Release(ProcessName(), range, now);
+    releases_.push_back({range, respond});
+    AnswerReleases();
+    return;
+  }
+  const std::chrono::duration<double, std::milli> hold(
+      body.at("HoldS").to_number<double>() * kMillisPerSecond * kSlowClock);
+  const bool taken = holders_.Grant(
+      ProcessName(), range, body.at("fence").to_number<std::uint64_t>(),
+      arrived + std::chrono::duration_cast<duration>(hold), timing, now);
+  respond(JsonResponse(taken ? kOk : kConflict, "{}"));
+}
+
+void soak_endpoint::AnswerReleases() {
+  std::erase_if(releases_, [this](const waiting_release& each) {
+    const bool busy =
+        std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+          return entry.second.key && each.range.Contains(*entry.second.key);
+        });
+    if (!busy) {
+      http_response response(bhttp::status::ok, kHttp11);
+      response.set("X-Handover", "h" + std::to_string(random_()));
+      each.respond(response);
+    }
+    return !busy;
+  });
+}
+
+void soak_endpoint::TakeWork(work taken) {
+  const instant now = BootNow();
+  const std::string id = Header(taken.request, "X-Attempt-Id");
+  if (taken.key && !holders_.Holds(ProcessName(), *taken.key, now)) {
+    taken.respond(NotRun(kMisdirected));
+    return;
+  }
+  if (announced_ && now > *announced_ + kDrainTime) {
+    record_.late_arrivals.push_back({id, options_.id, *announced_, now});
+  }
+  if (running_.size() < options_.slots) {
+    StartWork(taken);
+  } else if (waiting_.size() < options_.slots) {
+    waiting_.push_back(std::move(taken));
+  } else {
+    taken.respond(NotRun(kUnavailable));
+  }
+}
+
+void soak_endpoint::StartWork(const work& started) {
+  const std::uint64_t number = ++works_;
+  const std::string id = Header(started.request, "X-Attempt-Id");
+  const std::string signature = ProcessName() + "." + std::to_string(random_());
+  running_[number] = {started.key, record_.executions.size()};
+  record_.executions.push_back({id, options_.id, options_.service, BootNow(),
+                                std::nullopt, 0, signature,
+                                "body of " + signature});
+  const milliseconds length(std::uniform_int_distribution<int>(5, 60)(random_));
+  After(length, [this, number, started] { FinishWork(number, started); });
+}
+
+void soak_endpoint::FinishWork(std::uint64_t number, const work& done) {
+  const running_work ended = running_.at(number);
+  running_.erase(number);
+  request_execution& row = record_.executions[ended.row];
+  const instant now = BootNow();
+  const bool held = !ended.key ||
+                    holders_.Holds(ProcessName(), *ended.key, now) ||
+                    std::any_of(releases_.begin(), releases_.end(),
+                                [&](const waiting_release& each) {
+                                  return each.range.Contains(*ended.key);
+                                });
+  row.status = held ? kOk : kServerError;
+  row.answered = now;
+  http_response response(bhttp::int_to_status(row.status), kHttp11);
+  response.set("X-Attempt-Id", row.id);
+  response.set("X-Server-Signature", row.signature);
+  response.set("X-Instance-Id", options_.id);
+  response.set("X-Server-Load", std::to_string(running_.size()) + "," +
+                                    std::to_string(waiting_.size()) + "," +
+                                    std::to_string(options_.slots));
+  response.body() = row.body;
+  done.respond(response);
+  AnswerReleases();
+  while (!waiting_.empty() && running_.size() < options_.slots) {
+    const work next = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (next.key && !holders_.Holds(ProcessName(), *next.key, now)) {
+      next.respond(NotRun(kMisdirected));
+    } else {
+      StartWork(next);
+    }
+  }
+}
+
+}  // namespace bluebell
--- /dev/null
+++ b/testing/gateway/soak_endpoint.h
@@ -0,0 +1,134 @@
+// An endpoint of the users' platform for runs of the gateway: slots, a queue,
+// keys that it holds by grants, and an entry in the store. Its processes end
+// and start anew within the run. All calls on the thread of `io`.
+//
+//   soak_endpoint endpoint(io, options, holders, record, seed);
+//   endpoint.Start();
+//   store.Put(endpoint.EntryKey(), endpoint.Entry());
+
+#ifndef TESTING_GATEWAY_SOAK_ENDPOINT_H_
+#define TESTING_GATEWAY_SOAK_ENDPOINT_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bluebell/core/address.h"
+#include "bluebell/core/result.h"
+#include "bluebell/core/time.h"
+#include "bluebell/http/http_message.h"
+#include "bluebell/keyspace/key_range.h"
+#include "testing/gateway/key_holders.h"
+#include "testing/gateway/soak_record.h"
+#include "testing/http_server.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace bluebell {
+
+struct soak_endpoint_options {
+  std::string id;
+  std::string service;
+  std::string domain;
+  address listen;
+  // Where the entry says that it listens.
+  address shown;
+  bool keyed = false;
+  std::uint32_t slots = 2;
+
+  friend bool operator==(const soak_endpoint_options&,
+                         const soak_endpoint_options&) = default;
+};
+
+class soak_endpoint : public std::enable_shared_from_this<soak_endpoint> {
+ public:
+  soak_endpoint(boost::asio::io_context& io,
+                soak_endpoint_options options,
+                key_holders& holders,
+                soak_record& record,
+                std::uint64_t seed);
+  soak_endpoint(const soak_endpoint&) = delete;
+  soak_endpoint& operator=(const soak_endpoint&) = delete;
+  ~soak_endpoint() = default;
+
+  // Starts a process, which holds nothing and has a later start than the one
+  // before.
+  result<bool> Start();
+  // Ends the process at once.
+  void Kill();
+  // The process announces that it leaves and goes on to serve.
+  void Drain() { draining_ = true; }
+  // When the store took the announcement.
+  void SetAnnounced(std::optional<instant> when) { announced_ = when; }
+
+  // Orders about keys stay unanswered and are carried out late until then.
+  void TakeOrdersLate(instant until) { late_until_ = until; }
+  // Grants that arrive until then were held up on their way.
+  void ExcuseGrants(instant until) { excused_until_ = until; }
+
+  bool running() const { return server_ != nullptr; }
+  bool draining() const { return draining_; }
+  const soak_endpoint_options& options() const { return options_; }
+  std::string EntryKey() const;
+  // The entry as the endpoint writes it now; each has the next number.
+  std::string Entry();
+
+ private:
+  struct work {
+    http_request request;
+    http_responder respond;
+    std::optional<shard_key> key;
+  };
+  struct running_work {
+    std::optional<shard_key> key;
+    std::size_t row = 0;
+  };
+  struct waiting_release {
+    key_range range;
+    http_responder respond;
+  };
+
+  std::string ProcessName() const;
+  void Serve(const http_request& request, const http_responder& respond);
+  void TakeOrder(const http_request& request, const http_responder& respond);
+  void CarryOut(const http_request& request,
+                const http_responder& respond,
+                grant_timing timing,
+                instant arrived);
+  void TakeWork(work taken);
+  void StartWork(const work& started);
+  void FinishWork(std::uint64_t number, const work& done);
+  void AnswerReleases();
+  void After(milliseconds delay, std::function<void()> what);
+  http_response NotRun(unsigned status) const;
+
+  boost::asio::io_context& io_;
+  soak_endpoint_options options_;
+  key_holders& holders_;
+  soak_record& record_;
+  std::mt19937_64 random_;
+  std::shared_ptr<http_server> server_;
+  std::uint64_t life_ = 0;
+  std::uint64_t born_ = 0;
+  std::uint64_t sequence_ = 0;
+  bool draining_ = false;
+  std::optional<instant> announced_;
+  instant late_until_;
+  instant excused_until_;
+  std::uint64_t works_ = 0;
+  std::map<std::uint64_t, running_work> running_;
+  std::deque<work> waiting_;
+  std::vector<waiting_release> releases_;
+};
+
+}  // namespace bluebell
+
+#endif  // TESTING_GATEWAY_SOAK_ENDPOINT_H_
--- /dev/null
+++ b/testing/gateway/soak_record.h
@@ -0,0 +1,91 @@
+// What a run of the gateway saw from outside: the callers' requests and the
+// endpoints' executions.
+
+#ifndef TESTING_GATEWAY_SOAK_RECORD_H_
+#define TESTING_GATEWAY_SOAK_RECORD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+// One attempt of a caller.
+struct sent_request {
+  std::string id;
+  // The index of the daemon that it was sent to, and of its process.
+  std::size_t gateway = 0;
+  std::uint64_t process = 0;
+  bool idempotent = false;
+  // The route that the operator moves between services.
+  bool on_moved_route = false;
+  instant sent;
+  // Empty while nothing has come back.
+  std::optional<instant> ended;
+  // Zero: the connection ended without a whole answer.
+  unsigned status = 0;
+  std::string answered_id;
+  std::string signature;
+  std::string body;
+};
+
+// One execution at an endpoint.
+struct request_execution {
+  std::string id;
+  std::string endpoint;
+  std::string service;
+  instant begun;
+  // Empty if the endpoint ended before it had answered.
+  std::optional<instant> answered;
+  unsigned status = 0;
+  std::string signature;
+  std::string body;
+};
+
+// A configuration that the operator wrote: the service of the moved route.
+struct written_config {
+  std::uint64_t version = 0;
+  std::string service;
+  instant confirmed;
+};
+
+// A request that reached an endpoint long after it had announced that it
+// leaves.
+struct late_arrival {
+  std::string id;
+  std::string endpoint;
+  instant announced;
+  instant arrived;
+};
+
+struct time_span {
+  instant from;
+  instant until;
+
+  bool Overlaps(instant first, instant last) const {
+    return from <= last && first <= until;
+  }
+};
+
+struct soak_record {
+  std::vector<sent_request> requests;
+  std::vector<request_execution> executions;
+  std::vector<written_config> configs;
+  std::vector<late_arrival> late_arrivals;
+  // When something unplanned disturbed the daemons, the store or the network.
+  std::vector<time_span> disturbances;
+  // When daemons were stopped as planned.
+  std::vector<time_span> planned;
+  // Found while the run went on: keys with two holders.
+  std::vector<std::string> violations;
+  instant healed;
+  instant ended;
+};
+
+}  // namespace bluebell
+
+#endif  // TESTING_GATEWAY_SOAK_RECORD_H_
