Schedule requests at a cost that doesn't grow with those that wait

An ask looked through all waiting requests for its own id, each decision passed over all late ones, and the speeds of all endpoints were computed with exponentials for each request that was considered.

Change: wait_queue finds requests by id, keeps those on time and late ones apart and knows the next hopeless one. scheduled_endpoint keeps an endpoint's speed, renewed each 20 ms; a choice of an endpoint serves all requests of one domain until one is granted.

Ruled out: fewer log lines (bounded already); smaller queues (requests that can still be served would be refused).

Also: the soak's check for configurations that go back took the latest version that fits; a route that moves between two services fits several. The check now follows the earliest one that fits.

--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -8,6 +8,7 @@
 #define BLUEBELL_PERMITS_PERMIT_MESSAGE_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,13 @@
   }
 };
 
+struct permit_id_hash {
+  std::size_t operator()(const permit_id& id) const noexcept {
+    // Numbers count up from one for each holder, whose run is random.
+    return static_cast<std::size_t>(id.holder ^ (id.number << 1U));
+  }
+};
+
 // Asks for a permit; sent again until it is answered.
 struct permit_ask {
   permit_id id;
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -16,9 +16,6 @@
 // An endpoint this much slower than the best one is used only if the wait for
 // a better one is longer than what it costs.
 constexpr double kMuchSlower = 2.5;
-// While an endpoint starts it is this much slower.
-constexpr double kColdSlowness = 2;
-constexpr double kLeastSlowness = 0.1;
 // How strongly slow endpoints are spared when keys are divided; 1 would use all
 // endpoints equally.
 constexpr double kSlownessWeight = 1.6;
@@ -37,8 +34,7 @@
 // How long a daemon's own time limits may overrun.
 constexpr milliseconds kExpirySlack{700};
 constexpr milliseconds kExpiryCheck{100};
-// How long an endpoint's report of load from elsewhere counts.
-constexpr milliseconds kForeignLoadTime{300};
+constexpr milliseconds kSpeedRefresh{20};
 
 }  // namespace
 
@@ -51,27 +47,26 @@
   keyed_ = table != nullptr;
   table_ = keyed_ ? *table : key_table();
   std::vector<waiting_request> owned = TakeOwned();
-  std::map<endpoint_id, endpoint_state> next;
+  std::map<endpoint_id, scheduled_endpoint> next;
   for (const fleet_endpoint& each : endpoints) {
     const endpoint_id& id = each.instance.endpoint;
-    const auto known = endpoints_.find(id);
-    if (known != endpoints_.end() &&
-        known->second.about.instance == each.instance) {
-      next[id] = std::move(known->second);
-      endpoints_.erase(known);
+    auto known = endpoints_.extract(id);
+    if (known && known.mapped().entry().instance == each.instance) {
+      known.mapped().SetEntry(each);
+      next.insert(std::move(known));
     } else {
-      next[id].warm_from = now + each.warm_up;
+      next.emplace(id, scheduled_endpoint(each, now));
     }
-    next[id].about = each;
   }
   // Requests at endpoints that have left the list still run there.
   for (auto& [id, state] : endpoints_) {
-    if (state.running > 0 && !next.contains(id)) {
-      state.about.draining = true;
-      next[id] = std::move(state);
+    if (state.running() > 0 && !next.contains(id)) {
+      state.SetDraining();
+      next.emplace(id, std::move(state));
     }
   }
   endpoints_ = std::move(next);
+  MeasureSharedCapacity(now);
   std::erase_if(paused_, [&](const auto& entry) {
     return entry.second.until + kLongestPause <= now;
   });
@@ -84,7 +79,7 @@
 std::vector<waiting_request> slot_scheduler::TakeOwned() {
   std::vector<waiting_request> owned;
   for (auto& [id, state] : endpoints_) {
-    std::vector<waiting_request> queued = state.queue.TakeAll();
+    std::vector<waiting_request> queued = state.queue().TakeAll();
     std::move(queued.begin(), queued.end(), std::back_inserter(owned));
   }
   return owned;
@@ -108,7 +103,7 @@
 
 void slot_scheduler::MarkAll() {
   for (const auto& [id, state] : endpoints_) {
-    if (!state.queue.empty()) {
+    if (!state.queue().empty()) {
       changed_.insert(id);
     }
   }
@@ -123,8 +118,8 @@
   }
   const auto owner = endpoints_.find(assignment->owner.endpoint);
   if (owner == endpoints_.end() ||
-      owner->second.about.instance != assignment->owner ||
-      owner->second.standing.IsSuspended(now) ||
+      owner->second.entry().instance != assignment->owner ||
+      owner->second.IsSuspended(now) ||
       std::find(ask.avoid.begin(), ask.avoid.end(), owner->first) !=
           ask.avoid.end()) {
     return {};
@@ -137,14 +132,15 @@
     const auto state = endpoints_.find(granted->second.endpoint);
     if (state != endpoints_.end()) {
       replies_.emplace_back(
-          MakeGrant(ask.id, state->second, granted->second.work, now));
+          MakeGrant(ask.id, state->second, granted->second.work));
     }
     return;
   }
+  RefreshSpeeds(now);
   const bool waits =
       shared_.Contains(ask.id) ||
       std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
-        return entry.second.queue.Contains(ask.id);
+        return entry.second.queue().Contains(ask.id);
       });
   if (waits) {
     replies_.emplace_back(permit_queued{ask.id});
@@ -200,10 +196,10 @@
     }
     request.fence = owner.fence;
     wait = WaitAtOwner(*owner.endpoint, request.ask.rank, now);
-    queue = &owner.endpoint->queue;
-    changed_.insert(owner.endpoint->about.instance.endpoint);
+    queue = &owner.endpoint->queue();
+    changed_.insert(owner.endpoint->entry().instance.endpoint);
   } else {
-    wait = WaitForAny(request.ask.rank, now);
+    wait = WaitForAny(request.ask.rank);
     shared_changed_ = true;
   }
   if (now + wait + request.work > request.deadline) {
@@ -230,7 +226,7 @@
 
 duration slot_scheduler::WaitOf(const permit_ask& ask, instant now) {
   if (!keyed_ || !ask.key) {
-    return WaitForAny(ask.rank, now);
+    return WaitForAny(ask.rank);
   }
   const key_owner owner = OwnerOf(ask, now);
   return owner.endpoint == nullptr
@@ -243,7 +239,7 @@
   if (found == running_.end()) {
     shared_.Remove(end.id);
     for (auto& [id, state] : endpoints_) {
-      state.queue.Remove(end.id);
+      state.queue().Remove(end.id);
     }
     return;
   }
@@ -259,17 +255,18 @@
   if (found == endpoints_.end()) {
     return;
   }
-  endpoint_state& state = found->second;
+  scheduled_endpoint& state = found->second;
+  const bool was_in_service = state.IsInService(now);
   const milliseconds took(end.took_ms);
   switch (end.outcome) {
     case permit_outcome::kAnswered:
-      work_.Add(ended.route, took, state.standing.SlownessAt(now));
-      state.standing.OnAnswered(took, ended.work, now);
+      work_.Add(ended.route, took, state.measured_slowness(now));
+      state.OnAnswered(took, ended.work, now);
       paused_.erase(ended.fence);
       break;
     case permit_outcome::kFailed:
     case permit_outcome::kShed:
-      state.standing.OnFailed(now);
+      state.OnFailed(now);
       break;
     case permit_outcome::kMisdirected:
       if (ended.fence != epoch()) {
@@ -279,31 +276,27 @@
         rest.until = now + rest.length;
         next_recheck_ = std::min(next_recheck_, rest.until);
       } else {
-        state.standing.OnSilent(end.id.holder, now);
+        state.OnSilent(end.id.holder, now);
       }
       break;
     case permit_outcome::kUnreachable:
     case permit_outcome::kNoResponse:
-      state.standing.OnSilent(end.id.holder, now);
+      state.OnSilent(end.id.holder, now);
       break;
     case permit_outcome::kAbandoned:
     case permit_outcome::kUnused:
       break;
   }
   if (end.load) {
-    // The report still counts the request that it came with. Since no more are
-    // sent than there are slots, only others' requests make some wait.
-    const std::uint32_t reported = end.load->running + end.load->waiting;
-    const std::uint32_t ours = state.running + 1;
-    const bool others = end.load->waiting > 0 && reported > ours;
-    state.foreign = others ? reported - ours : 0;
-    state.foreign_until = now + kForeignLoadTime;
-    if (others) {
-      next_recheck_ = std::min(next_recheck_, state.foreign_until);
+    if (const auto until = state.OnLoadReport(*end.load, now)) {
+      next_recheck_ = std::min(next_recheck_, *until);
     }
   }
-  if (state.standing.IsSuspended(now)) {
-    for (const waiting_request& each : state.queue.TakeAll()) {
+  if (state.IsInService(now) != was_in_service) {
+    MeasureSharedCapacity(now);
+  }
+  if (state.IsSuspended(now)) {
+    for (const waiting_request& each : state.queue().TakeAll()) {
       Refuse(each.ask.id, permit_refusal::kOwnerUnavailable, kOwnerRetry);
     }
   }
@@ -325,7 +318,7 @@
     foreign.expires = now + kUnreportedGrant + kExpirySlack;
     foreign.work = work_.Expected(open.route, duration(0));
     running_.emplace(open.id, std::move(foreign));
-    ++state->second.running;
+    state->second.OnStarted();
     ++running_by_rank_[open.rank];
   }
   std::vector<permit_id> unused;
@@ -345,6 +338,7 @@
 }
 
 std::vector<permit_reply> slot_scheduler::TakeReplies(instant now) {
+  RefreshSpeeds(now);
   if (now >= next_expiry_check_) {
     ExpireRunning(now);
   }
@@ -372,39 +366,36 @@
   return next == instant::max() ? std::nullopt : std::optional(next);
 }
 
-bool slot_scheduler::IsInService(const endpoint_state& state, instant now) {
-  return !state.about.draining && !state.standing.IsSuspended(now);
-}
-
-bool slot_scheduler::IsFree(const endpoint_state& state, instant now) {
-  if (!IsInService(state, now)) {
-    return false;
+void slot_scheduler::RefreshSpeeds(instant now) {
+  if (now < next_refresh_) {
+    return;
   }
-  const std::uint32_t limit =
-      state.standing.IsOnProbation() ? 1 : state.about.slots;
-  const std::uint32_t foreign = now < state.foreign_until ? state.foreign : 0;
-  return state.running + foreign < limit;
+  next_refresh_ = now + kSpeedRefresh;
+  for (auto& [id, state] : endpoints_) {
+    state.Refresh(now);
+  }
+  MeasureSharedCapacity(now);
 }
 
-double slot_scheduler::Slowness(const endpoint_state& state, instant now) {
-  const double measured =
-      std::max(kLeastSlowness, state.standing.SlownessAt(now));
-  return now < state.warm_from ? measured * kColdSlowness : measured;
+void slot_scheduler::MeasureSharedCapacity(instant now) {
+  shared_capacity_ = 0;
+  for (const auto& [id, state] : endpoints_) {
+    shared_capacity_ += state.IsInService(now) ? state.capacity() : 0;
+  }
 }
 
 permit_granted slot_scheduler::MakeGrant(const permit_id& id,
-                                         const endpoint_state& state,
-                                         duration work,
-                                         instant now) const {
+                                         const scheduled_endpoint& state,
+                                         duration work) const {
   const std::chrono::duration<double, std::milli> expected =
-      work * Slowness(state, now);
+      work * state.slowness();
   permit_granted granted;
   granted.id = id;
   granted.service = service_;
-  granted.endpoint = state.about.instance;
-  granted.where = state.about.where;
+  granted.endpoint = state.entry().instance;
+  granted.where = state.entry().where;
   granted.expected_ms = static_cast<std::uint32_t>(expected.count());
-  granted.lapsing = state.about.lapsing;
+  granted.lapsing = state.entry().lapsing;
   return granted;
 }
 
@@ -417,51 +408,37 @@
   return paused != paused_.end() && now < paused->second.until;
 }
 
-duration slot_scheduler::WaitAtOwner(const endpoint_state& owner,
+duration slot_scheduler::WaitAtOwner(const scheduled_endpoint& owner,
                                      std::uint32_t rank,
                                      instant now) {
-  const duration before = owner.queue.WorkBefore(rank);
-  if (IsFree(owner, now) && before == duration(0)) {
+  const duration before = owner.queue().WorkBefore(rank);
+  if (owner.IsFree(now) && before == duration(0)) {
     return duration(0);
   }
-  const double slots = owner.about.slots / Slowness(owner, now);
-  return duration(
-      static_cast<std::int64_t>(static_cast<double>(before.count()) / slots));
-}
-
-double slot_scheduler::SharedCapacity(instant now) const {
-  double slots = 0;
-  for (const auto& [id, state] : endpoints_) {
-    if (IsInService(state, now)) {
-      slots += state.about.slots / Slowness(state, now);
-    }
-  }
-  return slots;
+  return duration(static_cast<std::int64_t>(
+      static_cast<double>(before.count()) / owner.capacity()));
 }
 
-duration slot_scheduler::WaitForAny(std::uint32_t rank, instant now) const {
+duration slot_scheduler::WaitForAny(std::uint32_t rank) const {
   const duration before = shared_.WorkBefore(rank);
-  if (before == duration(0)) {
-    return duration(0);
-  }
-  const double slots = SharedCapacity(now);
-  return slots <= 0 ? duration(0)
-                    : duration(static_cast<std::int64_t>(
-                          static_cast<double>(before.count()) / slots));
+  return shared_capacity_ <= 0
+             ? duration(0)
+             : duration(static_cast<std::int64_t>(
+                   static_cast<double>(before.count()) / shared_capacity_));
 }
 
-double slot_scheduler::Cost(const endpoint_state& state,
-                            const permit_ask& ask,
-                            instant now) {
-  const bool elsewhere = state.about.domain != ask.domain;
-  return Slowness(state, now) / state.standing.SuccessAt(now) *
+double slot_scheduler::Cost(const scheduled_endpoint& state,
+                            const domain_name& domain) {
+  const bool elsewhere = state.entry().domain != domain;
+  return state.slowness() / state.success() *
          (elsewhere ? kOtherDomainCost : 1);
 }
 
-void slot_scheduler::AssignOwned(endpoint_state& owner, instant now) {
-  while (!owner.queue.empty() && IsFree(owner, now)) {
-    const auto next =
-        owner.queue.TakeNext(now, [&](const waiting_request& request) {
+void slot_scheduler::AssignOwned(scheduled_endpoint& owner, instant now) {
+  while (!owner.queue().empty() && owner.IsFree(now)) {
+    const auto next = owner.queue().TakeNext(
+        now, [](std::uint32_t /*rank*/) { return true; },
+        [&](const waiting_request& request) {
           return !IsPaused(request, now);
         });
     if (!next) {
@@ -474,71 +451,82 @@
 void slot_scheduler::AssignShared(instant now) {
   std::uint32_t free = FreeSlots(now);
   while (!shared_.empty() && free > 0) {
-    // The choices for requests that were considered; one of them is taken.
-    std::map<permit_id, endpoint_state*> chosen;
-    const auto next = shared_.TakeNext(now, [&](const waiting_request& each) {
-      if (free <= demand_.Reserve(each.ask.rank, running_by_rank_, now)) {
-        return false;
+    // All requests of one domain have the same choice until one is granted.
+    std::map<domain_name, endpoint_choice> choices;
+    endpoint_choice choice;
+    const auto choose = [&](const permit_ask& ask) {
+      if (!ask.avoid.empty()) {
+        return ChooseFor(ask.domain, ask.avoid, now);
       }
-      endpoint_state* where = ChooseAny(each, now);
-      if (where != nullptr) {
-        chosen[each.ask.id] = where;
+      auto known = choices.find(ask.domain);
+      if (known == choices.end()) {
+        known =
+            choices.emplace(ask.domain, ChooseFor(ask.domain, {}, now)).first;
       }
-      return where != nullptr;
-    });
+      return known->second;
+    };
+    const auto next = shared_.TakeNext(
+        now,
+        [&](std::uint32_t rank) {
+          return free > demand_.Reserve(rank, running_by_rank_, now);
+        },
+        [&](const waiting_request& each) {
+          choice = choose(each.ask);
+          return choice.best != nullptr && !ShouldWait(each, choice);
+        });
     if (!next) {
       return;
     }
-    Grant(*next, *chosen.at(next->ask.id), now);
+    // The request that is taken is the last one that was considered.
+    Grant(*next, *choice.best, now);
     --free;
   }
 }
 
-slot_scheduler::endpoint_state* slot_scheduler::ChooseAny(
-    const waiting_request& request,
+slot_scheduler::endpoint_choice slot_scheduler::ChooseFor(
+    const domain_name& domain,
+    const std::vector<endpoint_id>& avoid,
     instant now) {
-  endpoint_state* best = nullptr;
-  double best_cost = 0;
-  double least_cost = std::numeric_limits<double>::max();
-  const auto& avoid = request.ask.avoid;
+  endpoint_choice choice;
+  choice.least_cost = std::numeric_limits<double>::max();
   for (auto& [id, state] : endpoints_) {
-    if (!IsInService(state, now) ||
+    if (!state.IsInService(now) ||
         std::find(avoid.begin(), avoid.end(), id) != avoid.end()) {
       continue;
     }
-    const double cost = Cost(state, request.ask, now);
-    least_cost = std::min(least_cost, cost);
-    if (IsFree(state, now) && (best == nullptr || cost < best_cost)) {
-      best = &state;
-      best_cost = cost;
+    const double cost = Cost(state, domain);
+    choice.least_cost = std::min(choice.least_cost, cost);
+    if (state.IsFree(now) && (choice.best == nullptr || cost < choice.cost)) {
+      choice.best = &state;
+      choice.cost = cost;
     }
   }
-  if (best == nullptr) {
-    return nullptr;
+  return choice;
+}
+
+bool slot_scheduler::ShouldWait(const waiting_request& request,
+                                const endpoint_choice& choice) const {
+  if (choice.cost <= kMuchSlower * choice.least_cost) {
+    return false;
   }
-  const double extra =
-      (best_cost - least_cost) * static_cast<double>(request.work.count());
-  const bool better_wait =
-      best_cost > kMuchSlower * least_cost &&
-      extra > static_cast<double>(WaitForAny(request.ask.rank, now).count());
-  return better_wait ? nullptr : best;
+  const double extra = (choice.cost - choice.least_cost) *
+                       static_cast<double>(request.work.count());
+  return extra > static_cast<double>(WaitForAny(request.ask.rank).count());
 }
 
 std::uint32_t slot_scheduler::FreeSlots(instant now) const {
   std::uint32_t free = 0;
   for (const auto& [id, state] : endpoints_) {
-    if (IsFree(state, now)) {
-      free += state.about.slots - std::min(state.about.slots, state.running);
-    }
+    free += state.FreeSlots(now);
   }
   return free;
 }
 
 void slot_scheduler::Grant(const waiting_request& request,
-                           endpoint_state& where,
+                           scheduled_endpoint& where,
                            instant now) {
   running_request started;
-  started.endpoint = where.about.instance.endpoint;
+  started.endpoint = where.entry().instance.endpoint;
   started.route = request.ask.route;
   started.rank = request.ask.rank;
   started.fence = request.fence;
@@ -546,14 +534,14 @@
   started.expires = request.deadline + kExpirySlack;
   started.work = request.work;
   running_.insert_or_assign(request.ask.id, std::move(started));
-  ++where.running;
+  where.OnStarted();
   ++running_by_rank_[request.ask.rank];
   // A request that starts at once needs no word that it waits.
   std::erase_if(replies_, [&](const permit_reply& reply) {
     const auto* queued = std::get_if<permit_queued>(&reply);
     return queued != nullptr && queued->id == request.ask.id;
   });
-  replies_.emplace_back(MakeGrant(request.ask.id, where, request.work, now));
+  replies_.emplace_back(MakeGrant(request.ask.id, where, request.work));
 }
 
 void slot_scheduler::RefuseHopeless(instant now) {
@@ -568,7 +556,7 @@
   };
   sweep(shared_);
   for (auto& [id, state] : endpoints_) {
-    sweep(state.queue);
+    sweep(state.queue());
   }
 }
 
@@ -588,8 +576,8 @@
 void slot_scheduler::Free(const permit_id& id) {
   const auto found = running_.find(id);
   const auto state = endpoints_.find(found->second.endpoint);
-  if (state != endpoints_.end() && state->second.running > 0) {
-    --state->second.running;
+  if (state != endpoints_.end()) {
+    state->second.OnEnded();
   }
   changed_.insert(found->second.endpoint);
   shared_changed_ = true;
@@ -600,7 +588,7 @@
 std::size_t slot_scheduler::waiting_count() const {
   std::size_t count = shared_.size();
   for (const auto& [id, state] : endpoints_) {
-    count += state.queue.size();
+    count += state.queue().size();
   }
   return count;
 }
@@ -609,13 +597,14 @@
   return key_loads_.Loads(now);
 }
 
-std::map<endpoint_id, double> slot_scheduler::Capacities(instant now) const {
+std::map<endpoint_id, double> slot_scheduler::Capacities(
+    instant /*now*/) const {
   std::map<endpoint_id, double> capacities;
   for (const auto& [id, state] : endpoints_) {
     // Requests at a slow endpoint are late more often, even if it is idle, so
     // it gets less than its speed would allow.
     capacities[id] =
-        state.about.slots / std::pow(Slowness(state, now), kSlownessWeight);
+        state.entry().slots / std::pow(state.slowness(), kSlownessWeight);
   }
   return capacities;
 }
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -28,9 +28,9 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unheld_range.h"
-#include "bluebell/permits/endpoint_standing.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
+#include "bluebell/permits/scheduled_endpoint.h"
 #include "bluebell/permits/wait_queue.h"
 #include "bluebell/permits/waiting_request.h"
 #include "bluebell/permits/work_estimate.h"
@@ -74,17 +74,6 @@
   std::size_t running_count() const { return running_.size(); }
 
  private:
-  struct endpoint_state {
-    fleet_endpoint about;
-    endpoint_standing standing;
-    std::uint32_t running = 0;
-    // Requests there that aren't ours, and until when to believe it.
-    std::uint32_t foreign = 0;
-    instant foreign_until;
-    instant warm_from;
-    // Requests for keys that this endpoint owns.
-    wait_queue queue;
-  };
   struct running_request {
     endpoint_id endpoint;
     std::string route;
@@ -100,19 +89,22 @@
     instant until;
     duration length{0};
   };
+  struct endpoint_choice {
+    // Null if no slot is free.
+    scheduled_endpoint* best = nullptr;
+    double cost = 0;
+    // Of all endpoints in service, also those without a free slot.
+    double least_cost = 0;
+  };
   // The endpoint that owns an ask's key, or why it can't be served.
   struct key_owner {
-    endpoint_state* endpoint = nullptr;
+    scheduled_endpoint* endpoint = nullptr;
     epoch fence;
   };
 
-  static bool IsInService(const endpoint_state& state, instant now);
-  static bool IsFree(const endpoint_state& state, instant now);
-  static double Slowness(const endpoint_state& state, instant now);
   permit_granted MakeGrant(const permit_id& id,
-                           const endpoint_state& state,
-                           duration work,
-                           instant now) const;
+                           const scheduled_endpoint& state,
+                           duration work) const;
   bool IsPaused(const waiting_request& request, instant now) const;
   // Null if the key is served.
   const unheld_range* FindUnheld(const permit_ask& ask) const;
@@ -126,21 +118,28 @@
   // How long a request waits if it comes now; zero if its key has no owner.
   duration WaitOf(const permit_ask& ask, instant now);
   // How long a request of this rank waits if it comes now.
-  static duration WaitAtOwner(const endpoint_state& owner,
+  static duration WaitAtOwner(const scheduled_endpoint& owner,
                               std::uint32_t rank,
                               instant now);
-  duration WaitForAny(std::uint32_t rank, instant now) const;
-  double SharedCapacity(instant now) const;
+  duration WaitForAny(std::uint32_t rank) const;
+  // Endpoints' speeds change slowly by themselves.
+  void RefreshSpeeds(instant now);
+  void MeasureSharedCapacity(instant now);
 
-  void AssignOwned(endpoint_state& owner, instant now);
+  void AssignOwned(scheduled_endpoint& owner, instant now);
   void AssignShared(instant now);
-  endpoint_state* ChooseAny(const waiting_request& request, instant now);
-  static double Cost(const endpoint_state& state,
-                     const permit_ask& ask,
-                     instant now);
+  // The best endpoint with a free slot for askers of one domain.
+  endpoint_choice ChooseFor(const domain_name& domain,
+                            const std::vector<endpoint_id>& avoid,
+                            instant now);
+  // True if the request does better to wait for a faster endpoint.
+  bool ShouldWait(const waiting_request& request,
+                  const endpoint_choice& choice) const;
+  static double Cost(const scheduled_endpoint& state,
+                     const domain_name& domain);
   std::uint32_t FreeSlots(instant now) const;
   void Grant(const waiting_request& request,
-             endpoint_state& where,
+             scheduled_endpoint& where,
              instant now);
 
   void Judge(const permit_end& end, const running_request& ended, instant now);
@@ -152,7 +151,7 @@
   service_name service_;
   bool keyed_ = false;
   key_table table_;
-  std::map<endpoint_id, endpoint_state> endpoints_;
+  std::map<endpoint_id, scheduled_endpoint> endpoints_;
   // Requests that any endpoint may take.
   wait_queue shared_;
   std::map<permit_id, running_request> running_;
@@ -167,6 +166,9 @@
   // Whose queue may have a request to start.
   std::set<endpoint_id> changed_;
   bool shared_changed_ = false;
+  // The slots of average speed of all endpoints in service.
+  double shared_capacity_ = 0;
+  instant next_refresh_;
   instant next_hopeless_ = instant::max();
   instant next_expiry_check_;
   // When a pause, a rest or a report of foreign load ends.
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -4,7 +4,8 @@
 //
 //   wait_queue queue;
 //   queue.Push(request);
-//   auto next = queue.TakeNext(now, [](const auto&) { return true; });
+//   auto next = queue.TakeNext(now, [](auto) { return true; },
+//                              [](const auto&) { return true; });
 
 #ifndef BLUEBELL_PERMITS_WAIT_QUEUE_H_
 #define BLUEBELL_PERMITS_WAIT_QUEUE_H_
@@ -12,9 +13,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bluebell/core/time.h"
@@ -31,10 +34,11 @@
   // False if it isn't waiting here.
   bool Remove(const permit_id& id);
 
-  // The first request for which `suits` holds, removed from the queue. Within a
-  // rank, requests for which it doesn't hold are passed over.
+  // The first request of a rank that `may_start` and for which `suits` holds,
+  // removed from the queue. Others are passed over. `now` never goes back.
   std::optional<waiting_request> TakeNext(
       instant now,
+      const std::function<bool(std::uint32_t rank)>& may_start,
       const std::function<bool(const waiting_request&)>& suits);
   std::vector<waiting_request> TakeAll();
   // Those that can't be answered before their deadline any more.
@@ -44,20 +48,35 @@
 
   // The work of all that go before a new request of `rank`.
   duration WorkBefore(std::uint32_t rank) const;
-  bool empty() const { return size_ == 0; }
-  std::size_t size() const { return size_; }
+  bool empty() const { return places_.empty(); }
+  std::size_t size() const { return places_.size(); }
 
  private:
+  // Counts the requests in the order in which they came.
+  using sequence = std::uint64_t;
+  using request_line = std::map<sequence, waiting_request>;
   struct rank_line {
-    std::list<waiting_request> requests;
+    request_line on_time;
+    request_line late;
+    // When those on time become late.
+    std::set<std::pair<instant, sequence>> lateness;
     duration work{0};
   };
+  struct place {
+    std::uint32_t rank = 0;
+    sequence number = 0;
+  };
 
-  waiting_request Take(rank_line& line,
-                       std::list<waiting_request>::iterator which);
+  // Sorts out what has become late.
+  static void MoveLate(rank_line& line, instant now);
+  waiting_request Take(const place& where);
 
   std::map<std::uint32_t, rank_line> lines_;
-  std::size_t size_ = 0;
+  // Thousands may wait while endpoints are slow, and each is asked for again,
+  // so nothing here looks through all of them.
+  std::unordered_map<permit_id, place, permit_id_hash> places_;
+  std::map<std::pair<instant, sequence>, permit_id> hopeless_;
+  sequence last_ = 0;
 };
 
 }  // namespace bluebell
--- a/bluebell/permits/waiting_request.cc
+++ b/bluebell/permits/waiting_request.cc
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-bool waiting_request::IsOnTime(instant now) const {
-  return now + Times(work, kUsualWork) <= objective;
+instant waiting_request::LateAt() const {
+  return objective - Times(work, kUsualWork);
 }
 
 instant waiting_request::HopelessAt() const {
--- a/bluebell/permits/waiting_request.h
+++ b/bluebell/permits/waiting_request.h
@@ -20,8 +20,8 @@
   // The assignment of its key; zero for a request without an owner.
   epoch fence;
 
-  // True if it will probably be answered within its objective.
-  bool IsOnTime(instant now) const;
+  // Up to then it will probably be answered within its objective.
+  instant LateAt() const;
   // From then on it can't be answered before its deadline.
   instant HopelessAt() const;
 };
--- a/testing/gateway/promise_check.cc
+++ b/testing/gateway/promise_check.cc
@@ -136,6 +136,20 @@
   return chosen;
 }
 
+// The earliest configuration from version `least` on that can have led to the
+// execution. Routes that move back and forth have several.
+const written_config* EarliestConfigOf(const soak_record& record,
+                                       const request_execution& run,
+                                       std::uint64_t least) {
+  for (const written_config& each : record.configs) {
+    if (each.version >= least && each.service == run.service &&
+        each.confirmed <= run.begun) {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
 // True if `version` was replaced at least `slack` before `sent`.
 bool IsReplaced(const soak_record& record,
                 const written_config& config,
@@ -153,7 +167,7 @@
 std::vector<std::string> FindOldConfigurations(const soak_record& record) {
   const runs_by_id runs = RunsById(record);
   std::vector<std::string> found;
-  // The latest version that each process was seen to use, and when.
+  // The version that each process has reached for sure, and when.
   std::map<std::uint64_t, std::pair<std::uint64_t, instant>> seen;
   for (const sent_request& each : record.requests) {
     const auto own = runs.find(each.id);
@@ -169,13 +183,14 @@
       continue;
     }
     auto& [version, when] = seen[each.process];
-    if (config->version < version && when + kRollbackSlack < each.sent) {
+    const written_config* earliest = EarliestConfigOf(record, run, version);
+    if (earliest == nullptr && when + kRollbackSlack < each.sent) {
       found.push_back("request " + each.id + " went back from version " +
                       std::to_string(version) + " to " +
                       std::to_string(config->version));
     }
-    if (config->version > version) {
-      version = config->version;
+    if (earliest != nullptr && earliest->version > version) {
+      version = earliest->version;
       when = run.begun;
     }
     if (IsReplaced(record, *config, each.sent, kConfigApply) &&
--- a/testing/gateway/promise_check_test.cc
+++ b/testing/gateway/promise_check_test.cc
@@ -120,6 +120,21 @@
   CHECK(FindOldConfigurations(record).empty());
 }
 
+// A process that still has version 1 sends requests where version 3 does, too.
+TEST_CASE("a route that moved back tells nothing of later versions") {
+  soak_record record = Record();
+  record.configs = {{1, "booker", kStart - seconds(9)},
+                    {2, "manifest", kStart - milliseconds(500)},
+                    {3, "booker", kStart - milliseconds(100)}};
+  record.requests = {Request("a", true), Request("b", true)};
+  record.requests[0].on_moved_route = true;
+  record.requests[1].on_moved_route = true;
+  record.requests[1].sent = kStart + milliseconds(400);
+  record.executions = {Execution("a"), Execution("b")};
+  record.executions[1].service = "manifest";
+  CHECK(FindOldConfigurations(record).empty());
+}
+
 TEST_CASE("requests are served again after the faults have ended") {
   soak_record record = Record();
   for (int i = 0; i < 100; ++i) {
