--- a/testing/gateway/gateway_world.cc
+++ b/testing/gateway/gateway_world.cc
@@ -1,6 +1,7 @@
 #include "testing/gateway/gateway_world.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -24,7 +25,7 @@
 constexpr std::size_t kDomains = 3;
 constexpr const char* kKeyedService = "tracker";
 // The moved route goes to one of them.
-constexpr const char* kPlainServices[] = {"booker", "manifest"};
+constexpr std::array<const char*, 2> kPlainServices{"booker", "manifest"};
 constexpr milliseconds kHeartbeat{500};
 // After three heartbeats of silence an entry is removed.
 constexpr milliseconds kEntryLife{1'500};
@@ -206,7 +207,7 @@
   });
 }
 
-std::string gateway_world::SettingsOf(const gateway& daemon) const {
+std::string gateway_world::SettingsOf(const gateway& daemon) {
   constexpr double kGraceS = 4;
   return json::serialize(
       json::object{{"id", daemon.id},
--- a/testing/gateway/gateway_world.h
+++ b/testing/gateway/gateway_world.h
@@ -113,7 +113,7 @@
   result<bool> OpenEndpoints();
   result<address> OpenLink(const std::string& name, const address& target);
   address NextAddress();
-  std::string SettingsOf(const gateway& daemon) const;
+  static std::string SettingsOf(const gateway& daemon);
   bool WriteConfig();
   void Heartbeats();
   void ForgetEntry(std::size_t index);
--- a/testing/gateway/kv_standin.cc
+++ b/testing/gateway/kv_standin.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/http/verb.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -21,7 +20,6 @@
 
 namespace {
 
-namespace bhttp = boost::beast::http;
 namespace json = boost::json;
 
 constexpr milliseconds kTick{20};
--- a/testing/gateway/soak_caller.cc
+++ b/testing/gateway/soak_caller.cc
@@ -1,6 +1,7 @@
 #include "testing/gateway/soak_caller.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -79,15 +80,15 @@
 }
 
 http_request soak_caller::MakeRequest(sent_request& row) {
-  constexpr std::uint64_t kKinds = 4;
-  const std::uint64_t kind = random_() % kKinds;
+  constexpr std::array<const char*, 4> kPaths{"/look/", "/moved/", "/book/",
+                                              "/note/"};
+  const std::uint64_t kind = random_() % kPaths.size();
   http_request request;
   request.version(kHttp11);
   row.id = HexOf(random_());
   row.idempotent = kind == 0 || kind == 1;
   row.on_moved_route = kind == 1;
-  const char* const paths[] = {"/look/", "/moved/", "/book/", "/note/"};
-  request.target(paths[kind] + row.id);
+  request.target(kPaths.at(kind) + row.id);
   request.method(row.idempotent ? bhttp::verb::get : bhttp::verb::post);
   request.set(bhttp::field::host, "soak.example");
   request.set("X-Attempt-Id", row.id);
@@ -119,10 +120,11 @@
   const std::size_t number = record_.requests.size();
   record_.requests.push_back(std::move(row));
   waiting_ = true;
-  connection_->Send(std::move(request), kTimeLimit + kPatience,
-                    [self = shared_from_this(), number](load_exchange ended) {
-                      self->OnEnd(number, ended);
-                    });
+  connection_->Send(
+      std::move(request), kTimeLimit + kPatience,
+      [self = shared_from_this(), number](const load_exchange& ended) {
+        self->OnEnd(number, ended);
+      });
 }
 
 void soak_caller::OnEnd(std::size_t row, const load_exchange& ended) {
