--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -45,6 +45,7 @@
           platform::DecodeConfig};
 }
 
+// The greatest of the duties that the daemon has for any service.
 watch_duty DutyOf(const fleet_snapshot& view, const daemon_id& self) {
   watch_duty duty = watch_duty::kNone;
   for (const fleet_service& service : view.config->services()) {
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -31,11 +31,12 @@
 constexpr milliseconds kPauseAfterConfig{600};
 // Members and the coordinator.
 constexpr milliseconds kPauseAfterOwn{500};
+// Daemons with a duty.
 constexpr milliseconds kPauseOnDuty{150};
 constexpr milliseconds kPauseOnStandby{600};
 // Entries can lapse only in an outage of some length.
 constexpr milliseconds kOutage{1'000};
-// A change arrives by the watch within milliseconds.
+// A change arrives after the longest of the pauses above.
 constexpr milliseconds kExpectationTime{1'900};
 // The prefix of every key.
 constexpr const char* kEverything = "";
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -39,7 +39,7 @@
   --gateways=N    Daemons in each run [default: 5].
   --seconds=N     How long faults last in each run [default: 14].
   --logs=FOLDER   Logs of runs that broke a promise [default: fault-soak-logs].
-  --port=N        The first port on loopback [default: 21000].
+  --port=N        The first port on loopback [default: 18000].
 )";
 
 using bluebell::milliseconds;
