Check that answers name their own request in the fault soak

Cause: the run recorded the id in each answer and the planned stops, and no check used them.

Change: an answer that names another request breaks a promise; the records of planned stops are gone.

--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -64,12 +64,10 @@
   return lasts;
 }
 
-void fault_schedule::Planned(const std::string& what, milliseconds length) {
-  const instant now = BootNow();
-  world_.record().planned.push_back({now, now + length});
+void fault_schedule::Planned(const std::string& what) {
   ++faults_;
-  log_ << now.time_since_epoch().count() / 1'000'000 << " planned: " << what
-       << "\n";
+  log_ << BootNow().time_since_epoch().count() / 1'000'000
+       << " planned: " << what << "\n";
 }
 
 void fault_schedule::DoPlanned() {
@@ -79,11 +77,11 @@
       StopGateway(Pick(world_.gateways()));
       break;
     case 2:
-      Planned("settings read again", milliseconds(0));
+      Planned("settings read again");
       world_.SignalGateway(Pick(world_.gateways()), SIGHUP);
       break;
     case 3:
-      Planned("configuration", milliseconds(0));
+      Planned("configuration");
       world_.ChangeConfig();
       break;
     default:
@@ -131,7 +129,7 @@
   if (!world_.GatewayRuns(index) || running < 3) {
     return;
   }
-  Planned("stop front-" + std::to_string(index), milliseconds(0));
+  Planned("stop front-" + std::to_string(index));
   world_.SignalGateway(index, SIGTERM);
   ReplaceWhenEnded(index);
 }
@@ -250,7 +248,7 @@
   if (others_drain || !endpoint.running()) {
     return;
   }
-  Planned("drain endpoint-" + std::to_string(index), milliseconds(0));
+  Planned("drain endpoint-" + std::to_string(index));
   world_.DrainEndpoint(index);
   // It serves on until nothing may come any more, and a little longer.
   world_.After(PickTime(3'000, 4'000), [this, index] {
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -54,7 +54,7 @@
   milliseconds PickTime(int least, int most);
   // Notes a fault that lasts for `length` and ends before the run's faults do.
   milliseconds Begin(const std::string& what, milliseconds length);
-  void Planned(const std::string& what, milliseconds length);
+  void Planned(const std::string& what);
 
   gateway_world& world_;
   bool planned_only_;
--- a/testing/gateway/promise_check.cc
+++ b/testing/gateway/promise_check.cc
@@ -90,8 +90,10 @@
       continue;
     }
     const auto own = runs.find(each.id);
+    const bool names_own =
+        each.answered_id.empty() || each.answered_id == each.id;
     const bool matches =
-        own != runs.end() &&
+        names_own && own != runs.end() &&
         std::any_of(own->second.begin(), own->second.end(),
                     [&](const request_execution* run) {
                       return run->signature == each.signature &&
--- a/testing/gateway/promise_check_test.cc
+++ b/testing/gateway/promise_check_test.cc
@@ -74,7 +74,10 @@
   record.requests[0].body = "b";
   record.requests[1].signature = "s-a";
   record.requests[2].status = 500;
+  record.requests[3].answered_id = "d";
   CHECK(FindForeignAnswers(record).size() == 3);
+  record.requests[3].answered_id = "a";
+  CHECK(FindForeignAnswers(record).size() == 4);
 }
 
 TEST_CASE("a request that was passed on isn't cut by planned work") {
--- a/testing/gateway/soak_caller.cc
+++ b/testing/gateway/soak_caller.cc
@@ -113,7 +113,6 @@
     connected_to_ = process_(front_);
   }
   sent_request row;
-  row.gateway = front_;
   row.process = connected_to_;
   http_request request = MakeRequest(row);
   row.sent = BootNow();
--- a/testing/gateway/soak_record.h
+++ b/testing/gateway/soak_record.h
@@ -17,8 +17,7 @@
 // One attempt of a caller.
 struct sent_request {
   std::string id;
-  // The index of the daemon that it was sent to, and of its process.
-  std::size_t gateway = 0;
+  // The daemon's process that its connection was opened to.
   std::uint64_t process = 0;
   bool idempotent = false;
   // The route that the operator moves between services.
@@ -78,8 +77,6 @@
   std::vector<late_arrival> late_arrivals;
   // When something unplanned disturbed the daemons, the store or the network.
   std::vector<time_span> disturbances;
-  // When daemons were stopped as planned.
-  std::vector<time_span> planned;
   // Found while the run went on: keys with two holders.
   std::vector<std::string> violations;
   instant healed;
