--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -22,10 +22,6 @@
 // The table's ranges are renewed one by one, so their number is bounded.
 constexpr std::size_t kMaxRangesPerOwner = 6;
 
-// Moves of one plan: this many, or one for two owners of a large service. The
-// next plan waits until they are done.
-constexpr std::size_t kLeastMoves = 16;
-
 // A key with more than this share of its owner's capacity is placed by itself.
 constexpr double kBigKey = 0.6;
 // How much faster an endpoint must be for a big key to move there.
@@ -266,8 +262,7 @@
   const double mean = TotalOf(loads) / std::max(0.01, capacity);
   // Owners that can't give away a piece of the right size.
   std::set<endpoint_instance> stuck;
-  const std::size_t most_moves = std::max(kLeastMoves, state.owners.size() / 2);
-  while (moves.size() < most_moves && state.owners.size() > 1) {
+  while (moves.size() < input.max_moves && state.owners.size() > 1) {
     const auto use = [&](const auto& owner) {
       return loads.at(owner.first) / std::max(0.01, owner.second);
     };
--- a/bluebell/keyspace/key_planner.h
+++ b/bluebell/keyspace/key_planner.h
@@ -32,6 +32,7 @@
   std::vector<shard_load> loads;
   // Ranges that are on their way to a new owner stay as they are.
   std::vector<key_range> moving;
+  std::size_t max_moves = 16;
 };
 
 // Divides ranges without an owner, and those whose owner is in `lost`, among
