Use one piece where the gateway wrote the same twice

Cause: read once more, the change held several pieces twice: what is left of a key range outside another (key table, coordinator, two models of endpoints), a load that fades (rank_demand, shard_load_meter), a look at a socket's input beside PeekInput (bluebelld's caller session and endpoint connection), and the state of a claimed role set in three places. The order of dispatchers hashed names in each comparison of its sort, at every change of the view. Some arguments for the present time and one accessor were unused.

Change: key_range has Contains, Overlaps and Without; decaying_load is a class; PeekInput serves all; role_lease::Hold takes a role; each member's place is computed once. The coordinator's tests share the lost renewals.

Ruled out: one type for the four records of a grant in force (table, coordinator, models): they hold different things.

Without() returns no heap memory for one range, since the planner calls it for every assignment.

--- /dev/null
+++ b/bluebell/core/decaying_load.h
@@ -0,0 +1,41 @@
+// The mean number of slots that requests keep busy, with a fading memory.
+//
+//   decaying_load load;
+//   load.Add(milliseconds(150), kWindow, now);
+//   double slots = load.SlotsAt(kWindow, now);
+
+#ifndef BLUEBELL_CORE_DECAYING_LOAD_H_
+#define BLUEBELL_CORE_DECAYING_LOAD_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "bluebell/core/time.h"
+
+namespace bluebell {
+
+class decaying_load {
+ public:
+  using window = std::chrono::duration<double>;
+
+  // A request arrived whose work takes `work`. `over` is the time constant with
+  // which earlier ones are forgotten.
+  void Add(duration work, window over, instant now) {
+    slots_ = SlotsAt(over, now) + window(work) / over;
+    updated_at_ = now;
+  }
+
+  double SlotsAt(window over, instant now) const {
+    const window elapsed = now - updated_at_;
+    return slots_ * std::exp(-std::max(0.0, elapsed / over));
+  }
+
+ private:
+  double slots_ = 0;
+  instant updated_at_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_CORE_DECAYING_LOAD_H_
--- a/bluebell/endpoint/endpoint_connection.cc
+++ b/bluebell/endpoint/endpoint_connection.cc
@@ -1,6 +1,5 @@
 #include "bluebell/endpoint/endpoint_connection.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -10,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "bluebell/http/socket_options.h"
 #include "bluebell/runtime/clock.h"
 
 namespace bluebell {
@@ -142,14 +142,7 @@
 }
 
 bool endpoint_connection::IsReusable() {
-  if (!IsIdle()) {
-    return false;
-  }
-  std::array<char, 1> byte{};
-  error_code state;
-  socket_.non_blocking(true, state);
-  socket_.receive(asio::buffer(byte), tcp::socket::message_peek, state);
-  return state == asio::error::would_block;
+  return IsIdle() && PeekInput(socket_) == socket_input::kNone;
 }
 
 }  // namespace bluebell
--- a/bluebell/entry/caller_session.cc
+++ b/bluebell/entry/caller_session.cc
@@ -1,6 +1,5 @@
 #include "bluebell/entry/caller_session.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
@@ -15,6 +14,7 @@
 
 #include "bluebell/core/outcome.h"
 #include "bluebell/entry/entry_router.h"
+#include "bluebell/http/socket_options.h"
 #include "bluebell/runtime/clock.h"
 #include "bluebell/runtime/invariant.h"
 #include "bluebell/telemetry/metric.h"
@@ -205,12 +205,7 @@
     if (failure || self->phase_ != phase::kServing || self->ticket_ != ticket) {
       return;
     }
-    std::array<char, 1> byte{};
-    error_code state;
-    self->socket_.non_blocking(true, state);
-    const std::size_t count = self->socket_.receive(
-        asio::buffer(byte), tcp::socket::message_peek, state);
-    if (count == 0 && state != asio::error::would_block) {
+    if (PeekInput(self->socket_) == socket_input::kEnd) {
       self->keep_alive_ = false;
       self->router_->Abandon(ticket);
     }
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -232,7 +232,7 @@
       unit = std::make_unique<service_keys>(timing_);
       unit->keys.TakeOver(key_table(), store_version(), now, now);
     }
-    unit->keys.SetEndpoints(view_->EndpointsOf(service.name), now);
+    unit->keys.SetEndpoints(view_->EndpointsOf(service.name));
   }
 }
 
@@ -378,7 +378,7 @@
   traffic_.Measure(service, [this](measured_load load) {
     asio::post(io_, [this, load = std::move(load)] {
       if (service_keys* found = FindKeys(load.service)) {
-        found->keys.SetLoads(load.keys, load.capacities, BootNow());
+        found->keys.SetLoads(load.keys, load.capacities);
       }
     });
   });
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -96,7 +96,7 @@
       },
       [self](std::uint64_t revision) {
         asio::post(self->io_, [self, revision] {
-          self->watcher_->ExpectRevision(revision, BootNow());
+          self->watcher_->ExpectRevision(revision);
         });
       }};
   auto traffic = traffic_side::Start(daemon->settings_, daemon->self_,
--- a/bluebell/gateway/member_lease.h
+++ b/bluebell/gateway/member_lease.h
@@ -34,7 +34,6 @@
   void Start();
   // Takes the entry away.
   void Leave();
-  bool announced() const { return announced_; }
 
  private:
   boost::asio::awaitable<void> Run();
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -80,59 +80,55 @@
       co_await store_.Write(ClaimWrite(expected, self_, formers, granted));
   if (!written) {
     watcher_.NoteFailure(written.error(), BootNow());
-    const claim_outcome found = co_await LookForClaim(granted);
-    if (found == claim_outcome::kClaimed) {
-      proof_ = started;
-      history_is_long_ = !formers.empty();
+    const std::optional<held_role> found = co_await LookForClaim(granted);
+    if (!found) {
+      co_return claim_outcome::kUnknown;
     }
-    co_return found;
+    co_return Hold(*found, !formers.empty(), started);
   }
   if (const auto* done = std::get_if<kv_written>(&written.value())) {
-    held_ = {{done->revision, done->revision}, granted};
-    proof_ = started;
-    history_is_long_ = !formers.empty();
-    co_return claim_outcome::kClaimed;
+    co_return Hold({{done->revision, done->revision}, granted},
+                   !formers.empty(), started);
   }
   const auto* conflict = std::get_if<kv_conflict>(&written.value());
+  // A claim of this run whose answer was lost may stand against the next one.
   // A first claim has to begin with the history as it is now.
-  if (conflict != nullptr && kind == claim_kind::kAgain &&
-      AdoptOwnClaim(conflict->items)) {
-    proof_ = started;
-    co_return claim_outcome::kClaimed;
+  const std::optional<held_role> earlier =
+      conflict != nullptr && kind == claim_kind::kAgain
+          ? FindOwnClaim(conflict->items, self_)
+          : std::nullopt;
+  if (earlier && earlier->versions.holder == earlier->versions.history) {
+    co_return Hold(*earlier, true, started);
   }
   if (conflict != nullptr) {
     lost_to_ = std::max(lost_to_, FindRoleVersions(conflict->items).history);
-    watcher_.ExpectRevision(lost_to_.value(), BootNow());
+    watcher_.ExpectRevision(lost_to_.value());
     co_return claim_outcome::kTaken;
   }
   // The new lease ended before the write.
   co_return claim_outcome::kUnknown;
 }
 
-bool role_lease::AdoptOwnClaim(const std::vector<kv_item>& items) {
-  const std::optional<held_role> found = FindOwnClaim(items, self_);
-  if (!found || found->versions.holder != found->versions.history) {
-    return false;
-  }
-  held_ = *found;
-  history_is_long_ = true;
-  return true;
+claim_outcome role_lease::Hold(const held_role& role,
+                               bool history_is_long,
+                               instant proof) {
+  held_ = role;
+  history_is_long_ = history_is_long;
+  proof_ = proof;
+  return claim_outcome::kClaimed;
 }
 
-asio::awaitable<claim_outcome> role_lease::LookForClaim(kv_lease lease) {
+asio::awaitable<std::optional<held_role>> role_lease::LookForClaim(
+    kv_lease lease) {
   const result<kv_listing> found =
       co_await store_.List(std::string(kCoordinatorKey));
   if (!found) {
     watcher_.NoteFailure(found.error(), BootNow());
-    co_return claim_outcome::kUnknown;
+    co_return std::nullopt;
   }
   const std::optional<held_role> held =
       FindOwnClaim(found.value().items, self_);
-  if (!held || held->lease != lease) {
-    co_return claim_outcome::kUnknown;
-  }
-  held_ = *held;
-  co_return claim_outcome::kClaimed;
+  co_return held && held->lease == lease ? held : std::nullopt;
 }
 
 asio::awaitable<void> role_lease::NoteFormersExcluded() {
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -8,6 +8,7 @@
 #ifndef BLUEBELL_GATEWAY_ROLE_LEASE_H_
 #define BLUEBELL_GATEWAY_ROLE_LEASE_H_
 
+#include <optional>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -65,11 +66,12 @@
       claim_kind kind,
       role_versions expected,
       std::vector<daemon_instance> formers);
-  // After a claim without an answer.
-  boost::asio::awaitable<claim_outcome> LookForClaim(kv_lease lease);
-  // A claim of this run whose answer was lost may be among the values that
-  // stood against the next one.
-  bool AdoptOwnClaim(const std::vector<kv_item>& items);
+  // The claim under `lease`, whose answer was lost, if the store holds it.
+  boost::asio::awaitable<std::optional<held_role>> LookForClaim(kv_lease lease);
+  // Takes the role as claimed.
+  claim_outcome Hold(const held_role& role,
+                     bool history_is_long,
+                     instant proof);
 
   daemon_instance self_;
   kv_client& store_;
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -221,7 +221,7 @@
   });
 }
 
-void store_watcher::ExpectRevision(std::uint64_t revision, instant /*now*/) {
+void store_watcher::ExpectRevision(std::uint64_t revision) {
   const store_version expected(revision);
   if (state_.RaiseTo(expected)) {
     Changed();
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -65,7 +65,7 @@
 
   // Another daemon knows the state of `revision`. Reads everything anew if the
   // watch doesn't get there by itself.
-  void ExpectRevision(std::uint64_t revision, instant now);
+  void ExpectRevision(std::uint64_t revision);
 
   const fleet_state& state() const { return state_; }
 
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -19,10 +19,6 @@
 constexpr milliseconds kPlanInterval{300};
 constexpr milliseconds kUsualRelease{300};
 
-bool Contains(const key_range& outer, const key_range& inner) {
-  return outer.first <= inner.first && inner.last <= outer.last;
-}
-
 }  // namespace
 
 void key_coordinator::TakeOver(key_table table,
@@ -58,8 +54,7 @@
   }
 }
 
-void key_coordinator::SetEndpoints(std::vector<fleet_endpoint> endpoints,
-                                   instant /*now*/) {
+void key_coordinator::SetEndpoints(std::vector<fleet_endpoint> endpoints) {
   endpoints_ = std::move(endpoints);
   for (const fleet_endpoint& each : endpoints_) {
     last_address_.insert_or_assign(each.instance, each.where);
@@ -67,8 +62,7 @@
 }
 
 void key_coordinator::SetLoads(std::vector<shard_load> loads,
-                               std::map<endpoint_id, double> capacities,
-                               instant /*now*/) {
+                               std::map<endpoint_id, double> capacities) {
   loads_ = std::move(loads);
   capacities_ = std::move(capacities);
 }
@@ -144,14 +138,14 @@
     }
   };
   for (key_move& move : moves_) {
-    if (move.from == sent.endpoint && Contains(sent.grant.range, move.range)) {
+    if (move.from == sent.endpoint && sent.grant.range.Contains(move.range)) {
       apply(move.grants);
     }
   }
   std::vector<granted_part> superseded;
   for (granted_part& part : parts_) {
     if (part.fence == sent.grant.fence &&
-        Contains(sent.grant.range, part.range)) {
+        sent.grant.range.Contains(part.range)) {
       apply(part.grants);
       if (reply.verdict == grant_verdict::kSuperseded) {
         superseded.push_back(part);
@@ -190,7 +184,7 @@
   revision_ = revision;
   for (const completed_move& done : completing_) {
     std::erase_if(moves_, [&](const key_move& move) {
-      return Contains(move.range, done.range);
+      return move.range.Contains(done.range);
     });
     const key_assignment* assignment = table_.Find(done.range.first);
     parts_.push_back({done.range, assignment->fence, assignment->owner,
@@ -239,24 +233,11 @@
     const key_assignment& assignment) const {
   std::vector<key_range> moving;
   for (const key_move& move : moves_) {
-    if (Contains(assignment.range, move.range)) {
+    if (assignment.range.Contains(move.range)) {
       moving.push_back(move.range);
     }
   }
-  std::sort(moving.begin(), moving.end());
-  std::vector<key_range> parts;
-  std::uint32_t next = assignment.range.first;
-  for (const key_range& gap : moving) {
-    if (next < gap.first) {
-      parts.push_back({static_cast<shard_key>(next),
-                       static_cast<shard_key>(gap.first - 1)});
-    }
-    next = std::uint32_t{gap.last} + 1;
-  }
-  if (next <= assignment.range.last) {
-    parts.push_back({static_cast<shard_key>(next), assignment.range.last});
-  }
-  return parts;
+  return assignment.range.Without(moving);
 }
 
 void key_coordinator::AddParts(const key_assignment& assignment,
@@ -392,7 +373,7 @@
   for (const planned_move& planned : PlanRebalance(input)) {
     const auto part = std::find_if(parts_.begin(), parts_.end(),
                                    [&](const granted_part& each) {
-                                     return Contains(each.range, planned.range);
+                                     return each.range.Contains(planned.range);
                                    });
     if (part != parts_.end()) {
       StartMove(*part, planned.range, planned.to, now);
@@ -431,7 +412,7 @@
     next = next.With(planned.range, planned.to);
     const auto origin =
         std::find_if(moves.begin(), moves.end(), [&](const key_move* move) {
-          return Contains(move->range, planned.range);
+          return move->range.Contains(planned.range);
         });
     completing_.push_back({planned.range, (*origin)->handover});
   }
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -7,7 +7,7 @@
 //
 //   key_coordinator keys(timing);
 //   keys.TakeOver(table, revision, former, now);
-//   keys.SetEndpoints(endpoints, now);
+//   keys.SetEndpoints(endpoints);
 //   for (const coordinator_action& action : keys.Advance(authority, now)) ...
 
 #ifndef BLUEBELL_KEYSPACE_KEY_COORDINATOR_H_
@@ -46,11 +46,10 @@
                 instant now);
   void SetFormerUntil(instant until);
 
-  void SetEndpoints(std::vector<fleet_endpoint> endpoints, instant now);
+  void SetEndpoints(std::vector<fleet_endpoint> endpoints);
   // Measured work a key, and the slots of average speed an endpoint.
   void SetLoads(std::vector<shard_load> loads,
-                std::map<endpoint_id, double> capacities,
-                instant now);
+                std::map<endpoint_id, double> capacities);
 
   // The end of a grant that was sent at `sent_at`.
   void OnGrantReply(const send_grant& sent,
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -48,7 +48,7 @@
     for (int i = 0; i < endpoints; ++i) {
       entries.push_back(Entry(i));
     }
-    keys.SetEndpoints(entries, now);
+    keys.SetEndpoints(entries);
   }
 
   std::vector<coordinator_action> Advance() {
@@ -77,6 +77,32 @@
     }
   }
 
+  // Renews the grants until those of the take-over have ended.
+  void RenewForAWhile() {
+    for (int round = 0; round < 5; ++round) {
+      now += kTiming.renewal;
+      Settle();
+    }
+  }
+
+  // The next renewals are answered, but for those of the first endpoint, which
+  // may be carried out late. Returns when they were sent.
+  instant LoseRenewalsOfFirst() {
+    now += kTiming.renewal;
+    for (const send_grant& each : Only<send_grant>(Advance())) {
+      const bool first = each.endpoint == entries[0].instance;
+      keys.OnGrantReply(each, now,
+                        first ? grant_reply{std::nullopt, true}
+                              : grant_reply{grant_verdict::kAccepted, true},
+                        now);
+    }
+    return now;
+  }
+
+  std::vector<fleet_endpoint> EntriesWithoutFirst() const {
+    return {entries.begin() + 1, entries.end()};
+  }
+
   key_coordinator keys;
   std::vector<fleet_endpoint> entries;
   instant now = kStart;
@@ -99,7 +125,7 @@
   const auto first = Only<write_key_table>(test.Advance());
   test.keys.OnWriteUnknown();
   test.entries.push_back(Entry(7));
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   const auto second = Only<write_key_table>(test.Advance());
   REQUIRE(second.size() == 1);
   CHECK(second.front() == first.front());
@@ -109,7 +135,7 @@
   bench test(3);
   test.Settle();
   test.entries[0].draining = true;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   const auto releases = Only<send_release>(test.Advance());
   REQUIRE(releases.size() == 1);
   CHECK(Only<send_grant>(test.Advance()).empty());
@@ -129,7 +155,7 @@
   test.Settle();
   const instant granted = test.now;
   test.entries.erase(test.entries.begin());
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   while (test.now < granted + kTiming.hold) {
     for (const send_release& each : Only<send_release>(test.Advance())) {
       test.keys.OnReleaseReply(each, std::nullopt, test.now);
@@ -149,7 +175,7 @@
   test.Settle();
   const endpoint_instance former = test.entries[0].instance;
   test.entries[0] = Entry(0, 2);
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   const auto first = test.Advance();
   CHECK(Only<write_key_table>(first).empty());
   const auto releases = Only<send_release>(first);
@@ -171,7 +197,7 @@
   fleet_endpoint successor = Entry(7, 2);
   successor.where = test.entries[0].where;
   test.entries[0] = successor;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   const auto writes = Only<write_key_table>(test.Advance());
   REQUIRE(writes.size() == 1);
   for (const key_assignment& each : writes.front().table.assignments()) {
@@ -195,7 +221,7 @@
                            test.now);
   }
   test.entries[0].draining = true;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   for (const send_release& each : Only<send_release>(test.Advance())) {
     test.keys.OnReleaseReply(each, "token", test.now);
   }
@@ -215,7 +241,7 @@
   REQUIRE(renewals.size() == 3);
   const instant sent = test.now;
   test.entries[0].draining = true;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   test.now += milliseconds(50);
   CHECK(Only<send_release>(test.Advance()).empty());
   for (const send_grant& each : renewals) {
@@ -230,33 +256,21 @@
 TEST_CASE("a cancelled move doesn't forget grants that may come late") {
   bench test(3);
   test.Settle();
-  for (int round = 0; round < 5; ++round) {
-    test.now += kTiming.renewal;
-    test.Settle();
-  }
-  test.now += kTiming.renewal;
-  const instant sent = test.now;
-  for (const send_grant& each : Only<send_grant>(test.Advance())) {
-    const bool first = each.endpoint == test.entries[0].instance;
-    test.keys.OnGrantReply(each, sent,
-                           first ? grant_reply{std::nullopt, true}
-                                 : grant_reply{grant_verdict::kAccepted, true},
-                           sent);
-  }
-  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
-                                           test.entries.end());
-  test.keys.SetEndpoints(others, test.now);
+  test.RenewForAWhile();
+  const instant sent = test.LoseRenewalsOfFirst();
+  const auto others = test.EntriesWithoutFirst();
+  test.keys.SetEndpoints(others);
   for (const send_release& each : Only<send_release>(test.Advance())) {
     test.keys.OnReleaseReply(each, std::nullopt, test.now);
   }
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   test.now += kTiming.renewal_retry;
   for (const send_grant& each : Only<send_grant>(test.Advance())) {
     test.keys.OnGrantReply(each, test.now, {grant_verdict::kAccepted, true},
                            test.now);
   }
   test.entries[0].draining = true;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   for (const send_release& each : Only<send_release>(test.Advance())) {
     test.keys.OnReleaseReply(each, "token", test.now);
   }
@@ -270,28 +284,16 @@
 TEST_CASE("keys meant to return wait for late grants if they go elsewhere") {
   bench test(3);
   test.Settle();
-  for (int round = 0; round < 5; ++round) {
-    test.now += kTiming.renewal;
-    test.Settle();
-  }
-  test.now += kTiming.renewal;
-  const instant sent = test.now;
-  for (const send_grant& each : Only<send_grant>(test.Advance())) {
-    const bool first = each.endpoint == test.entries[0].instance;
-    test.keys.OnGrantReply(each, sent,
-                           first ? grant_reply{std::nullopt, true}
-                                 : grant_reply{grant_verdict::kAccepted, true},
-                           sent);
-  }
-  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
-                                           test.entries.end());
-  test.keys.SetEndpoints(others, test.now);
+  test.RenewForAWhile();
+  const instant sent = test.LoseRenewalsOfFirst();
+  const auto others = test.EntriesWithoutFirst();
+  test.keys.SetEndpoints(others);
   const auto releases = Only<send_release>(test.Advance());
   REQUIRE(releases.size() == 1);
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   test.Advance();
   test.keys.OnReleaseReply(releases.front(), "token", test.now);
-  test.keys.SetEndpoints(others, test.now);
+  test.keys.SetEndpoints(others);
   CHECK(Only<write_key_table>(test.Advance()).empty());
   test.now = sent + kTiming.LongestHold();
   CHECK(Only<write_key_table>(test.Advance()).size() == 1);
@@ -304,14 +306,13 @@
   test.now += kTiming.renewal;
   const auto renewals = Only<send_grant>(test.Advance());
   REQUIRE(renewals.size() == 3);
-  const std::vector<fleet_endpoint> others(test.entries.begin() + 1,
-                                           test.entries.end());
-  test.keys.SetEndpoints(others, test.now);
+  const auto others = test.EntriesWithoutFirst();
+  test.keys.SetEndpoints(others);
   test.Advance();
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   CHECK(Only<send_grant>(test.Advance()).empty());
   test.entries[0].draining = true;
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   CHECK(Only<send_release>(test.Advance()).empty());
 }
 
@@ -322,7 +323,7 @@
   keys.TakeOver(former.keys.table(), store_version(9), std::nullopt, kStart);
   std::vector<fleet_endpoint> entries = former.entries;
   entries.erase(entries.begin());
-  keys.SetEndpoints(entries, kStart);
+  keys.SetEndpoints(entries);
   instant now = kStart;
   for (; now < kStart + seconds(60); now += seconds(1)) {
     const auto actions = keys.Advance(now + kTiming.authority, true, now);
@@ -399,7 +400,7 @@
   CHECK(test.keys.UnheldRanges().empty());
   const instant granted = test.now;
   test.entries.erase(test.entries.begin());
-  test.keys.SetEndpoints(test.entries, test.now);
+  test.keys.SetEndpoints(test.entries);
   test.Advance();
   const auto unheld = test.keys.UnheldRanges();
   REQUIRE(unheld.size() == 1);
@@ -417,7 +418,7 @@
   }
   const endpoint_instance owner = test.keys.table().Find(150)->owner;
   for (int round = 0; round < 20; ++round) {
-    test.keys.SetLoads(loads, {}, test.now);
+    test.keys.SetLoads(loads, {});
     test.now += milliseconds(300);
     test.Settle();
   }
@@ -437,8 +438,7 @@
 
   bool Grant(const key_grant& grant, instant arrived, instant now) {
     for (const holding& each : seen) {
-      if (each.range.first <= grant.range.last &&
-          grant.range.first <= each.range.last && grant.fence < each.fence) {
+      if (each.range.Overlaps(grant.range) && grant.fence < each.fence) {
         return false;
       }
     }
@@ -454,21 +454,8 @@
   void Release(const key_range& range, instant now) {
     std::vector<holding> rest;
     for (const holding& each : held) {
-      if (each.range.last < range.first || range.last < each.range.first) {
-        rest.push_back(each);
-        continue;
-      }
-      if (each.range.first < range.first) {
-        rest.push_back(
-            {{each.range.first, static_cast<shard_key>(range.first - 1)},
-             each.fence,
-             each.until});
-      }
-      if (range.last < each.range.last) {
-        rest.push_back(
-            {{static_cast<shard_key>(range.last + 1), each.range.last},
-             each.fence,
-             each.until});
+      for (const key_range& left : each.range.Without(range)) {
+        rest.push_back({left, each.fence, each.until});
       }
     }
     held = rest;
@@ -503,7 +490,7 @@
     for (; now_ < kStart + length; now_ += milliseconds(25)) {
       Disturb();
       Deliver();
-      keys_.SetEndpoints(VisibleEntries(), now_);
+      keys_.SetEndpoints(VisibleEntries());
       for (const coordinator_action& action :
            keys_.Advance(now_ + kTiming.authority, true, now_)) {
         Execute(action);
@@ -571,7 +558,7 @@
       for (int key = hot; key < hot + 50; ++key) {
         loads.push_back({static_cast<shard_key>(key), 0.1});
       }
-      keys_.SetLoads(loads, {}, now_);
+      keys_.SetLoads(loads, {});
     }
     if (Chance(0.002)) {
       // Another daemon takes the role over; the former one has stopped now.
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -103,7 +103,7 @@
 
 bool Overlaps(const key_range& range, const std::vector<key_range>& others) {
   return std::any_of(others.begin(), others.end(), [&](const key_range& each) {
-    return each.first <= range.last && range.first <= each.last;
+    return each.Overlaps(range);
   });
 }
 
--- a/bluebell/keyspace/key_range.h
+++ b/bluebell/keyspace/key_range.h
@@ -1,10 +1,15 @@
 // A contiguous range of shard keys.
+//
+//   for (const key_range& rest : range.Without(moving)) ...
 
 #ifndef BLUEBELL_KEYSPACE_KEY_RANGE_H_
 #define BLUEBELL_KEYSPACE_KEY_RANGE_H_
 
 #include <compare>
 #include <cstdint>
+#include <vector>
+
+#include <boost/container/static_vector.hpp>
 
 namespace bluebell {
 
@@ -18,6 +23,18 @@
   shard_key last = kLastShardKey;
 
   bool Contains(shard_key key) const { return first <= key && key <= last; }
+  bool Contains(const key_range& other) const {
+    return first <= other.first && other.last <= last;
+  }
+  bool Overlaps(const key_range& other) const {
+    return first <= other.last && other.first <= last;
+  }
+  // What is left of it outside `taken`, in order.
+  boost::container::static_vector<key_range, 2> Without(
+      const key_range& taken) const;
+  // The same for several ranges in any order.
+  std::vector<key_range> Without(std::vector<key_range> taken) const;
+
   std::uint32_t size() const { return std::uint32_t{last} - first + 1U; }
 
   friend bool operator==(const key_range&, const key_range&) = default;
--- /dev/null
+++ b/bluebell/keyspace/key_range_test.cc
@@ -0,0 +1,44 @@
+#include "bluebell/keyspace/key_range.h"
+
+#include <catch2/catch.hpp>
+
+namespace bluebell {
+namespace {
+
+using ranges = std::vector<key_range>;
+
+ranges Rest(const key_range& range, const key_range& taken) {
+  const auto rest = range.Without(taken);
+  return {rest.begin(), rest.end()};
+}
+
+TEST_CASE("ranges know what they contain and overlap") {
+  const key_range range{10, 20};
+  CHECK(range.Contains(key_range{10, 20}));
+  CHECK(!range.Contains(key_range{9, 12}));
+  CHECK(range.Overlaps({20, 30}));
+  CHECK(!range.Overlaps({21, 30}));
+}
+
+// Guards against keys 0 and 65535 wrapping round.
+TEST_CASE("what is taken out of a range leaves its ends") {
+  const key_range all;
+  CHECK(Rest(all, {5, 9}) == ranges{{0, 4}, {10, kLastShardKey}});
+  CHECK(Rest(all, {0, 9}) == ranges{{10, kLastShardKey}});
+  CHECK(Rest(all, {9, kLastShardKey}) == ranges{{0, 8}});
+  CHECK(Rest(all, all).empty());
+  CHECK(Rest({5, 9}, {10, 12}) == ranges{{5, 9}});
+}
+
+TEST_CASE("several ranges are taken out in any order") {
+  const key_range range{0, 99};
+  CHECK(range.Without(ranges{{50, 59}, {10, 19}, {95, 200}}) ==
+        ranges{{0, 9}, {20, 49}, {60, 94}});
+  CHECK(range.Without(ranges{}) == ranges{range});
+  CHECK(range.Without(ranges{{0, 60}, {10, 20}}) == ranges{{61, 99}});
+  CHECK(range.Without(ranges{{200, 300}}) == ranges{range});
+  CHECK(key_range().Without(ranges{key_range()}).empty());
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/keyspace/key_table.cc
+++ b/bluebell/keyspace/key_table.cc
@@ -19,27 +19,6 @@
   return {errc::kInvalidArgument, step::kParseTable, "", std::move(detail)};
 }
 
-// What is left of `assignment` outside `taken`, in order.
-void AppendRest(const key_assignment& assignment,
-                const key_range& taken,
-                std::vector<key_assignment>& out) {
-  const key_range& range = assignment.range;
-  if (range.last < taken.first || taken.last < range.first) {
-    out.push_back(assignment);
-    return;
-  }
-  if (range.first < taken.first) {
-    key_assignment left = assignment;
-    left.range.last = static_cast<shard_key>(taken.first - 1);
-    out.push_back(std::move(left));
-  }
-  if (taken.last < range.last) {
-    key_assignment right = assignment;
-    right.range.first = static_cast<shard_key>(taken.last + 1);
-    out.push_back(std::move(right));
-  }
-}
-
 }  // namespace
 
 result<key_table> key_table::Make(epoch highest_fence,
@@ -67,7 +46,9 @@
   key_table next;
   next.highest_fence_ = epoch(highest_fence_.value() + 1);
   for (const key_assignment& each : assignments_) {
-    AppendRest(each, range, next.assignments_);
+    for (const key_range& rest : each.range.Without(range)) {
+      next.assignments_.push_back({rest, each.owner, each.fence});
+    }
   }
   const auto place = std::find_if(
       next.assignments_.begin(), next.assignments_.end(),
@@ -90,19 +71,11 @@
 }
 
 std::vector<key_range> key_table::Unassigned() const {
-  std::vector<key_range> gaps;
-  std::uint32_t next = 0;
+  std::vector<key_range> assigned;
   for (const key_assignment& each : assignments_) {
-    if (next < each.range.first) {
-      gaps.push_back({static_cast<shard_key>(next),
-                      static_cast<shard_key>(each.range.first - 1)});
-    }
-    next = std::uint32_t{each.range.last} + 1;
-  }
-  if (next <= kLastShardKey) {
-    gaps.push_back({static_cast<shard_key>(next), kLastShardKey});
+    assigned.push_back(each.range);
   }
-  return gaps;
+  return key_range().Without(assigned);
 }
 
 std::string key_table::ToJson() const {
--- a/bluebell/keyspace/shard_load.cc
+++ b/bluebell/keyspace/shard_load.cc
@@ -1,7 +1,6 @@
 #include "bluebell/keyspace/shard_load.h"
 
-#include <algorithm>
-#include <cmath>
+#include <chrono>
 
 namespace bluebell {
 
@@ -16,16 +15,8 @@
 
 }  // namespace
 
-double shard_load_meter::SlotsAt(const decaying_load& load, instant now) {
-  const std::chrono::duration<double> elapsed = now - load.updated_at;
-  return load.slots * std::exp(-std::max(0.0, elapsed / kWindow));
-}
-
 void shard_load_meter::Add(shard_key key, duration work, instant now) {
-  decaying_load& load = loads_[key];
-  const std::chrono::duration<double> work_seconds = work;
-  load.slots = SlotsAt(load, now) + work_seconds / kWindow;
-  load.updated_at = now;
+  loads_[key].Add(work, kWindow, now);
   if (now >= next_clean_) {
     DropFaded(now);
     next_clean_ = now + kCleanInterval;
@@ -34,14 +25,14 @@
 
 void shard_load_meter::DropFaded(instant now) {
   std::erase_if(loads_, [now](const auto& entry) {
-    return SlotsAt(entry.second, now) < kFaded;
+    return entry.second.SlotsAt(kWindow, now) < kFaded;
   });
 }
 
 std::vector<shard_load> shard_load_meter::Loads(instant now) const {
   std::vector<shard_load> loads;
   for (const auto& [key, load] : loads_) {
-    const double slots = SlotsAt(load, now);
+    const double slots = load.SlotsAt(kWindow, now);
     if (slots >= kFaded) {
       loads.push_back({key, slots});
     }
--- a/bluebell/keyspace/shard_load.h
+++ b/bluebell/keyspace/shard_load.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <vector>
 
+#include "bluebell/core/decaying_load.h"
 #include "bluebell/core/time.h"
 #include "bluebell/keyspace/key_range.h"
 
@@ -31,12 +32,6 @@
   std::vector<shard_load> Loads(instant now) const;
 
  private:
-  struct decaying_load {
-    double slots = 0;
-    instant updated_at;
-  };
-
-  static double SlotsAt(const decaying_load& load, instant now);
   void DropFaded(instant now);
 
   std::map<shard_key, decaying_load> loads_;
--- a/bluebell/permits/dispatcher_order.cc
+++ b/bluebell/permits/dispatcher_order.cc
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -41,14 +42,17 @@
                       !keyed && coordinator,
                       ~Weight(service, member.instance.id));
   };
-  std::vector<fleet_member> order;
+  std::vector<std::pair<decltype(place(fleet_member())), const fleet_member*>>
+      placed;
   for (const auto& [id, member] : view.members) {
-    order.push_back(member);
+    placed.emplace_back(place(member), &member);
+  }
+  std::sort(placed.begin(), placed.end());
+  std::vector<fleet_member> order;
+  order.reserve(placed.size());
+  for (const auto& [where, member] : placed) {
+    order.push_back(*member);
   }
-  std::sort(order.begin(), order.end(),
-            [&](const fleet_member& a, const fleet_member& b) {
-              return place(a) < place(b);
-            });
   return order;
 }
 
--- a/bluebell/permits/rank_demand.cc
+++ b/bluebell/permits/rank_demand.cc
@@ -15,16 +15,8 @@
 
 }  // namespace
 
-double rank_demand::SlotsAt(const offered& load, instant now) {
-  const std::chrono::duration<double> elapsed = now - load.updated_at;
-  return load.slots * std::exp(-std::max(0.0, elapsed / kWindow));
-}
-
 void rank_demand::Add(std::uint32_t rank, duration work, instant now) {
-  offered& load = by_rank_[rank];
-  const std::chrono::duration<double> work_seconds = work;
-  load.slots = SlotsAt(load, now) + work_seconds / kWindow;
-  load.updated_at = now;
+  by_rank_[rank].Add(work, kWindow, now);
 }
 
 std::uint32_t rank_demand::Reserve(
@@ -36,7 +28,7 @@
     if (higher >= rank) {
       break;
     }
-    const double slots = SlotsAt(load, now);
+    const double slots = load.SlotsAt(kWindow, now);
     const auto busy = running.find(higher);
     const double used = busy == running.end() ? 0 : busy->second;
     reserve += std::max(0.0, slots + kDeviations * std::sqrt(slots) - used);
--- a/bluebell/permits/rank_demand.h
+++ b/bluebell/permits/rank_demand.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 
+#include "bluebell/core/decaying_load.h"
 #include "bluebell/core/time.h"
 
 namespace bluebell {
@@ -28,15 +29,7 @@
                         instant now) const;
 
  private:
-  struct offered {
-    // Slots kept busy, as a decaying mean.
-    double slots = 0;
-    instant updated_at;
-  };
-
-  static double SlotsAt(const offered& load, instant now);
-
-  std::map<std::uint32_t, offered> by_rank_;
+  std::map<std::uint32_t, decaying_load> by_rank_;
 };
 
 }  // namespace bluebell
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -597,8 +597,7 @@
   return key_loads_.Loads(now);
 }
 
-std::map<endpoint_id, double> slot_scheduler::Capacities(
-    instant /*now*/) const {
+std::map<endpoint_id, double> slot_scheduler::Capacities() const {
   std::map<endpoint_id, double> capacities;
   for (const auto& [id, state] : endpoints_) {
     // Requests at a slow endpoint are late more often, even if it is idle, so
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -67,7 +67,7 @@
   std::vector<shard_load> KeyLoads(instant now) const;
   // How much work each endpoint should get relative to the others, in slots of
   // average speed.
-  std::map<endpoint_id, double> Capacities(instant now) const;
+  std::map<endpoint_id, double> Capacities() const;
 
   const service_name& service() const { return service_; }
   std::size_t waiting_count() const;
--- a/bluebell/proxy/traffic_side.cc
+++ b/bluebell/proxy/traffic_side.cc
@@ -230,7 +230,7 @@
     load.service = service;
     if (const slot_scheduler* scheduler = desk_.Find(service)) {
       load.keys = scheduler->KeyLoads(now);
-      load.capacities = scheduler->Capacities(now);
+      load.capacities = scheduler->Capacities();
     }
     done(std::move(load));
   });
