Share the soaks' small pieces

Cause: both soaks read their seeds by the same lines, three stand-ins had a timer that calls a function, two a lookup of a header, and load_connection looked at its socket beside PeekInput.

Change: seed_range, RunAfter, HeaderText; load_connection calls PeekInput.

--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -22,6 +22,7 @@
 #include "testing/gateway/fault_schedule.h"
 #include "testing/gateway/gateway_world.h"
 #include "testing/gateway/promise_check.h"
+#include "testing/seed_range.h"
 
 namespace {
 
@@ -129,12 +130,8 @@
 }
 
 int Run(std::map<std::string, docopt::value>& options) {
-  const std::string range = options["--seeds"].asString();
-  const std::size_t dots = range.find("..");
-  std::atomic<std::uint64_t> next = std::stoull(range.substr(0, dots));
-  const std::uint64_t last = dots == std::string::npos
-                                 ? next.load()
-                                 : std::stoull(range.substr(dots + 2));
+  const auto seeds = bluebell::seed_range::Parse(options["--seeds"].asString());
+  std::atomic<std::uint64_t> next = seeds.first;
   const soak_options soak{
       options["--program"].asString(), options["--logs"].asString(),
       static_cast<std::size_t>(options["--gateways"].asLong()),
@@ -146,7 +143,8 @@
   for (std::uint16_t i = 0; i < jobs; ++i) {
     const auto own = static_cast<std::uint16_t>(
         port + i * bluebell::gateway_world::kPortsPerWorld);
-    threads.emplace_back([&, own] { RunSeeds(next, last, own, soak, sum); });
+    threads.emplace_back(
+        [&, own] { RunSeeds(next, seeds.last, own, soak, sum); });
   }
   for (std::thread& each : threads) {
     each.join();
--- a/testing/gateway/gateway_world.cc
+++ b/testing/gateway/gateway_world.cc
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -15,6 +14,7 @@
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/fleet/store_keys.h"
 #include "testing/gateway/soak_caller.h"
+#include "testing/run_after.h"
 
 namespace bluebell {
 
@@ -198,13 +198,7 @@
 }
 
 void gateway_world::After(milliseconds delay, std::function<void()> what) {
-  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
-  timer->async_wait([timer, what = std::move(what)](
-                        const boost::system::error_code& cancelled) {
-    if (!cancelled) {
-      what();
-    }
-  });
+  RunAfter(io_, delay, std::move(what));
 }
 
 std::string gateway_world::SettingsOf(const gateway& daemon) {
--- a/testing/gateway/key_holders.cc
+++ b/testing/gateway/key_holders.cc
@@ -7,10 +7,6 @@
 
 namespace {
 
-bool Overlap(const key_range& a, const key_range& b) {
-  return a.first <= b.last && b.first <= a.last;
-}
-
 // A new process with the id of a former one takes grants that were on their way
 // to that one.
 bool SameEndpoint(const std::string& a, const std::string& b) {
@@ -31,7 +27,7 @@
                         instant now) {
   holder_state& own = holders_[holder];
   for (const known_grant& each : own.seen) {
-    if (Overlap(each.range, range) && fence < each.fence) {
+    if (each.range.Overlaps(range) && fence < each.fence) {
       return false;
     }
   }
@@ -62,7 +58,7 @@
       continue;
     }
     for (const holding& each : state.held) {
-      if (now < each.until && Overlap(each.range, range)) {
+      if (now < each.until && each.range.Overlaps(range)) {
         std::ostringstream text;
         text << "keys " << Describe(range) << " granted to " << holder
              << " with fence " << fence << " while " << other << " holds "
@@ -75,7 +71,7 @@
     }
     for (const known_grant& each : state.seen) {
       if (timing == grant_timing::kPrompt && !SameEndpoint(other, holder) &&
-          fence <= each.fence && Overlap(each.range, range)) {
+          fence <= each.fence && each.range.Overlaps(range)) {
         std::ostringstream text;
         text << "keys " << Describe(range) << " granted to " << holder
              << " with fence " << fence << ", not above that of " << other
@@ -115,20 +111,8 @@
     if (each.until <= now) {
       continue;
     }
-    if (!Overlap(each.range, range)) {
-      rest.push_back(each);
-      continue;
-    }
-    if (each.range.first < range.first) {
-      rest.push_back(
-          {{each.range.first, static_cast<shard_key>(range.first - 1)},
-           each.fence,
-           each.until});
-    }
-    if (range.last < each.range.last) {
-      rest.push_back({{static_cast<shard_key>(range.last + 1), each.range.last},
-                      each.fence,
-                      each.until});
+    for (const key_range& left : each.range.Without(range)) {
+      rest.push_back({left, each.fence, each.until});
     }
   }
   held = rest;
--- a/testing/gateway/kv_standin.cc
+++ b/testing/gateway/kv_standin.cc
@@ -15,6 +15,7 @@
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
 #include "platform/base64.h"
+#include "testing/run_after.h"
 
 namespace bluebell {
 
@@ -152,16 +153,10 @@
                    }
                  },
                  [&](const store_slow& slow) {
-                   const auto timer =
-                       std::make_shared<boost::asio::steady_timer>(io_,
-                                                                   slow.by);
-                   timer->async_wait(
-                       [timer, carry_out, respond, self = shared_from_this()](
-                           const boost::system::error_code& cancelled) {
-                         if (!cancelled) {
-                           carry_out(respond);
-                         }
-                       });
+                   RunAfter(io_, slow.by,
+                            [carry_out, respond, self = shared_from_this()] {
+                              carry_out(respond);
+                            });
                  },
                  [&](const store_loses_answers& loses) {
                    if (std::bernoulli_distribution(loses.share)(random_)) {
--- a/testing/gateway/soak_caller.cc
+++ b/testing/gateway/soak_caller.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/verb.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "testing/header_text.h"
 #include "testing/load_connection.h"
 
 namespace bluebell {
@@ -37,11 +38,6 @@
   return text;
 }
 
-std::string Header(const http_response& response, const char* name) {
-  const auto found = response.find(name);
-  return found == response.end() ? std::string() : std::string(found->value());
-}
-
 }  // namespace
 
 soak_caller::soak_caller(boost::asio::io_context& io,
@@ -137,10 +133,10 @@
     return;
   }
   request.status = ended.response.result_int();
-  request.answered_id = Header(ended.response, "X-Attempt-Id");
-  request.signature = Header(ended.response, "X-Server-Signature");
+  request.answered_id = HeaderText(ended.response, "X-Attempt-Id");
+  request.signature = HeaderText(ended.response, "X-Server-Signature");
   request.body = ended.response.body();
-  const std::string after = Header(ended.response, "Retry-After");
+  const std::string after = HeaderText(ended.response, "Retry-After");
   const double pause =
       after.empty() ? 0 : std::min(std::stod(after), kLongestRetryAfterS);
   constexpr milliseconds kThink{10};
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -5,12 +5,13 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "testing/header_text.h"
+#include "testing/run_after.h"
 
 namespace bluebell {
 
@@ -32,11 +33,6 @@
 constexpr milliseconds kDrainTime{2'000};
 constexpr double kLateShare = 0.5;
 
-std::string Header(const http_request& request, const char* name) {
-  const auto found = request.find(name);
-  return found == request.end() ? std::string() : std::string(found->value());
-}
-
 }  // namespace
 
 soak_endpoint::soak_endpoint(boost::asio::io_context& io,
@@ -118,21 +114,19 @@
 }
 
 void soak_endpoint::After(milliseconds delay, std::function<void()> what) {
-  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
-  timer->async_wait(
-      [timer, what = std::move(what), life = life_,
-       weak = weak_from_this()](const boost::system::error_code& cancelled) {
-        const auto self = weak.lock();
-        if (!cancelled && self && self->life_ == life) {
-          what();
-        }
-      });
+  RunAfter(io_, delay,
+           [what = std::move(what), life = life_, weak = weak_from_this()] {
+             const auto self = weak.lock();
+             if (self && self->life_ == life) {
+               what();
+             }
+           });
 }
 
 void soak_endpoint::Serve(const http_request& request,
                           const http_responder& respond) {
   const std::string target(request.target());
-  const std::string expected = Header(request, "X-Expected-Instance");
+  const std::string expected = HeaderText(request, "X-Expected-Instance");
   if (!expected.empty() && expected != options_.id) {
     respond(NotRun(kMisdirected));
   } else if (target == "/grant" || target == "/release") {
@@ -144,7 +138,7 @@
     response.set("X-Instance-Id", options_.id);
     respond(response);
   } else {
-    const std::string key = Header(request, "X-Shard-Key");
+    const std::string key = HeaderText(request, "X-Shard-Key");
     std::optional<shard_key> read;
     if (options_.keyed) {
       read = static_cast<shard_key>(std::stoul(key.empty() ? "0" : key));
@@ -212,7 +206,7 @@
 
 void soak_endpoint::TakeWork(work taken) {
   const instant now = BootNow();
-  const std::string id = Header(taken.request, "X-Attempt-Id");
+  const std::string id = HeaderText(taken.request, "X-Attempt-Id");
   if (taken.key && !holders_.Holds(ProcessName(), *taken.key, now)) {
     taken.respond(NotRun(kMisdirected));
     return;
@@ -231,7 +225,7 @@
 
 void soak_endpoint::StartWork(const work& started) {
   const std::uint64_t number = ++works_;
-  const std::string id = Header(started.request, "X-Attempt-Id");
+  const std::string id = HeaderText(started.request, "X-Attempt-Id");
   const std::string signature = ProcessName() + "." + std::to_string(random_());
   running_[number] = {started.key, record_.executions.size()};
   record_.executions.push_back({id, options_.id, options_.service, BootNow(),
--- a/testing/load_connection.cc
+++ b/testing/load_connection.cc
@@ -1,13 +1,11 @@
 #include "testing/load_connection.h"
 
-#include <array>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
-#include <boost/asio/socket_base.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "bluebell/http/socket_options.h"
+
 namespace bluebell {
 
 namespace {
@@ -75,15 +73,7 @@
 }
 
 bool load_connection::IsOpen() {
-  if (!connected_) {
-    return false;
-  }
-  std::array<char, 1> byte = {};
-  error_code state;
-  auto& socket = stream_.socket();
-  socket.non_blocking(true, state);
-  socket.receive(asio::buffer(byte), asio::socket_base::message_peek, state);
-  return state == asio::error::would_block;
+  return connected_ && PeekInput(stream_.socket()) == socket_input::kNone;
 }
 
 }  // namespace bluebell
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -16,6 +16,7 @@
 #include <docopt/docopt.h>
 
 #include "testing/decision_run.h"
+#include "testing/seed_range.h"
 
 namespace {
 
@@ -64,11 +65,7 @@
 int main(int argc, char** argv) {
   std::map<std::string, docopt::value> options =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
-  const std::string range = options["--seeds"].asString();
-  const std::size_t dots = range.find("..");
-  const std::uint64_t first = std::stoull(range.substr(0, dots));
-  const std::uint64_t last =
-      dots == std::string::npos ? first : std::stoull(range.substr(dots + 2));
+  const auto seeds = bluebell::seed_range::Parse(options["--seeds"].asString());
 
   bluebell::run_options run;
   run.timing.domain_autonomy =
@@ -77,11 +74,11 @@
     run.trace = &std::cout;
   }
   totals sum;
-  std::atomic<std::uint64_t> next = first;
+  std::atomic<std::uint64_t> next = seeds.first;
   std::vector<std::thread> threads;
   for (std::int64_t i = 0; i < options["--threads"].asLong(); ++i) {
     threads.emplace_back([&] {
-      for (std::uint64_t seed = next++; seed <= last; seed = next++) {
+      for (std::uint64_t seed = next++; seed <= seeds.last; seed = next++) {
         Add(sum, seed, bluebell::RunDecisions(seed, run));
       }
     });
