--- a/bluebell/net/tcp_listener.cc
+++ b/bluebell/net/tcp_listener.cc
@@ -8,6 +8,7 @@
 
 #include "bluebell/core/time.h"
 #include "bluebell/net/socket_address.h"
+#include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
@@ -88,7 +89,11 @@
           self->RetryLater(failure);
           return;
         }
-        self->on_connection_(std::move(socket));
+        try {
+          self->on_connection_(std::move(socket));
+        } catch (...) {
+          ReportUnexpected("new connection", std::current_exception());
+        }
         self->Accept();
       });
 }
