--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -15,6 +15,9 @@
 // Within this time after an outage of the store, running endpoints have written
 // their entries again.
 constexpr milliseconds kEntryReturnTime{2'000};
+// An endpoint process without an entry has ended this long after it stated that
+// it is leaving.
+constexpr seconds kLeavingRecordLifetime{600};
 
 }  // namespace
 
@@ -147,7 +150,26 @@
     current_.endpoints.erase(id);
     return;
   }
-  current_.endpoints.insert_or_assign(id, std::move(entry).value());
+  fleet_endpoint& endpoint =
+      current_.endpoints.insert_or_assign(id, std::move(entry).value())
+          .first->second;
+  endpoint.draining = endpoint.draining || leaving_.contains(endpoint.instance);
+}
+
+bool fleet_state::RecordLeaving(const endpoint_instance& endpoint,
+                                instant now) {
+  std::erase_if(leaving_, [&](const auto& entry) {
+    return now - entry.second >= kLeavingRecordLifetime &&
+           !current_.endpoints.contains(entry.first.endpoint);
+  });
+  leaving_.emplace(endpoint, now);
+  const auto known = current_.endpoints.find(endpoint.endpoint);
+  if (known == current_.endpoints.end() || known->second.instance != endpoint ||
+      known->second.draining) {
+    return false;
+  }
+  known->second.draining = true;
+  return true;
 }
 
 void fleet_state::PutConfig(const kv_item& item) {
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -71,6 +71,11 @@
   // is lapsing.
   std::optional<instant> NextLapseTime() const;
 
+  // The endpoint process has stated in a response that it is leaving. It counts
+  // as draining from then on, whatever its entry says; a later process under
+  // the same id doesn't. Returns true if the snapshot has changed.
+  bool RecordLeaving(const endpoint_instance& endpoint, instant now);
+
   const fleet_snapshot& snapshot() const { return current_; }
   // The store's revision of the value under `key`; zero if there is no value.
   store_version RevisionOf(std::string_view key) const;
@@ -101,6 +106,8 @@
   // Until this time an endpoint whose entry is deleted is only marked as
   // lapsing.
   instant removals_delayed_until_;
+  // Endpoint processes that have stated that they are leaving, and when.
+  std::map<endpoint_instance, instant> leaving_;
   // Endpoints whose entry is missing, and when they are removed.
   std::map<endpoint_id, instant> lapse_times_;
   std::vector<error> errors_;
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -20,6 +20,7 @@
             }
             fleet_endpoint entry;
             entry.instance.endpoint = endpoint_id(key.substr(8));
+            entry.instance.run = incarnation(value == "later run" ? 1 : 0);
             entry.draining = value == "draining";
             return entry;
           },
@@ -161,5 +162,39 @@
   CHECK(state.TakeErrors().size() == 1);
 }
 
+// Guards against requests to an endpoint that has announced its end in a
+// response while its entry still says "ready".
+TEST_CASE("an endpoint that states that it is leaving counts as draining") {
+  fleet_state state(TestDecoders());
+  state.Apply(Item("entries/a", "ok", 1), kStart);
+  const endpoint_instance first =
+      state.snapshot().endpoints.at(endpoint_id("a")).instance;
+  CHECK(state.RecordLeaving(first, kStart));
+  CHECK(state.snapshot().endpoints.at(endpoint_id("a")).draining);
+  CHECK(!state.RecordLeaving(first, kStart));
+  SECTION("also after its entry is written again or listed") {
+    state.Apply(Item("entries/a", "ok", 2), kStart);
+    CHECK(state.snapshot().endpoints.at(endpoint_id("a")).draining);
+    state.ApplyListing({Item("entries/a", "ok", 3)}, store_version(3), kStart);
+    CHECK(state.snapshot().endpoints.at(endpoint_id("a")).draining);
+  }
+  SECTION("also if its entry was missing meanwhile") {
+    state.Apply(kv_deletion{"entries/a", store_version(2)}, kStart);
+    state.Apply(Item("entries/a", "ok", 3), kStart);
+    CHECK(state.snapshot().endpoints.at(endpoint_id("a")).draining);
+  }
+  SECTION("but a later process under its id doesn't") {
+    state.Apply(Item("entries/a", "later run", 2), kStart);
+    CHECK(!state.snapshot().endpoints.at(endpoint_id("a")).draining);
+  }
+}
+
+TEST_CASE("a leaving endpoint is remembered before its entry is known") {
+  fleet_state state(TestDecoders());
+  CHECK(!state.RecordLeaving({endpoint_id("a"), incarnation()}, kStart));
+  state.Apply(Item("entries/a", "ok", 1), kStart);
+  CHECK(state.snapshot().endpoints.at(endpoint_id("a")).draining);
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/fleet/service_route.h
+++ b/bluebell/fleet/service_route.h
@@ -10,6 +10,7 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
+#include "bluebell/fleet/request_kind.h"
 
 namespace bluebell {
 
@@ -27,8 +28,7 @@
   std::string host;
   // Prefix of the path. Begins and ends with a slash.
   std::string prefix;
-  // True if a request may run more than once.
-  bool idempotent = false;
+  request_kind kind = request_kind::kNonIdempotent;
   // Time limit from a request's arrival to its final response.
   milliseconds timeout{0};
   // Target for the time from a request's arrival to its response. A response
--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -9,8 +9,6 @@
 #include <variant>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "bluebell/core/boot_clock.h"
@@ -21,6 +19,7 @@
 #include "bluebell/http/http_client.h"
 #include "bluebell/kv/async_call.h"
 #include "bluebell/kv/kv_client.h"
+#include "bluebell/net/task.h"
 #include "bluebell/proxy/traffic_server.h"
 #include "bluebell/telemetry/log_event.h"
 #include "platform/key_orders.h"
@@ -33,13 +32,15 @@
 
 constexpr milliseconds kWriteRetryInterval{200};
 constexpr milliseconds kGrantConnectionIdleTimeout{6'000};
+// The replies are short; a faulty endpoint may send bytes without end.
+constexpr std::uint64_t kMaxOrderReplyBytes = 64U << 10U;
 
 }  // namespace
 
 void coordinator_role::Execute(const service_name& service,
                                const std::vector<coordinator_action>& actions) {
   const auto spawn = [this](asio::awaitable<void> coroutine) {
-    asio::co_spawn(io_, std::move(coroutine), asio::detached);
+    SpawnTask(io_.get_executor(), "order about keys", std::move(coroutine));
   };
   for (const coordinator_action& action : actions) {
     std::visit(overloaded{[&](const send_grant& order) {
@@ -65,6 +66,7 @@
   if (!client) {
     http_client_options options;
     options.idle_timeout = kGrantConnectionIdleTimeout;
+    options.max_body_bytes = kMaxOrderReplyBytes;
     auto new_client = http_client::Make(io_, where, options);
     if (!new_client) {
       return nullptr;
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -6,8 +6,6 @@
 #include <variant>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,6 +15,7 @@
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/http/http_client.h"
 #include "bluebell/kv/kv_client.h"
+#include "bluebell/net/task.h"
 #include "bluebell/proxy/traffic_server.h"
 #include "bluebell/telemetry/log_event.h"
 
@@ -150,16 +149,16 @@
       now - *vacant_since_ >=
           kClaimDelayPerRank * static_cast<int>(ClaimRank())) {
     claim_in_flight_ = true;
-    asio::co_spawn(
-        io_,
-        [this]() -> asio::awaitable<void> {
-          co_await Claim();
-          claim_in_flight_ = false;
-        },
-        asio::detached);
+    SpawnTask(io_.get_executor(), "coordinator claim", ClaimOnce(),
+              [this] { claim_in_flight_ = false; });
   }
 }
 
+asio::awaitable<void> coordinator_role::ClaimOnce() {
+  co_await Claim();
+  claim_in_flight_ = false;
+}
+
 asio::awaitable<void> coordinator_role::Claim() {
   former_coordinators_ = former_coordinators::FromHistory(
       watcher_.state().coordinator_history(), self_);
@@ -184,8 +183,10 @@
       .With("revision", lease_.revision())
       .With("former", FormerCoordinatorIds())
       .Write();
-  asio::co_spawn(
-      io_, [this] { return KeepLease(); }, asio::detached);
+  // Without renewals the lease expires, so the role must end with them.
+  SpawnTask(io_.get_executor(), "coordinator lease", KeepLease(), [this] {
+    StopCoordinating("unexpected error while renewing the lease");
+  });
 }
 
 std::string coordinator_role::FormerCoordinatorIds() const {
@@ -284,8 +285,7 @@
 void coordinator_role::Leave() {
   leaving_ = true;
   if (is_coordinator_) {
-    asio::co_spawn(
-        io_, [this] { return HandOver(); }, asio::detached);
+    SpawnTask(io_.get_executor(), "coordinator hand-over", HandOver());
   }
 }
 
@@ -414,9 +414,11 @@
   resigned_until_ = BootNow() + kCandidacyPauseAfterResign;
   StopCoordinating("most owners of keys can't be reached");
   // If this call fails, the lease expires.
-  asio::co_spawn(
-      io_, [this]() -> asio::awaitable<void> { co_await lease_.End(); },
-      asio::detached);
+  SpawnTask(io_.get_executor(), "coordinator resignation", EndLease());
+}
+
+asio::awaitable<void> coordinator_role::EndLease() {
+  co_await lease_.End();
 }
 
 }  // namespace bluebell
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -103,6 +103,8 @@
   std::size_t ClaimRank() const;
   bool HasKeyedService() const;
 
+  // Claims the role; see Claim(). Allows the next claim when it has ended.
+  boost::asio::awaitable<void> ClaimOnce();
   boost::asio::awaitable<void> Claim();
   // The ids of the former coordinators that aren't excluded yet, with commas.
   std::string FormerCoordinatorIds() const;
@@ -116,6 +118,8 @@
   void Resign();
   // Ends the lease, with retries, and then stops coordinating.
   boost::asio::awaitable<void> HandOver();
+  // Ends the lease. If the call fails, the lease expires.
+  boost::asio::awaitable<void> EndLease();
   // Excludes the former coordinators that have ended and sends this daemon's
   // claim to the others.
   void ExcludeFormerCoordinators(instant now);
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -96,6 +96,11 @@
         asio::post(self->io_,
                    [self, from, yield] { self->role_->OnYield(from, yield); });
       },
+      [self](const endpoint_instance& endpoint) {
+        asio::post(self->io_, [self, endpoint] {
+          self->watcher_->RecordLeaving(endpoint);
+        });
+      },
       [self](std::uint64_t revision) {
         asio::post(self->io_, [self, revision] {
           self->watcher_->ExpectRevision(revision);
--- a/bluebell/gateway/member_lease.cc
+++ b/bluebell/gateway/member_lease.cc
@@ -4,8 +4,6 @@
 #include <variant>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +12,7 @@
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/kv/kv_client.h"
+#include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
@@ -40,14 +39,12 @@
     : io_(io), store_(store), watcher_(watcher), self_(std::move(self)) {}
 
 void member_lease::Start() {
-  asio::co_spawn(
-      io_, [this] { return Run(); }, asio::detached);
+  SpawnTask(io_.get_executor(), "member lease", Run(), [this] { Start(); });
 }
 
 void member_lease::Leave() {
   leaving_ = true;
-  asio::co_spawn(
-      io_, [this] { return RemoveEntry(); }, asio::detached);
+  SpawnTask(io_.get_executor(), "member removal", RemoveEntry());
 }
 
 asio::awaitable<void> member_lease::RemoveEntry() {
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/kv/kv_client.h"
+#include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
@@ -63,8 +62,14 @@
 
 void store_watcher::Restart() {
   ++generation_;
-  asio::co_spawn(
-      io_, [this] { return Run(); }, asio::detached);
+  SpawnTask(io_.get_executor(), "store listing", Run(),
+            [this, generation = generation_] { RestartAfter(generation); });
+}
+
+void store_watcher::RestartAfter(std::uint64_t failed_generation) {
+  if (failed_generation == generation_) {
+    Restart();
+  }
 }
 
 void store_watcher::ReportSuccess(instant now) {
@@ -155,12 +160,9 @@
       continue;
     }
     for (const watch_scope& keys : WatchScopes()) {
-      asio::co_spawn(
-          io_,
-          [this, generation, keys, after = *listed] {
-            return Watch(generation, keys, after);
-          },
-          asio::detached);
+      SpawnTask(io_.get_executor(), "store watch",
+                Watch(generation, keys, *listed),
+                [this, generation] { RestartAfter(generation); });
     }
     break;
   }
@@ -228,6 +230,15 @@
   });
 }
 
+void store_watcher::RecordLeaving(const endpoint_instance& endpoint) {
+  if (state_.RecordLeaving(endpoint, BootNow())) {
+    log_event(log_level::kInfo, "endpoint is leaving")
+        .With("endpoint", endpoint.endpoint)
+        .Write();
+    NotifyChanged();
+  }
+}
+
 void store_watcher::ExpectRevision(std::uint64_t revision) {
   const store_version expected(revision);
   if (state_.RaiseRevisionTo(expected)) {
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -69,6 +69,8 @@
   // False from a failed call to the store until the next successful one.
   bool store_is_available() const { return !failing_since_; }
 
+  // The endpoint has stated that it is leaving; see fleet_state.
+  void RecordLeaving(const endpoint_instance& endpoint);
   // Another daemon has seen the store's `revision`. Reads the whole store again
   // if the watches don't deliver that revision within a bounded time.
   void ExpectRevision(std::uint64_t revision);
@@ -97,6 +99,9 @@
   bool EndOutage(instant now);
   // Reads the whole store again and replaces the watches.
   void Restart();
+  // Restarts after an unexpected error of that generation, unless a later one
+  // has replaced it.
+  void RestartAfter(std::uint64_t failed_generation);
   boost::asio::awaitable<void> Pause(milliseconds time);
   // Logs malformed values, calls the change handler and sets the lapse timer.
   void NotifyChanged();
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -6,8 +6,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +21,7 @@
 
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
+#include "bluebell/net/task.h"
 
 namespace bluebell {
 
@@ -35,12 +34,17 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Limits the unparsed input of a connection, for example a chunk header
+// without an end.
+constexpr std::size_t kMaxBufferedBytes = 128U << 10U;
+
 instant Now() {
   return std::chrono::steady_clock::now();
 }
 
 struct connection {
-  explicit connection(asio::io_context& io) : stream(io) {}
+  explicit connection(asio::io_context& io)
+      : stream(io), buffer(kMaxBufferedBytes) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   // The destructor of Asio's socket would undo the option that closing resets
@@ -81,10 +85,9 @@
     request.set(bhttp::field::host, where_.ToString());
     request.keep_alive(true);
     request.prepare_payload();
-    asio::co_spawn(io_,
-                   Run(shared_from_this(), std::move(request), timeout,
-                       call_step, std::move(done)),
-                   asio::detached);
+    SpawnTask(io_.get_executor(), "HTTP call",
+              Run(shared_from_this(), std::move(request), timeout, call_step,
+                  std::move(done)));
   }
 
   void Close() {
--- a/bluebell/http/socket_options.cc
+++ b/bluebell/http/socket_options.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <cstddef>
 
@@ -54,4 +55,10 @@
   return size > 0 ? socket_input::kBytes : socket_input::kEnd;
 }
 
+bool PeerHasClosed(asio::ip::tcp::socket& socket) {
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }  // namespace bluebell
--- a/bluebell/http/socket_options.h
+++ b/bluebell/http/socket_options.h
@@ -30,6 +30,10 @@
 // Checks the input without reading it. Leaves the socket in non-blocking mode.
 socket_input PeekInput(boost::asio::ip::tcp::socket& socket);
 
+// True if the peer has closed its side or the connection has failed, also if
+// unread input precedes the end.
+bool PeerHasClosed(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_HTTP_SOCKET_OPTIONS_H_
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -243,6 +243,20 @@
   }
 };
 
+// An endpoint has stated in a response that it is leaving. Sent to the
+// dispatcher of its service, which may hear of it from the store only later.
+struct endpoint_leaving {
+  endpoint_instance endpoint;
+
+  friend bool operator==(const endpoint_leaving&,
+                         const endpoint_leaving&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint);
+  }
+};
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_PERMITS_PERMIT_MESSAGE_H_
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -212,6 +212,10 @@
     queue = &owner.endpoint->queue();
     changed_owner_queues_.insert(owner.endpoint->entry().instance.endpoint);
   } else {
+    if (!HasCandidate(request.message)) {
+      Refuse(id, permit_refusal::kNoEndpoint, kNoEndpointRetryAfter);
+      return false;
+    }
     wait = ExpectedSharedWait(request.message.rank);
     shared_queue_changed_ = true;
   }
@@ -224,6 +228,17 @@
   return true;
 }
 
+bool slot_scheduler::HasCandidate(const permit_request& message) const {
+  const auto& excluded = message.excluded_endpoints;
+  return excluded.empty() ||
+         std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&](const auto& entry) {
+                       return !entry.second.entry().draining &&
+                              std::find(excluded.begin(), excluded.end(),
+                                        entry.first) == excluded.end();
+                     });
+}
+
 void slot_scheduler::Refuse(const permit_id& id,
                             permit_refusal reason,
                             milliseconds retry) {
@@ -472,19 +487,19 @@
 void slot_scheduler::GrantFromSharedQueue(instant now) {
   std::uint32_t free = FreeSlots(now);
   while (!shared_queue_.empty() && free > 0) {
-    // All requests from one domain have the same choice until a permit is
-    // granted.
-    std::map<domain_name, endpoint_choice> choices;
+    // All requests from one domain that exclude the same endpoints have the
+    // same choice until a permit is granted.
+    std::map<std::pair<domain_name, std::vector<endpoint_id>>, endpoint_choice>
+        choices;
     endpoint_choice choice;
     const auto choose = [&](const permit_request& message) {
-      if (!message.excluded_endpoints.empty()) {
-        return ChooseEndpoint(message.domain, message.excluded_endpoints, now);
-      }
-      auto known = choices.find(message.domain);
+      std::pair key(message.domain, message.excluded_endpoints);
+      auto known = choices.find(key);
       if (known == choices.end()) {
         known = choices
-                    .emplace(message.domain,
-                             ChooseEndpoint(message.domain, {}, now))
+                    .emplace(std::move(key),
+                             ChooseEndpoint(message.domain,
+                                            message.excluded_endpoints, now))
                     .first;
       }
       return known->second;
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -132,6 +132,8 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
+  // False if the request excludes every endpoint that takes new requests.
+  bool HasCandidate(const permit_request& message) const;
   void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
   void RefuseOverloaded(const permit_id& id, duration wait);
   // The expected wait of a request that arrives now; zero if its key has no
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -1,31 +1,30 @@
 #include "bluebell/proxy/caller_connection.h"
 
-#include <cerrno>
-#include <optional>
+#include <algorithm>
+#include <exception>
 #include <string>
 #include <utility>
-#include <variant>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/byte_budget.h"
 #include "bluebell/http/socket_options.h"
-#include "bluebell/proxy/request_server.h"
+#include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
 #include "platform/proxy_headers.h"
 
@@ -43,31 +42,73 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
 // The time from the end of a request's header to the end of its body.
 constexpr seconds kBodyTimeout{20};
 // The time that writing a response to the caller may take.
 constexpr seconds kWriteTimeout{20};
+// How long input is discarded after the last response, until the caller closes.
+constexpr milliseconds kCloseTimeout{1'000};
+// How often a connection whose input buffer is full is checked for its end.
+constexpr milliseconds kCloseCheckInterval{250};
+constexpr std::size_t kFirstReadBytes = 4'096;
+// The most bytes that are read ahead while a request waits for those before it.
+constexpr std::size_t kMaxReadAheadBytes = 64U << 10U;
+// Limits the unparsed input of a connection, for example a chunk header
+// without an end.
+constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
+// A request is forwarded as a copy.
+constexpr std::size_t kCopiesOfRequest = 2;
+// The bytes of a chunked body may be this many times those of its content.
+constexpr std::uint64_t kMaxChunkOverhead = 2;
+constexpr milliseconds kMemoryRetryAfter{500};
+
+bool IsMalformed(const boost::system::error_code& failure) {
+  return failure.category() ==
+             bhttp::make_error_code(bhttp::error::bad_method).category() &&
+         failure != bhttp::error::end_of_stream &&
+         failure != bhttp::error::partial_message;
+}
 
 }  // namespace
 
+struct caller_connection::served_request {
+  http_request request;
+  byte_reservation memory;
+  asio::cancellation_signal cancel;
+};
+
 caller_connection::caller_connection(
     tcp::socket socket,
-    request_server& server,
-    std::shared_ptr<const shared_connection_state> state)
+    std::shared_ptr<const caller_request_handler> handler,
+    std::shared_ptr<shared_connection_state> state)
     : stream_(std::move(socket)),
-      server_(server),
-      shared_state_(std::move(state)) {
+      buffer_(kMaxBufferedBytes),
+      handler_(std::move(handler)),
+      shared_state_(std::move(state)),
+      progress_timer_(stream_.get_executor()),
+      read_timer_(stream_.get_executor()) {
   SetSocketOptions(stream_.socket());
 }
 
+caller_connection::~caller_connection() {
+  if (counted_as_busy_) {
+    --shared_state_->busy_count;
+  }
+}
+
 void caller_connection::Start() {
-  asio::co_spawn(
-      stream_.get_executor(),
-      [self = shared_from_this()] { return self->Run(); }, asio::detached);
+  // The handler keeps this object alive as long as the coroutine runs.
+  SpawnTask(stream_.get_executor(), "caller connection", Run(),
+            [self = shared_from_this()] { self->Abort(); });
 }
 
 void caller_connection::CloseIfIdle() {
-  if (!serving_ && buffer_.size() == 0) {
+  const bool is_idle = !has_request_ && pipeline_.empty() && !closes_ &&
+                       buffer_.size() == 0 &&
+                       PeekInput(stream_.socket()) != socket_input::kBytes;
+  if (is_idle) {
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
@@ -75,134 +116,358 @@
 }
 
 asio::awaitable<void> caller_connection::Run() {
-  bool usable = true;
-  while (usable) {
-    usable = co_await WaitForRequest();
-    if (usable) {
-      serving_ = true;
-      usable = co_await ServeNextRequest();
-      serving_ = false;
-    }
+  while (!pipeline_.closing() && co_await ReadNextRequest()) {
+  }
+  has_request_ = false;
+  closes_ = true;
+  co_await WaitUntil([this] {
+    buffer_.consume(buffer_.size());
+    return pipeline_.empty() && !writer_runs_;
+  });
+  if (!aborted_) {
+    co_await CloseInOrder();
   }
-  boost::system::error_code ignored;
-  stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  read_timer_.cancel();
   stream_.close();
+  UpdateBusy();
+}
+
+asio::awaitable<bool> caller_connection::ReadNextRequest() {
+  has_request_ = false;
+  if (!co_await WaitForInput()) {
+    co_return false;
+  }
+  has_request_ = true;
+  const instant arrived = BootNow();
+  request_parser parser;
+  byte_reservation memory(shared_state_->request_memory);
+  const boost::system::error_code failure =
+      co_await ReadRequest(parser, memory);
+  read_timer_.cancel();
+  if (failure) {
+    EndUnreadRequest(failure);
+    co_return false;
+  }
+  if (buffer_.size() == 0 &&
+      PeekInput(stream_.socket()) == socket_input::kEnd) {
+    // On a busy host the request may be read long after the caller closed the
+    // connection. It isn't sent to an endpoint then.
+    Abort();
+    co_return false;
+  }
+  const bool idempotent = handler_->is_idempotent(parser.get());
+  const auto may_proceed = [this, idempotent] {
+    return pipeline_.closing() ||
+           pipeline_.CanStart(idempotent, shared_state_->stopping);
+  };
+  if (!co_await WaitUntil(may_proceed) || pipeline_.closing()) {
+    co_return false;
+  }
+  const bool keep_open = parser.keep_alive();
+  StartServing(parser.release(), std::move(memory), arrived);
+  co_return keep_open;
 }
 
-asio::awaitable<bool> caller_connection::WaitForRequest() {
+asio::awaitable<bool> caller_connection::WaitForInput() {
   if (buffer_.size() > 0) {
     co_return true;
   }
-  stream_.expires_after(shared_state_->bounds.idle_timeout);
-  constexpr std::size_t kFirstReadBytes = 4'096;
+  LimitReadTime(shared_state_->bounds.idle_timeout);
+  stream_.expires_never();
   const auto [failure, size] = co_await stream_.async_read_some(
       buffer_.prepare(kFirstReadBytes), kAwait);
+  read_timer_.cancel();
   if (failure) {
+    // The last response ends the read too.
+    if (!pipeline_.closing()) {
+      Abort();
+    }
     co_return false;
   }
   buffer_.commit(size);
   co_return true;
 }
 
-asio::awaitable<bool> caller_connection::ServeNextRequest() {
-  const instant arrived = BootNow();
-  bhttp::request_parser<bhttp::string_body> parser;
+asio::awaitable<boost::system::error_code> caller_connection::ReadRequest(
+    request_parser& parser,
+    byte_reservation& memory) {
   parser.header_limit(shared_state_->bounds.max_header_bytes);
   parser.body_limit(shared_state_->bounds.max_body_bytes);
-  stream_.expires_after(shared_state_->bounds.header_timeout);
-  const auto [header_error, header_size] =
+  LimitReadTime(shared_state_->bounds.header_timeout);
+  stream_.expires_never();
+  const auto [header_error, header_bytes] =
       co_await bhttp::async_read_header(stream_, buffer_, parser, kAwait);
-  boost::system::error_code failure = header_error;
-  if (!failure && !parser.is_done()) {
-    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
-      static constexpr std::string_view kContinue =
-          "HTTP/1.1 100 Continue\r\n\r\n";
-      co_await asio::async_write(
-          stream_, asio::buffer(kContinue.data(), kContinue.size()), kAwait);
-    }
-    stream_.expires_after(kBodyTimeout);
-    const auto [body_error, body_size] =
-        co_await bhttp::async_read(stream_, buffer_, parser, kAwait);
-    failure = body_error;
-  }
-  if (failure == bhttp::error::body_limit) {
-    co_await RefuseMalformed(kContentTooLarge);
-    co_return false;
+  if (header_error || parser.is_done()) {
+    co_return header_error;
   }
-  if (failure == bhttp::error::header_limit) {
-    co_await RefuseMalformed(kHeaderTooLarge);
-    co_return false;
+  // The parser allocates the stated length of a body at once.
+  const auto length = parser.content_length();
+  if (length &&
+      !memory.GrowTo(kCopiesOfRequest * static_cast<std::size_t>(*length))) {
+    co_return beast::error_code(boost::system::errc::not_enough_memory,
+                                boost::system::generic_category());
   }
-  if (failure) {
-    const bool malformed =
-        failure.category() ==
-            bhttp::make_error_code(bhttp::error::bad_method).category() &&
-        failure != bhttp::error::end_of_stream &&
-        failure != bhttp::error::partial_message;
-    if (malformed) {
-      co_await RefuseMalformed(kBadRequest);
+  if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue")) {
+    // An interim response must not precede the responses to earlier requests.
+    if (!co_await WaitUntil([this] { return pipeline_.empty(); })) {
+      co_return asio::error::operation_aborted;
     }
-    co_return false;
-  }
-  if (buffer_.size() == 0 && CallerHasClosed()) {
-    // On a busy host the request may be read long after the caller closed the
-    // connection. It isn't sent to an endpoint then.
-    co_return false;
-  }
-  const http_request request = parser.release();
-  stream_.expires_never();
-  std::variant<http_response, std::monostate> served =
-      co_await asio::experimental::awaitable_operators::operator||(
-          server_.Serve(request, arrived), WaitForClose());
-  if (served.index() != 0) {
-    co_return false;
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+        stream_, asio::buffer(kContinue.data(), kContinue.size()), kAwait);
   }
-  co_return co_await Write(std::get<http_response>(std::move(served)),
-                           request.keep_alive());
-}
-
-bool caller_connection::CallerHasClosed() {
-  return PeekInput(stream_.socket()) == socket_input::kEnd;
+  co_return co_await ReadBody(parser, memory, header_bytes);
 }
 
-asio::awaitable<void> caller_connection::WaitForClose() {
-  co_await asio::this_coro::throw_if_cancelled(false);
-  tcp::socket& socket = stream_.socket();
-  if (buffer_.size() == 0) {
-    const auto [failure] =
-        co_await socket.async_wait(tcp::socket::wait_read, kAwait);
+asio::awaitable<boost::system::error_code> caller_connection::ReadBody(
+    request_parser& parser,
+    byte_reservation& memory,
+    std::size_t header_bytes) {
+  LimitReadTime(kBodyTimeout);
+  const std::uint64_t max_bytes =
+      shared_state_->bounds.max_header_bytes +
+      kMaxChunkOverhead * shared_state_->bounds.max_body_bytes +
+      kMaxBufferedBytes;
+  std::uint64_t received = header_bytes;
+  while (!parser.is_done()) {
+    stream_.expires_never();
+    const auto [failure, size] =
+        co_await bhttp::async_read_some(stream_, buffer_, parser, kAwait);
     if (failure) {
-      co_return;
+      co_return failure;
+    }
+    // Counts chunk headers and trailers too, which have no limit of their own.
+    received += size;
+    if (received > max_bytes) {
+      co_return bhttp::error::body_limit;
     }
-    if (CallerHasClosed()) {
-      co_return;
+    if (!memory.GrowTo(kCopiesOfRequest * parser.get().body().size())) {
+      co_return beast::error_code(boost::system::errc::not_enough_memory,
+                                  boost::system::generic_category());
     }
   }
-  // The caller has already sent its next request. Its unread bytes hide whether
-  // the caller closes the connection.
-  asio::steady_timer unlimited_timer(co_await asio::this_coro::executor,
-                                     asio::steady_timer::time_point::max());
-  co_await unlimited_timer.async_wait(kAwait);
+  co_return boost::system::error_code();
 }
 
-asio::awaitable<void> caller_connection::RefuseMalformed(unsigned status) {
+void caller_connection::EndUnreadRequest(
+    const boost::system::error_code& failure) {
+  if (pipeline_.closing()) {
+    // The caller sends the request again.
+    return;
+  }
+  if (failure == boost::system::errc::not_enough_memory) {
+    AddClosingResponse(platform::MakeRouterResponse(
+        kUnavailable, "too many large requests at the same time", {},
+        kMemoryRetryAfter));
+    return;
+  }
+  if (!IsMalformed(failure)) {
+    // The caller has closed the connection, or it failed.
+    Abort();
+    return;
+  }
+  unsigned status = kBadRequest;
+  if (failure == bhttp::error::body_limit) {
+    status = kContentTooLarge;
+  } else if (failure == bhttp::error::header_limit ||
+             failure == bhttp::error::buffer_overflow) {
+    status = kHeaderTooLarge;
+  }
   log_event(log_level::kWarn, "malformed request refused")
       .With("status", status)
       .Write();
-  co_await Write(platform::MakeRouterResponse(status, "malformed request", {},
-                                              std::nullopt),
-                 false);
+  AddClosingResponse(platform::MakeRouterResponse(status, "malformed request",
+                                                  {}, std::nullopt));
+}
+
+asio::awaitable<bool> caller_connection::WaitUntil(
+    std::function<bool()> condition) {
+  using asio::experimental::awaitable_operators::operator||;
+  while (!condition() && !aborted_) {
+    bool has_left = false;
+    if (buffer_.size() < kMaxReadAheadBytes) {
+      co_await (stream_.socket().async_wait(tcp::socket::wait_read, kAwait) ||
+                WaitForProgress(duration::max()));
+      has_left = !aborted_ && !ReadAvailable();
+    } else {
+      co_await WaitForProgress(kCloseCheckInterval);
+      has_left = !aborted_ && PeerHasClosed(stream_.socket());
+    }
+    if (has_left) {
+      Abort();
+    }
+  }
+  co_return !aborted_;
+}
+
+asio::awaitable<void> caller_connection::WaitForProgress(duration max_wait) {
+  progress_timer_.expires_at(max_wait == duration::max()
+                                 ? asio::steady_timer::time_point::max()
+                                 : asio::steady_timer::clock_type::now() +
+                                       max_wait);
+  co_await progress_timer_.async_wait(kAwait);
+}
+
+bool caller_connection::ReadAvailable() {
+  tcp::socket& socket = stream_.socket();
+  switch (PeekInput(socket)) {
+    case socket_input::kNone:
+      return true;
+    case socket_input::kEnd:
+      return false;
+    case socket_input::kBytes:
+      break;
+  }
+  boost::system::error_code failure;
+  const std::size_t room = kMaxReadAheadBytes - buffer_.size();
+  const std::size_t size = socket.read_some(buffer_.prepare(room), failure);
+  buffer_.commit(size);
+  return !failure || failure == asio::error::would_block;
+}
+
+void caller_connection::StartServing(http_request request,
+                                     byte_reservation memory,
+                                     instant arrived) {
+  const std::uint64_t number = pipeline_.Start(request.keep_alive());
+  const auto served = std::make_shared<served_request>();
+  served->request = std::move(request);
+  served->memory = std::move(memory);
+  served_requests_.emplace(number, served);
+  UpdateBusy();
+  asio::co_spawn(
+      stream_.get_executor(), handler_->serve(served->request, arrived),
+      asio::bind_cancellation_slot(
+          served->cancel.slot(),
+          [self = shared_from_this(), number, served](
+              const std::exception_ptr& failure, served_response response) {
+            if (failure) {
+              ReportUnexpected("request", failure);
+              // The request may have run.
+              response.response = platform::MakeRouterResponse(
+                  kBadGateway, "unexpected error", {}, std::nullopt);
+            }
+            self->OnServed(number, std::move(response));
+          }));
+}
+
+void caller_connection::OnServed(std::uint64_t number, served_response served) {
+  served_requests_.erase(number);
+  if (!aborted_) {
+    pipeline_.Finish(number, std::move(served));
+    WriteResponses();
+  }
+  UpdateBusy();
+  progress_timer_.cancel();
+}
+
+void caller_connection::AddClosingResponse(http_response response) {
+  pipeline_.Finish(pipeline_.Start(false), {std::move(response), {}});
+  UpdateBusy();
+  WriteResponses();
 }
 
-asio::awaitable<bool> caller_connection::Write(http_response response,
-                                               bool keep_open) {
-  const bool stays_open = keep_open && !shared_state_->close_after_response;
-  response.keep_alive(stays_open);
+void caller_connection::WriteResponses() {
+  if (!std::exchange(writer_runs_, true)) {
+    SpawnTask(stream_.get_executor(), "response writer", WriteDueResponses(),
+              [self = shared_from_this()] { self->Abort(); });
+  }
+}
+
+asio::awaitable<void> caller_connection::WriteDueResponses() {
+  const auto self = shared_from_this();
+  while (!aborted_) {
+    auto next = pipeline_.TakeNext(shared_state_->stopping);
+    if (!next) {
+      break;
+    }
+    const bool written = co_await Write(*next);
+    next.reset();
+    pipeline_.OnWritten();
+    last_written_at_ = BootNow();
+    if (!written) {
+      Abort();
+    }
+    progress_timer_.cancel();
+  }
+  writer_runs_ = false;
+  UpdateBusy();
+  progress_timer_.cancel();
+  if (pipeline_.empty() && pipeline_.closing() && !closes_ && !aborted_) {
+    // Ends the read of a request that can't be served any more.
+    stream_.socket().cancel();
+  }
+}
+
+asio::awaitable<bool> caller_connection::Write(
+    request_pipeline::next_response& next) {
+  http_response& response = next.served.response;
+  response.keep_alive(next.keep_open);
   response.prepare_payload();
   stream_.expires_after(kWriteTimeout);
   const auto [failure, size] =
       co_await bhttp::async_write(stream_, response, kAwait);
-  co_return !failure && stays_open;
+  co_return !failure;
+}
+
+asio::awaitable<void> caller_connection::CloseInOrder() {
+  boost::system::error_code failure;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
+  const instant closes_at = BootNow() + kCloseTimeout;
+  while (!failure && BootNow() < closes_at) {
+    buffer_.consume(buffer_.size());
+    stream_.expires_after(closes_at - BootNow());
+    const auto [read_error, size] = co_await stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes), kAwait);
+    failure = read_error;
+  }
+}
+
+void caller_connection::Abort() {
+  if (std::exchange(aborted_, true)) {
+    return;
+  }
+  // A cancelled request may end at once and remove itself.
+  std::vector<std::shared_ptr<served_request>> cancelled;
+  for (const auto& [number, request] : served_requests_) {
+    cancelled.push_back(request);
+  }
+  for (const auto& request : cancelled) {
+    request->cancel.emit(asio::cancellation_type::terminal);
+  }
+  stream_.close();
+  progress_timer_.cancel();
+}
+
+void caller_connection::LimitReadTime(duration limit) {
+  read_timer_.expires_after(limit);
+  read_timer_.async_wait([this, limit, weak = weak_from_this()](
+                             boost::system::error_code cancelled) {
+    const auto self = weak.lock();
+    if (cancelled || !self) {
+      return;
+    }
+    const duration since_response = BootNow() - last_written_at_;
+    if (!pipeline_.empty()) {
+      LimitReadTime(limit);
+    } else if (since_response < limit) {
+      LimitReadTime(limit - since_response);
+    } else {
+      Abort();
+    }
+  });
+}
+
+void caller_connection::UpdateBusy() {
+  const bool is_open = stream_.socket().is_open() && !aborted_;
+  const bool busy =
+      !served_requests_.empty() ||
+      (is_open && (!pipeline_.empty() || writer_runs_ || closes_));
+  if (busy != counted_as_busy_) {
+    counted_as_busy_ = busy;
+    shared_state_->busy_count += busy ? 1 : 0;
+    shared_state_->busy_count -= busy ? 0 : 1;
+  }
 }
 
 }  // namespace bluebell
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -20,6 +20,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/byte_budget.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
 
@@ -39,7 +40,14 @@
 constexpr milliseconds kConnectTimeout{350};
 // The number of stale or interim responses that may precede the response.
 constexpr int kMaxSkippedResponses = 2;
-constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+// The part of the memory of all responses that one may use, so that a single
+// endless response doesn't make the others fail.
+constexpr std::size_t kMaxResponsesPerBudget = 4;
+constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+// Limits the unparsed input of a connection, for example a chunk header
+// without an end.
+constexpr std::size_t kMaxBufferedBytes = 128U << 10U;
 constexpr int kFirstFinalStatus = 200;
 // An idle connection is closed this long before the end of the keep-alive time
 // that the endpoint states.
@@ -52,7 +60,8 @@
 }  // namespace
 
 struct endpoint_connection_pool::connection {
-  explicit connection(asio::io_context& io) : stream(io) {}
+  explicit connection(asio::io_context& io)
+      : stream(io), buffer(kMaxBufferedBytes) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   // The destructor of an Asio socket clears the linger option first, and the
@@ -71,8 +80,10 @@
   instant close_at;
 };
 
-endpoint_connection_pool::endpoint_connection_pool(asio::io_context& io)
-    : io_(io) {}
+endpoint_connection_pool::endpoint_connection_pool(
+    asio::io_context& io,
+    std::shared_ptr<byte_budget> memory)
+    : io_(io), memory_(std::move(memory)) {}
 
 endpoint_connection_pool::~endpoint_connection_pool() = default;
 
@@ -122,6 +133,46 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+std::size_t endpoint_connection_pool::MaxResponseBytes() const {
+  return memory_ ? std::min(kMaxResponseBytes,
+                            memory_->limit() / kMaxResponsesPerBudget)
+                 : kMaxResponseBytes;
+}
+
+asio::awaitable<boost::system::error_code>
+endpoint_connection_pool::ReadResponse(connection& link,
+                                       response_parser& parser,
+                                       byte_reservation& memory) {
+  const std::size_t max_bytes = MaxResponseBytes();
+  parser.header_limit(kMaxResponseHeaderBytes);
+  parser.body_limit(max_bytes);
+  const auto [header_error, header_bytes] = co_await bhttp::async_read_header(
+      link.stream, link.buffer, parser, kAwait);
+  if (header_error) {
+    co_return header_error;
+  }
+  // The parser allocates the stated length of a body at once.
+  std::size_t received = header_bytes;
+  if (const auto length = parser.content_length()) {
+    if (!memory.GrowTo(received + static_cast<std::size_t>(*length))) {
+      co_return bhttp::error::body_limit;
+    }
+  }
+  while (!parser.is_done()) {
+    const auto [failure, size] = co_await bhttp::async_read_some(
+        link.stream, link.buffer, parser, kAwait);
+    if (failure) {
+      co_return failure;
+    }
+    // Counts chunk headers and trailers too, which have no limit of their own.
+    received += size;
+    if (received > max_bytes || !memory.GrowTo(received)) {
+      co_return bhttp::error::body_limit;
+    }
+  }
+  co_return boost::system::error_code();
+}
+
 asio::awaitable<exchange_result> endpoint_connection_pool::Send(
     fleet_endpoint endpoint,
     http_request request,
@@ -182,11 +233,11 @@
         });
   }
   for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(kMaxResponseBytes);
+    response_parser parser;
     parser.skip(request.method() == bhttp::verb::head);
-    const auto [read_error, read] =
-        co_await bhttp::async_read(link->stream, link->buffer, parser, kAwait);
+    byte_reservation memory(memory_);
+    const boost::system::error_code read_error =
+        co_await ReadResponse(*link, parser, memory);
     if (read_error) {
       co_return lost(read_error);
     }
@@ -209,7 +260,7 @@
       AddIdle(endpoint.instance, std::move(link), keep_alive_time, now);
     }
     co_return exchange_answered{std::move(response), std::move(reply_info),
-                                now - started};
+                                now - started, std::move(memory)};
   }
   co_return exchange_lost{error(errc::kMalformedMessage, step::kReadReply, peer,
                                 "only responses to other requests arrived"),
--- a/bluebell/proxy/endpoint_connection_pool.h
+++ b/bluebell/proxy/endpoint_connection_pool.h
@@ -1,7 +1,9 @@
 // A pool of HTTP connections to endpoints that are reused between requests.
 // Each connection carries one request at a time. Responses to earlier requests
 // are skipped; a connection with any other unexpected input, or without a
-// complete response, is closed. Used on the traffic thread only.
+// complete response, is closed. An endpoint may send bytes without end; all
+// responses together stay within a budget of memory. Used on the traffic thread
+// only.
 //
 //   exchange_result end = co_await channels.Send(endpoint, request, options);
 
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
@@ -31,6 +34,8 @@
 
 namespace bluebell {
 
+class byte_budget;
+
 // Options of sending one request.
 struct exchange_options {
   // The attempt id that the caller sent, or empty. A response that names
@@ -52,7 +57,10 @@
 
 class endpoint_connection_pool {
  public:
-  explicit endpoint_connection_pool(boost::asio::io_context& io);
+  // `memory` limits the bytes of all responses that are being read or not yet
+  // destroyed. Null: there is no limit.
+  endpoint_connection_pool(boost::asio::io_context& io,
+                           std::shared_ptr<byte_budget> memory);
   endpoint_connection_pool(const endpoint_connection_pool&) = delete;
   endpoint_connection_pool& operator=(const endpoint_connection_pool&) = delete;
   ~endpoint_connection_pool();
@@ -71,12 +79,22 @@
 
  private:
   struct connection;
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
   using connection_ptr = std::unique_ptr<connection>;
 
   // Removes a usable connection from the idle ones. Null if there is none.
   connection_ptr TakeIdle(const endpoint_instance& endpoint,
                           milliseconds max_idle_time,
                           instant now);
+  // Reads one response into `parser`, which has no limit for the body. Fails
+  // if the response exceeds the limit of one or that of all responses.
+  boost::asio::awaitable<boost::system::error_code> ReadResponse(
+      connection& link,
+      response_parser& parser,
+      byte_reservation& memory);
+  // The longest response that is accepted.
+  std::size_t MaxResponseBytes() const;
   // Adds a connection to the idle ones, to be closed after `keep_alive` or a
   // fixed maximum if that is shorter.
   void AddIdle(const endpoint_instance& endpoint,
@@ -85,6 +103,7 @@
                instant now);
 
   boost::asio::io_context& io_;
+  std::shared_ptr<byte_budget> memory_;
   std::map<endpoint_instance, std::vector<connection_ptr>> idle_;
   std::size_t opened_count_ = 0;
 };
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -20,6 +20,7 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/byte_budget.h"
 #include "platform/wire_samples.h"
 
 namespace bluebell {
@@ -109,7 +110,8 @@
 };
 
 struct client {
-  client() : connection_pool(io) {}
+  explicit client(std::shared_ptr<byte_budget> memory = nullptr)
+      : connection_pool(io, std::move(memory)) {}
 
   exchange_result Send(
       const fleet_endpoint& entry,
@@ -230,5 +232,54 @@
   caller.io.run_for(milliseconds(50));
 }
 
+constexpr std::size_t kMemoryLimit = 400'000;
+
+// A part of a response that is sent again and again until the caller closes
+// the connection, after `head`.
+std::string Repeated(const std::string& head, const std::string& part) {
+  std::string bytes = head;
+  while (bytes.size() < 2 * kMemoryLimit) {
+    bytes += part;
+  }
+  return bytes;
+}
+
+// Guards against a daemon that runs out of memory because an endpoint sends
+// bytes without end.
+TEST_CASE("a response without end is cut at the limit of memory") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string script = GENERATE_COPY(
+      Repeated(head, "X-Filler: 0123456789\r\n"),
+      Repeated(head + "X-Filler: ", "0123456789"),
+      Repeated(head + "\r\n", "0123456789"),
+      head + "Content-Length: 500000000000\r\n\r\nabc",
+      Repeated(chunked, "1\r\nx\r\n"), Repeated(chunked + "1;name=", "value"),
+      Repeated(chunked + "0\r\n", "X-Filler: 0123456789\r\n"),
+      Repeated("", "HTTP/1.1 103 Early Hints\r\n\r\n"));
+  scripted_server server({script});
+  const auto memory = std::make_shared<byte_budget>(kMemoryLimit);
+  client caller(memory);
+  const exchange_result end = caller.Send(server.entry(), "a");
+  CHECK(std::holds_alternative<exchange_lost>(end));
+  CHECK(memory->used() == 0);
+}
+
+// Guards against a bound that holds for each response and not for all.
+TEST_CASE("responses that are kept count in the limit of memory") {
+  const std::string body(90'000, 'x');
+  scripted_server server(
+      {SampleResponse("a", body), SampleResponse("b", body)});
+  const auto memory = std::make_shared<byte_budget>(kMemoryLimit);
+  byte_reservation others(memory);
+  REQUIRE(others.GrowTo(kMemoryLimit - 100'000));
+  client caller(memory);
+  const exchange_result kept = caller.Send(server.entry(), "a");
+  CHECK(BodyOf(kept) == body);
+  CHECK(memory->used() > kMemoryLimit - 100'000);
+  CHECK(
+      std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "b")));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/proxy/exchange_result.h
+++ b/bluebell/proxy/exchange_result.h
@@ -6,6 +6,7 @@
 
 #include <variant>
 
+#include "bluebell/core/byte_reservation.h"
 #include "bluebell/core/error.h"
 #include "bluebell/core/time.h"
 #include "bluebell/http/http_message.h"
@@ -20,6 +21,8 @@
   platform::endpoint_reply reply_info;
   // From the call of Send() to the end of the response.
   duration elapsed{0};
+  // The memory of the response.
+  byte_reservation memory;
 };
 
 // Nothing was sent, so the request did not run.
--- a/bluebell/proxy/page_server.cc
+++ b/bluebell/proxy/page_server.cc
@@ -3,8 +3,6 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -14,6 +12,7 @@
 
 #include "bluebell/core/time.h"
 #include "bluebell/http/socket_options.h"
+#include "bluebell/net/task.h"
 #include "bluebell/net/tcp_listener.h"
 
 namespace bluebell {
@@ -28,13 +27,14 @@
 // The time limit for reading one request, including the idle time before it,
 // and writing its response.
 constexpr seconds kExchangeTimeout{10};
+constexpr std::size_t kMaxBufferedBytes = 16U << 10U;
 
 asio::awaitable<void> ServeConnection(
     tcp::socket socket,
     std::shared_ptr<const page_server::responder> respond) {
   SetSocketOptions(socket);
   boost::beast::tcp_stream stream(std::move(socket));
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(kMaxBufferedBytes);
   bool usable = true;
   while (usable) {
     stream.expires_after(kExchangeTimeout);
@@ -67,8 +67,8 @@
       new page_server(std::move(listener.value()), std::move(respond)));
   server->listener_->Start([pages = server->respond_](tcp::socket socket) {
     const auto executor = socket.get_executor();
-    asio::co_spawn(executor, ServeConnection(std::move(socket), pages),
-                   asio::detached);
+    SpawnTask(executor, "page connection",
+              ServeConnection(std::move(socket), pages));
   });
   return server;
 }
--- a/bluebell/proxy/peer_socket.cc
+++ b/bluebell/proxy/peer_socket.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include "bluebell/net/socket_address.h"
+#include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/wire/frame.h"
 
@@ -57,7 +58,7 @@
 void peer_socket::Receive() {
   socket_.async_wait(
       udp::socket::wait_read, [this](boost::system::error_code failure) {
-        if (failure) {
+        if (failure == boost::asio::error::operation_aborted) {
           return;
         }
         // Reads all datagrams that have arrived.
@@ -66,13 +67,22 @@
           const std::size_t size = socket_.receive_from(
               boost::asio::buffer(receive_buffer_), sender_, 0, empty);
           if (!empty) {
-            HandleDatagram(size);
+            HandleDatagramSafely(size);
           }
         }
         Receive();
       });
 }
 
+void peer_socket::HandleDatagramSafely(std::size_t size) {
+  try {
+    HandleDatagram(size);
+  } catch (...) {
+    // The socket goes on receiving.
+    ReportUnexpected("message of another daemon", std::current_exception());
+  }
+}
+
 void peer_socket::HandleDatagram(std::size_t size) {
   const result<frame> decoded =
       DecodeFrame(std::string_view(receive_buffer_.data(), size));
--- a/bluebell/proxy/peer_socket.h
+++ b/bluebell/proxy/peer_socket.h
@@ -53,6 +53,8 @@
   void Receive();
   // Decodes and delivers the datagram of this many bytes in `receive_buffer_`.
   void HandleDatagram(std::size_t size);
+  // The same, but reports an exception instead of throwing it.
+  void HandleDatagramSafely(std::size_t size);
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
--- a/bluebell/proxy/permit_client.cc
+++ b/bluebell/proxy/permit_client.cc
@@ -205,6 +205,13 @@
   }
 }
 
+void permit_client::ReportLeaving(const service_name& service,
+                                  const endpoint_instance& endpoint) {
+  if (const auto dispatcher = DispatcherOf(service)) {
+    peers_.Send(*dispatcher, endpoint_leaving{endpoint});
+  }
+}
+
 void permit_client::OnReply(const address& from, const permit_reply& reply) {
   HandleReply(reply, from);
 }
@@ -268,8 +275,8 @@
   report_timer_.expires_after(kReportInterval);
   report_timer_.async_wait([this](boost::system::error_code cancelled) {
     if (!cancelled) {
-      ReportAll();
       StartReports();
+      ReportAll();
     }
   });
 }
--- a/bluebell/proxy/permit_client.h
+++ b/bluebell/proxy/permit_client.h
@@ -70,6 +70,11 @@
   // a permit that is not in use.
   void Release(const permit_release& release);
 
+  // Tells the dispatcher of the service that the endpoint is leaving. Does
+  // nothing if this daemon is the dispatcher.
+  void ReportLeaving(const service_name& service,
+                     const endpoint_instance& endpoint);
+
   // Handle messages from dispatchers.
   void OnReply(const address& from, const permit_reply& reply);
   void OnReportAck(const address& from, const permit_report_ack& ack);
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -149,27 +149,16 @@
   duration elapsed{0};
 };
 
-class request_server::active_request_guard {
- public:
-  explicit active_request_guard(std::size_t& count) : count_(count) {
-    ++count_;
-  }
-  active_request_guard(const active_request_guard&) = delete;
-  active_request_guard& operator=(const active_request_guard&) = delete;
-  ~active_request_guard() { --count_; }
-
- private:
-  std::size_t& count_;
-};
-
 request_server::request_server(const gateway_settings& settings,
                                permit_client& permits,
                                endpoint_connection_pool& connection_pool,
-                               metrics_registry& metrics)
+                               metrics_registry& metrics,
+                               leaving_handler on_leaving)
     : settings_(settings),
       permits_(permits),
       connection_pool_(connection_pool),
       metrics_(metrics),
+      on_leaving_(std::move(on_leaving)),
       random_(std::random_device()()) {}
 
 void request_server::SetView(fleet_view view) {
@@ -217,36 +206,47 @@
                                       retry_after);
 }
 
-asio::awaitable<http_response> request_server::Serve(
+asio::awaitable<served_response> request_server::Serve(
     const http_request& request,
     instant arrived) {
   co_await asio::this_coro::throw_if_cancelled(false);
-  const active_request_guard counted(active_);
   request_context context;
   context.request = &request;
   context.call = platform::ReadCallerHeaders(request);
   context.view = view_;
   context.arrived = arrived;
-  http_response response = co_await ServeRoute(context);
-  LogEnd(context, response);
-  co_return response;
+  served_response served = co_await ServeRoute(context);
+  LogEnd(context, served.response);
+  co_return served;
 }
 
-asio::awaitable<http_response> request_server::ServeRoute(
+const service_route* request_server::FindRoute(const http_request& request,
+                                               const route_config& config) {
+  const std::string_view target = ToStringView(request.target());
+  const std::string_view host =
+      ToStringView(request[boost::beast::http::field::host]);
+  return config.FindRoute(host, target.substr(0, target.find('?')));
+}
+
+bool request_server::IsIdempotent(const http_request& request) const {
+  const service_route* route =
+      view_ && view_->config ? FindRoute(request, *view_->config) : nullptr;
+  return route != nullptr && bluebell::IsIdempotent(route->kind);
+}
+
+asio::awaitable<served_response> request_server::ServeRoute(
     request_context& context) {
   co_await asio::this_coro::throw_if_cancelled(false);
   if (!context.view || !context.view->config) {
     context.reason = "no configuration known";
-    co_return Refuse(context, kUnavailable, context.reason, kDefaultRetryAfter);
+    co_return served_response{
+        Refuse(context, kUnavailable, context.reason, kDefaultRetryAfter), {}};
   }
-  const std::string_view target = ToStringView(context.request->target());
-  const std::string_view host =
-      ToStringView((*context.request)[boost::beast::http::field::host]);
-  context.route =
-      context.view->config->FindRoute(host, target.substr(0, target.find('?')));
+  context.route = FindRoute(*context.request, *context.view->config);
   if (context.route == nullptr) {
     context.reason = "no route";
-    co_return Refuse(context, kNotFound, context.reason, std::nullopt);
+    co_return served_response{
+        Refuse(context, kNotFound, context.reason, std::nullopt), {}};
   }
   const service_route& route = *context.route;
   context.service = service_picker_.Pick(route).service;
@@ -256,19 +256,51 @@
     time_left = std::min<duration>(
         time_left, *context.call.time_left - kResponseTransitMargin);
   }
-  context.progress.idempotent = route.idempotent;
+  context.progress.idempotent = bluebell::IsIdempotent(route.kind);
   context.progress.max_attempts = std::max(1U, route.max_attempts);
   context.progress.deadline = context.arrived + time_left;
   while (true) {
-    std::optional<http_response> response = co_await Attempt(context);
+    std::optional<served_response> response = co_await Attempt(context);
     if (response) {
       co_return std::move(*response);
     }
   }
 }
 
+void request_server::ExcludePausedEndpoints(permit_request& request,
+                                            instant now) {
+  for (const endpoint_instance& paused :
+       pauses_.PausedEndpoints(request.service, now)) {
+    const auto known = view_->endpoints.find(paused.endpoint);
+    const bool has_later_process =
+        known != view_->endpoints.end() && known->second.instance != paused;
+    if (!has_later_process) {
+      request.excluded_endpoints.push_back(paused.endpoint);
+    }
+  }
+}
+
+void request_server::RecordNotices(const service_name& service,
+                                   const endpoint_instance& endpoint,
+                                   const exchange_result& exchange,
+                                   instant now) {
+  const auto* answered = std::get_if<exchange_answered>(&exchange);
+  if (answered == nullptr) {
+    return;
+  }
+  if (answered->reply_info.leaving) {
+    on_leaving_(service, endpoint);
+  }
+  if (answered->reply_info.pause) {
+    pauses_.Record(service, endpoint, now + *answered->reply_info.pause);
+  }
+}
+
 std::optional<fleet_endpoint> request_server::EndpointOf(
     const permit_granted& granted) const {
+  if (pauses_.PausedUntil(granted.service, granted.endpoint, BootNow())) {
+    return std::nullopt;
+  }
   const auto entry = view_->endpoints.find(granted.endpoint.endpoint);
   if (entry == view_->endpoints.end()) {
     if (granted.lapsing ||
@@ -292,7 +324,7 @@
   return endpoint;
 }
 
-asio::awaitable<std::optional<http_response>> request_server::Attempt(
+asio::awaitable<std::optional<served_response>> request_server::Attempt(
     request_context& context) {
   co_await asio::this_coro::throw_if_cancelled(false);
   const service_route& route = *context.route;
@@ -302,7 +334,8 @@
     if (status != kUnavailable) {
       retry_after.reset();
     }
-    return Refuse(context, status, context.reason, retry_after);
+    return served_response{Refuse(context, status, context.reason, retry_after),
+                           {}};
   };
   const instant requested_at = BootNow();
   permit_request message;
@@ -316,6 +349,7 @@
           context.arrived + route.target_latency - requested_at)
           .count();
   message.excluded_endpoints = context.excluded_endpoints;
+  ExcludePausedEndpoints(message, requested_at);
   const acquire_result acquired =
       co_await permits_.Acquire(std::move(message), progress.deadline);
   const instant replied_at = BootNow();
@@ -337,7 +371,7 @@
   const std::optional<fleet_endpoint> endpoint = EndpointOf(granted);
   if (!endpoint) {
     // This daemon knows, and the dispatcher doesn't yet, that the endpoint is
-    // draining or gone.
+    // draining, paused or gone.
     permits_.Release(release);
     ++progress.unsent_attempts;
     context.excluded_endpoints.push_back(granted.endpoint.endpoint);
@@ -379,6 +413,7 @@
       options);
   const instant ended = BootNow();
   context.elapsed = ended - replied_at;
+  RecordNotices(context.service, endpoint->instance, exchange, ended);
   const auto cancelled = co_await asio::this_coro::cancellation_state;
   const bool caller_left =
       cancelled.cancelled() != asio::cancellation_type::none;
@@ -426,11 +461,13 @@
   }
   co_return std::visit(
       overloaded{
-          [&](const relay_response&) -> std::optional<http_response> {
-            return platform::MakeCallerResponse(
-                std::move(std::get<exchange_answered>(exchange).response));
+          [&](const relay_response&) -> std::optional<served_response> {
+            auto& answered = std::get<exchange_answered>(exchange);
+            return served_response{
+                platform::MakeCallerResponse(std::move(answered.response)),
+                std::move(answered.memory)};
           },
-          [&](const retry_request&) -> std::optional<http_response> {
+          [&](const retry_request&) -> std::optional<served_response> {
             // A key has one owner, which gets the next attempt too.
             if (!context.call.key || progress.unsent_attempts > 1) {
               context.excluded_endpoints.push_back(granted.endpoint.endpoint);
@@ -438,7 +475,7 @@
             metrics_.Add(metric::kRetries, {context.service.value()});
             return std::nullopt;
           },
-          [&](const fail_request& failed) -> std::optional<http_response> {
+          [&](const fail_request& failed) -> std::optional<served_response> {
             return refuse_with(failed.status, kDefaultRetryAfter);
           }},
       next);
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -2,13 +2,13 @@
 // the request to the endpoint that the permit names, and retries it where that
 // is allowed. Used on the traffic thread only.
 //
-//   http_response response = co_await server.Serve(request, arrived);
+//   served_response served = co_await server.Serve(request, arrived);
 
 #ifndef BLUEBELL_PROXY_REQUEST_SERVER_H_
 #define BLUEBELL_PROXY_REQUEST_SERVER_H_
 
-#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -21,7 +21,10 @@
 #include "bluebell/dispatch/retry_budget.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/http/http_message.h"
+#include "bluebell/permits/endpoint_pauses.h"
 #include "bluebell/permits/permit_message.h"
+#include "bluebell/proxy/exchange_result.h"
+#include "bluebell/proxy/served_response.h"
 #include "bluebell/proxy/weighted_round_robin.h"
 #include "bluebell/settings/gateway_settings.h"
 
@@ -33,10 +36,16 @@
 
 class request_server {
  public:
+  // Called when an endpoint of the service has stated that it is leaving.
+  using leaving_handler =
+      std::function<void(const service_name& service,
+                         const endpoint_instance& endpoint)>;
+
   request_server(const gateway_settings& settings,
                  permit_client& permits,
                  endpoint_connection_pool& connection_pool,
-                 metrics_registry& metrics);
+                 metrics_registry& metrics,
+                 leaving_handler on_leaving);
   request_server(const request_server&) = delete;
   request_server& operator=(const request_server&) = delete;
   ~request_server() = default;
@@ -48,23 +57,31 @@
   // Returns the final response to the request, which was read at `arrived` and
   // must exist until then. The coroutine is cancelled when the caller closes
   // its connection; the endpoint then stops its work.
-  boost::asio::awaitable<http_response> Serve(const http_request& request,
-                                              instant arrived);
-
-  // The number of requests without a final response.
-  std::size_t active() const { return active_; }
+  boost::asio::awaitable<served_response> Serve(const http_request& request,
+                                                instant arrived);
+  // True if the request's route allows it to run more than once.
+  bool IsIdempotent(const http_request& request) const;
 
  private:
   struct request_context;
-  class active_request_guard;
 
+  // The route of the request; null if there is none.
+  static const service_route* FindRoute(const http_request& request,
+                                        const route_config& config);
   // Serves a request after its headers were read.
-  boost::asio::awaitable<http_response> ServeRoute(request_context& context);
+  boost::asio::awaitable<served_response> ServeRoute(request_context& context);
   // Makes one attempt. Returns nullopt if another one has to follow.
-  boost::asio::awaitable<std::optional<http_response>> Attempt(
+  boost::asio::awaitable<std::optional<served_response>> Attempt(
       request_context& context);
   // The endpoint that a permit names; nullopt if this daemon must not use it.
   std::optional<fleet_endpoint> EndpointOf(const permit_granted& granted) const;
+  // Adds the endpoints that have a pause to those that the request excludes.
+  void ExcludePausedEndpoints(permit_request& request, instant now);
+  // Takes note of what the endpoint states about further requests.
+  void RecordNotices(const service_name& service,
+                     const endpoint_instance& endpoint,
+                     const exchange_result& exchange,
+                     instant now);
   // Makes a response of the router itself. `retry_after` is lengthened at
   // random and limited by the time that the caller has left.
   http_response Refuse(const request_context& context,
@@ -86,7 +103,8 @@
   fleet_view view_;
   weighted_round_robin service_picker_;
   std::map<service_name, retry_budget> budgets_;
-  std::size_t active_ = 0;
+  leaving_handler on_leaving_;
+  endpoint_pauses pauses_;
   bool shutting_down_ = false;
   std::minstd_rand random_;
 };
--- a/bluebell/proxy/traffic_server.cc
+++ b/bluebell/proxy/traffic_server.cc
@@ -6,7 +6,9 @@
 #include <boost/asio/post.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/byte_budget.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/net/task.h"
 #include "bluebell/net/tcp_listener.h"
 #include "bluebell/permits/slot_scheduler.h"
 #include "bluebell/proxy/page_server.h"
@@ -25,6 +27,15 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr seconds kCleaningInterval{2};
+// The requests may use one such part of the daemon's memory, the responses
+// another. The rest is for everything else.
+constexpr std::size_t kMemoryParts = 4;
+constexpr std::size_t kBytesPerMegabyte = 1U << 20U;
+
+std::shared_ptr<byte_budget> MemoryBudget(const gateway_settings& settings) {
+  return std::make_shared<byte_budget>(settings.memory_mb * kBytesPerMegabyte /
+                                       kMemoryParts);
+}
 
 }  // namespace
 
@@ -51,8 +62,8 @@
   });
   server->permits_.StartReports();
   server->ScheduleCleanup();
-  server->thread_ =
-      std::thread([target = server.get()] { target->io_->run(); });
+  server->thread_ = std::thread(
+      [target = server.get()] { RunHandlers(*target->io_, "traffic"); });
   return server;
 }
 
@@ -70,10 +81,28 @@
       peers_(std::move(peers)),
       permit_dispatcher_(*io_),
       permits_(*io_, self, *peers_, permit_dispatcher_),
-      connection_pool_(*io_),
-      server_(settings_, permits_, connection_pool_, metrics_),
+      connection_pool_(*io_, MemoryBudget(settings_)),
+      server_(settings_,
+              permits_,
+              connection_pool_,
+              metrics_,
+              [this](const service_name& service,
+                     const endpoint_instance& endpoint) {
+                callbacks_.on_endpoint_leaving(endpoint);
+                permits_.ReportLeaving(service, endpoint);
+              }),
+      request_handler_(
+          std::make_shared<caller_request_handler>(caller_request_handler{
+              [this](const http_request& request, instant arrived) {
+                return server_.Serve(request, arrived);
+              },
+              [this](const http_request& request) {
+                return server_.IsIdempotent(request);
+              }})),
       connection_state_(std::make_shared<shared_connection_state>()),
-      cleanup_timer_(*io_) {}
+      cleanup_timer_(*io_) {
+  connection_state_->request_memory = MemoryBudget(settings_);
+}
 
 traffic_server::~traffic_server() {
   io_->stop();
@@ -127,7 +156,7 @@
 
 void traffic_server::AddCaller(asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<caller_connection>(
-      std::move(socket), server_, connection_state_);
+      std::move(socket), request_handler_, connection_state_);
   caller_connections_.push_back(connection);
   connection->Start();
 }
@@ -138,12 +167,12 @@
     if (cancelled) {
       return;
     }
+    ScheduleCleanup();
     connection_pool_.CloseExpired(BootNow());
     std::erase_if(caller_connections_,
                   [](const std::weak_ptr<caller_connection>& each) {
                     return each.expired();
                   });
-    ScheduleCleanup();
   });
 }
 
@@ -215,6 +244,9 @@
           [&](const coordinator_yield& yield) {
             callbacks_.on_coordinator_yield(from, yield);
           },
+          [&](const endpoint_leaving& leaving) {
+            callbacks_.on_endpoint_leaving(leaving.endpoint);
+          },
           [&](const auto&) {
             log_event(log_level::kWarn, "unexpected message dropped")
                 .With("peer", from.ToString())
@@ -253,7 +285,7 @@
 void traffic_server::BeginShutdown() {
   asio::post(*io_, [this] {
     shutting_down_ = true;
-    connection_state_->close_after_response = true;
+    connection_state_->stopping = true;
     server_.BeginShutdown();
   });
 }
@@ -270,7 +302,9 @@
 }
 
 void traffic_server::CountActive(std::function<void(std::size_t active)> done) {
-  asio::post(*io_, [this, done = std::move(done)] { done(server_.active()); });
+  asio::post(*io_, [this, done = std::move(done)] {
+    done(connection_state_->busy_count);
+  });
 }
 
 }  // namespace bluebell
--- a/bluebell/proxy/traffic_server.h
+++ b/bluebell/proxy/traffic_server.h
@@ -58,6 +58,8 @@
   // Another daemon confirms a claim: it sends no more orders about keys.
   std::function<void(const address& from, const coordinator_yield& yield)>
       on_coordinator_yield;
+  // An endpoint has stated that it is leaving, to this daemon or to another.
+  std::function<void(const endpoint_instance& endpoint)> on_endpoint_leaving;
   // Another daemon has a newer state of the store, at this revision.
   std::function<void(std::uint64_t revision)> on_newer_revision;
 };
@@ -133,6 +135,7 @@
   permit_client permits_;
   endpoint_connection_pool connection_pool_;
   request_server server_;
+  std::shared_ptr<const caller_request_handler> request_handler_;
   std::shared_ptr<shared_connection_state> connection_state_;
   std::vector<std::weak_ptr<caller_connection>> caller_connections_;
   std::shared_ptr<tcp_listener> caller_listener_;
--- a/bluebell/settings/gateway_settings.cc
+++ b/bluebell/settings/gateway_settings.cc
@@ -20,6 +20,7 @@
 constexpr auto kLogLevels = std::to_array<std::string_view>(
     {"trace", "debug", "info", "warn", "error"});
 constexpr number_range kCpuMillisRange{1, 1'000'000};
+constexpr number_range kMemoryMegabytesRange{16, 1'048'576};
 constexpr number_range kGraceMillisRange{500, 3'600'000};
 constexpr number_range kGrantLifetimeMillisRange{500, 3'600'000};
 // In thousandths.
@@ -43,6 +44,7 @@
   std::int64_t cpu_millis = settings.cpu_millis;
   reader.Thousandths("cpu_share", kCpuMillisRange, cpu_millis);
   settings.cpu_millis = static_cast<std::uint32_t>(cpu_millis);
+  reader.Number("memory_mb", kMemoryMegabytesRange, settings.memory_mb);
   std::int64_t grace_ms = settings.shutdown_grace.count();
   reader.Thousandths("grace_s", kGraceMillisRange, grace_ms);
   settings.shutdown_grace = milliseconds(grace_ms);
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -33,6 +33,8 @@
   address store;
   // The processor time that this daemon may use, in thousandths of a core.
   std::uint32_t cpu_millis = 1'000;
+  // The memory that this daemon may use, in megabytes.
+  std::uint32_t memory_mb = 256;
   // The time from the signal to stop until the process is killed.
   milliseconds shutdown_grace{6'000};
   // The longest duration of a grant that endpoints accept.
--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -61,6 +61,7 @@
     {"permit_report_ack", 1, kMaxSmallBodyBytes},
     {"coordinator_claim", 1, kMaxSmallBodyBytes},
     {"coordinator_yield", 1, kMaxSmallBodyBytes},
+    {"endpoint_leaving", 1, kMaxSmallBodyBytes},
 }};
 
 error Failure(errc code, std::string detail) {
--- a/bluebell/wire/wire_message.h
+++ b/bluebell/wire/wire_message.h
@@ -39,7 +39,8 @@
                                   permit_report,
                                   permit_report_ack,
                                   coordinator_claim,
-                                  coordinator_yield>;
+                                  coordinator_yield,
+                                  endpoint_leaving>;
 
 }  // namespace bluebell
 
--- a/programs/bluebellgw.cc
+++ b/programs/bluebellgw.cc
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bluebell/gateway/gateway_daemon.h"
+#include "bluebell/net/task.h"
 #include "bluebell/settings/gateway_settings.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/telemetry/log_level.h"
@@ -91,7 +92,7 @@
         });
   };
   wait_for_reload();
-  io.run();
+  bluebell::RunHandlers(io, "control");
   bluebell::FlushLog();
   // Requests that have not ended within the time for stopping are aborted here.
   // Their coroutines refer to each other, so they are not destroyed one by one.
