--- /dev/null
+++ b/bluebell/fleet/change_log.cc
@@ -0,0 +1,130 @@
+#include "bluebell/fleet/change_log.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "bluebell/core/overloaded.h"
+
+namespace bluebell {
+
+namespace {
+
+// The changes that are held for each scope.
+constexpr std::size_t kMaxChanges = 1'000;
+// The bytes of a change on the wire beside its key and value.
+constexpr std::size_t kChangeOverhead = 32;
+
+fleet_change ChangeOf(const kv_event& event) {
+  return std::visit(overloaded{[](const kv_item& item) {
+                                 return fleet_change{
+                                     item.key, item.value, false,
+                                     item.revision.value(), true};
+                               },
+                               [](const kv_deletion& deletion) {
+                                 return fleet_change{deletion.key, "", true,
+                                                     deletion.revision.value(),
+                                                     deletion.is_exact};
+                               }},
+                    event);
+}
+
+}  // namespace
+
+change_log::change_log(std::vector<std::string> prefixes) {
+  for (std::string& prefix : prefixes) {
+    scopes_.push_back({std::move(prefix), 0, 0, {}});
+  }
+}
+
+void change_log::Reset(const store_version& revision) {
+  for (key_scope& each : scopes_) {
+    each.first = revision.value();
+    each.position = revision.value();
+    each.changes.clear();
+  }
+}
+
+void change_log::Append(std::string_view prefix,
+                        const std::vector<kv_event>& events,
+                        const store_version& up_to) {
+  for (key_scope& each : scopes_) {
+    if (!each.prefix.starts_with(prefix)) {
+      continue;
+    }
+    for (const kv_event& event : events) {
+      fleet_change change = ChangeOf(event);
+      // A page of a listing may show changes after the listing's revision. A
+      // watch reports them again.
+      const bool is_new =
+          change.revision > each.position && change.revision <= up_to.value();
+      if (is_new && change.key.starts_with(each.prefix)) {
+        each.changes.push_back(std::move(change));
+      }
+    }
+    each.position = std::max(each.position, up_to.value());
+    while (each.changes.size() > kMaxChanges) {
+      each.first = each.changes.front().revision;
+      each.changes.pop_front();
+    }
+  }
+}
+
+std::optional<change_log::batch> change_log::ChangesAfter(
+    const std::vector<std::uint64_t>& positions,
+    std::size_t max_bytes) const {
+  if (positions.size() != scopes_.size()) {
+    return std::nullopt;
+  }
+  batch found;
+  std::size_t bytes = 0;
+  for (std::size_t i = 0; i < scopes_.size(); ++i) {
+    const key_scope& each = scopes_[i];
+    if (positions[i] < each.first) {
+      return std::nullopt;
+    }
+    // The other daemon may know more than this one.
+    scope_changes changes{
+        positions[i], std::max(positions[i], each.position), {}};
+    for (const fleet_change& change : each.changes) {
+      if (change.revision <= positions[i]) {
+        continue;
+      }
+      bytes += change.key.size() + change.value.size() + kChangeOverhead;
+      // Changes of one revision are handed on together.
+      const bool may_end_here =
+          changes.changes.empty() ||
+          changes.changes.back().revision < change.revision;
+      if (bytes > max_bytes && may_end_here) {
+        changes.up_to = changes.changes.empty()
+                            ? positions[i]
+                            : changes.changes.back().revision;
+        found.has_more = true;
+        break;
+      }
+      changes.changes.push_back(change);
+    }
+    found.scopes.push_back(std::move(changes));
+  }
+  return found;
+}
+
+std::vector<std::uint64_t> change_log::positions() const {
+  std::vector<std::uint64_t> positions;
+  for (const key_scope& each : scopes_) {
+    positions.push_back(each.position);
+  }
+  return positions;
+}
+
+store_version change_log::PositionOf(std::string_view prefix) const {
+  std::optional<std::uint64_t> lowest;
+  for (const key_scope& each : scopes_) {
+    if (each.prefix.starts_with(prefix)) {
+      lowest = lowest ? std::min(*lowest, each.position) : each.position;
+    }
+  }
+  return store_version(lowest.value_or(0));
+}
+
+}  // namespace bluebell
--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -19,42 +19,58 @@
 // it is leaving.
 constexpr seconds kLeavingRecordLifetime{600};
 
+store_version RevisionOfEvent(const kv_event& event) {
+  return std::visit([](const auto& each) { return each.revision; }, event);
+}
+
 }  // namespace
 
 fleet_state::fleet_state(fleet_decoders decoders)
     : decoders_(std::move(decoders)) {}
 
-void fleet_state::ApplyListing(const std::vector<kv_item>& items,
-                               const store_version& revision,
-                               instant now) {
+std::vector<kv_event> fleet_state::ApplyListing(
+    const std::vector<kv_item>& items,
+    const store_version& revision,
+    instant now) {
+  std::vector<kv_event> changes;
   std::set<std::string, std::less<>> present;
   for (const kv_item& item : items) {
     present.insert(item.key);
+    // A page of the listing may be older than a change that a watch has
+    // reported.
+    if (RevisionOf(item.key) < item.revision) {
+      changes.emplace_back(item);
+    }
   }
-  std::vector<std::string> missing;
   for (const auto& [key, known] : revisions_) {
     if (!present.contains(key)) {
-      missing.push_back(key);
+      changes.emplace_back(kv_deletion{key, revision, false});
     }
   }
-  for (const std::string& key : missing) {
-    Remove(key, now);
-  }
-  for (const kv_item& item : items) {
-    // A page of the listing may be older than a change that a watch has
-    // reported.
-    if (RevisionOf(item.key) < item.revision) {
-      Put(item);
-    }
+  std::stable_sort(changes.begin(), changes.end(),
+                   [](const kv_event& a, const kv_event& b) {
+                     return RevisionOfEvent(a) < RevisionOfEvent(b);
+                   });
+  for (const kv_event& change : changes) {
+    Apply(change, now);
   }
   listing_revision_ = std::max(listing_revision_, revision);
+  return changes;
 }
 
 void fleet_state::Apply(const kv_event& event, instant now) {
-  std::visit(overloaded{[&](const kv_item& item) { Put(item); },
+  std::visit(overloaded{[&](const kv_item& item) {
+                          if (RevisionOf(item.key) < item.revision) {
+                            Put(item);
+                          }
+                        },
                         [&](const kv_deletion& deletion) {
-                          RecordChange(deletion.key, deletion.revision);
-                          Remove(deletion.key, now);
+                          if (deletion.is_exact) {
+                            RecordChange(deletion.key, deletion.revision);
+                          }
+                          if (RevisionOf(deletion.key) <= deletion.revision) {
+                            Remove(deletion.key, now);
+                          }
                         }},
              event);
 }
@@ -86,6 +102,10 @@
   removals_delayed_until_ = now + kEntryReturnTime;
 }
 
+void fleet_state::DelayRemovalsUntil(instant time) {
+  removals_delayed_until_ = std::max(removals_delayed_until_, time);
+}
+
 bool fleet_state::RemoveLapsedEndpoints(instant now) {
   const auto removed_count =
       std::erase_if(lapse_times_, [&](const auto& entry) {
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -45,11 +45,13 @@
   explicit fleet_state(fleet_decoders decoders);
 
   // Takes in a listing of all keys as of `revision`. Removes values whose keys
-  // aren't listed, and keeps a value that is newer than its listed one.
-  void ApplyListing(const std::vector<kv_item>& items,
-                    const store_version& revision,
-                    instant now);
-  // Takes in one change that a watch has reported.
+  // aren't listed, and keeps a value that is newer than its listed one. Returns
+  // the changes that this makes, in ascending order of their revisions.
+  std::vector<kv_event> ApplyListing(const std::vector<kv_item>& items,
+                                     const store_version& revision,
+                                     instant now);
+  // Takes in one change that a watch or another daemon has reported. A change
+  // older than the known one of its key is ignored.
   void Apply(const kv_event& event, instant now);
   // True if this state contains every change up to `revision`, for example
   // those that another daemon with this latest change has.
@@ -64,6 +66,12 @@
   // running endpoints may have expired. For a limited time endpoints stay in
   // the snapshot after their entry is deleted, marked as lapsing.
   void OnStoreRecovered(instant now);
+  // The same for a recovery that another daemon has noticed: endpoints stay
+  // until `time` at least.
+  void DelayRemovalsUntil(instant time);
+  // Until when OnStoreRecovered() delays removals; a time in the past if it
+  // doesn't.
+  instant removals_delayed_until() const { return removals_delayed_until_; }
   // Removes endpoints whose entry hasn't returned in that time. Returns true if
   // there were any.
   bool RemoveLapsedEndpoints(instant now);
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -10,6 +10,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/fleet/fleet_state.h"
+#include "bluebell/fleet/relay_order.h"
 #include "bluebell/gateway/coordinator_role.h"
 #include "bluebell/gateway/member_lease.h"
 #include "bluebell/gateway/store_watcher.h"
@@ -101,6 +102,16 @@
           self->watcher_->RecordLeaving(endpoint);
         });
       },
+      [self](const address& from, const fleet_update_request& request) {
+        asio::post(self->io_, [self, from, request] {
+          self->watcher_->OnUpdateRequest(from, request);
+        });
+      },
+      [self](const address& from, const fleet_update& update) {
+        asio::post(self->io_, [self, from, update] {
+          self->watcher_->OnUpdate(from, update);
+        });
+      },
       [self](std::uint64_t revision) {
         asio::post(self->io_, [self, revision] {
           self->watcher_->ExpectRevision(revision);
@@ -114,7 +125,11 @@
   daemon->traffic_ = std::move(traffic.value());
   daemon->watcher_ = std::make_unique<store_watcher>(
       io, *daemon->store_, PlatformDecoders(),
-      [self](const fleet_state& state) { self->OnState(state); });
+      watcher_handlers{
+          [self](const fleet_state& state) { self->OnState(state); },
+          [self](const address& to, const wire_message& message) {
+            self->traffic_->SendPeer(to, message);
+          }});
   const fleet_member member{daemon->self_, settings.domain,
                             settings.peer_listen, settings.cpu_millis, false};
   daemon->member_ = std::make_unique<member_lease>(io, *daemon->store_,
@@ -150,8 +165,26 @@
   traffic_->Publish(view);
   role_->OnView(view);
   if (view->config) {
-    watcher_->SetDuty(DutyOf(*view, self_.id));
+    ApplyDuty(*view);
+  }
+}
+
+void gateway_daemon::ApplyDuty(const fleet_snapshot& view) {
+  watch_duty duty = DutyOf(view, self_.id);
+  std::vector<address> relays;
+  for (const fleet_member& relay : RelaysOf(view, settings_.domain)) {
+    if (relay.instance.id == self_.id) {
+      duty = std::max(duty, watch_duty::kRelay);
+    } else {
+      relays.push_back(relay.peer);
+    }
+  }
+  // Divides the followers among the relays.
+  if (relays.size() > 1 && self_.run.value() % 2 == 1) {
+    std::reverse(relays.begin(), relays.end());
   }
+  watcher_->SetRelays(std::move(relays));
+  watcher_->SetDuty(duty);
 }
 
 void gateway_daemon::Reload(const gateway_settings& settings) {
--- a/bluebell/gateway/gateway_daemon.h
+++ b/bluebell/gateway/gateway_daemon.h
@@ -27,6 +27,7 @@
 
 class coordinator_role;
 class fleet_state;
+struct fleet_snapshot;
 class kv_client;
 class member_lease;
 class store_watcher;
@@ -55,6 +56,8 @@
   gateway_daemon(boost::asio::io_context& io, const gateway_settings& settings);
 
   void OnState(const fleet_state& state);
+  // Tells the watcher the duty of this daemon and the relays of its domain.
+  void ApplyDuty(const fleet_snapshot& view);
   // Repeats after a short interval until the daemon can stop.
   void FinishShutdown();
 
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -23,7 +23,11 @@
 
 // The store charges for each watch call, also for one that returns no change.
 constexpr milliseconds kMaxWatchTime{30'000};
-constexpr milliseconds kRetryInterval{150};
+// The pause after a failed read of the store, doubled after each further one.
+// Refused calls are charged too, and all daemons read at the same time after an
+// outage.
+constexpr milliseconds kMinRetryPause{150};
+constexpr milliseconds kMaxRetryPause{1'200};
 // Pauses before the next watch call. Changes often come in groups, and one call
 // after a pause returns them all. All daemons must learn within 2 s that an
 // endpoint has left.
@@ -34,6 +38,13 @@
 // After any change, for daemons with a duty.
 constexpr milliseconds kPauseWithDuty{150};
 constexpr milliseconds kPauseAsStandby{600};
+constexpr milliseconds kPauseAsRelay{300};
+// A daemon without a duty watches the store for this long before it follows
+// the relays, since duties change often while daemons start.
+constexpr milliseconds kMinFollowDelay{4'000};
+constexpr milliseconds kMaxFollowDelay{32'000};
+// The changes in one update, which is one datagram.
+constexpr std::size_t kMaxUpdateBytes = 24'000;
 // Shorter outages can't make endpoint entries lapse.
 constexpr milliseconds kMinOutageForLapses{1'000};
 // Longer than the longest of the pauses above, after which a change arrives.
@@ -41,27 +52,48 @@
 // The prefix of every key.
 constexpr const char* kAllKeysPrefix = "";
 
+std::vector<kv_event> EventsOf(const scope_changes& scope) {
+  std::vector<kv_event> events;
+  for (const fleet_change& change : scope.changes) {
+    const store_version revision(change.revision);
+    if (change.deleted) {
+      events.emplace_back(kv_deletion{change.key, revision, change.is_exact});
+    } else {
+      events.emplace_back(
+          kv_item{change.key, change.value, revision, kv_lease()});
+    }
+  }
+  return events;
+}
+
 }  // namespace
 
 store_watcher::store_watcher(asio::io_context& io,
                              kv_client& store,
                              fleet_decoders decoders,
-                             change_handler on_change)
+                             watcher_handlers handlers)
     : io_(io),
       store_(store),
       endpoint_prefix_(decoders.endpoint_prefix),
       config_key_(decoders.config_key),
       state_(std::move(decoders)),
-      on_change_(std::move(on_change)),
+      log_({endpoint_prefix_, config_key_, std::string(kDaemonStatePrefix)}),
+      handlers_(std::move(handlers)),
+      follow_delay_(kMinFollowDelay),
+      random_(std::random_device()()),
+      follow_timer_(io),
       expectation_timer_(io),
       lapse_timer_(io) {}
 
 void store_watcher::Start() {
+  follow_after_ = BootNow() + follow_delay_;
   Restart();
 }
 
 void store_watcher::Restart() {
   ++generation_;
+  watching_ = false;
+  following_ = false;
   SpawnTask(io_.get_executor(), "store listing", Run(),
             [this, generation = generation_] { RestartAfter(generation); });
 }
@@ -73,12 +105,15 @@
 }
 
 void store_watcher::ReportSuccess(instant now) {
-  if (EndOutage(now)) {
+  // A daemon that follows gets what it missed from its relay.
+  if (EndOutage(now) && !following_) {
     Restart();
   }
 }
 
 bool store_watcher::EndOutage(instant now) {
+  last_success_at_ = now;
+  retry_pause_ = milliseconds(0);
   if (!failing_since_) {
     return false;
   }
@@ -106,14 +141,44 @@
   log_event(log_level::kWarn, "store lost").With(cause).Write();
 }
 
+milliseconds store_watcher::NextRetryPause() {
+  retry_pause_ = std::clamp(2 * retry_pause_, kMinRetryPause, kMaxRetryPause);
+  std::uniform_int_distribution<std::int64_t> spread(retry_pause_.count() / 2,
+                                                     retry_pause_.count());
+  return milliseconds(spread(random_));
+}
+
 asio::awaitable<void> store_watcher::Pause(milliseconds time) {
   asio::steady_timer timer(io_, time);
   co_await timer.async_wait(kAwait);
 }
 
+void store_watcher::SetRelays(std::vector<address> relays) {
+  relays_ = std::move(relays);
+  follower_.SetRelays(relays_);
+}
+
 void store_watcher::SetDuty(watch_duty duty) {
-  if (std::exchange(duty_, duty) != duty) {
+  const instant now = BootNow();
+  const watch_duty earlier = std::exchange(duty_, duty);
+  if (duty == watch_duty::kNone) {
+    if (earlier != watch_duty::kNone) {
+      follow_after_ = now + follow_delay_;
+    }
+    if (!following_) {
+      SetFollowTimer(follow_after_);
+    }
+  }
+  if (earlier == duty) {
+    return;
+  }
+  if (duty >= watch_duty::kCoordinatorStandby) {
+    // The key tables have to be read.
     Restart();
+  } else if (following_) {
+    StopFollowing("this daemon has a duty");
+  } else if (watching_) {
+    StartWatches(store_version());
   }
 }
 
@@ -124,6 +189,11 @@
   if (duty_ == watch_duty::kCoordinatorStandby) {
     return {{kAllKeysPrefix, kPauseAsStandby}};
   }
+  if (duty_ == watch_duty::kRelay) {
+    return {{endpoint_prefix_, kPauseAsRelay},
+            {config_key_, kPauseAsRelay},
+            {std::string(kDaemonStatePrefix), kPauseAsRelay}};
+  }
   const bool dispatches = duty_ == watch_duty::kDispatcher;
   return {{endpoint_prefix_,
            dispatches ? kPauseWithDuty : kPauseAfterEndpointChange},
@@ -143,9 +213,16 @@
     co_return std::nullopt;
   }
   EndOutage(now);
-  state_.ApplyListing(listing.value().items, listing.value().revision, now);
+  const store_version revision = listing.value().revision;
+  const std::vector<kv_event> changes =
+      state_.ApplyListing(listing.value().items, revision, now);
+  if (log_.PositionOf(kAllKeysPrefix) == store_version()) {
+    log_.Reset(revision);
+  } else {
+    log_.Append(kAllKeysPrefix, changes, revision);
+  }
   NotifyChanged();
-  co_return listing.value().revision;
+  co_return revision;
 }
 
 asio::awaitable<void> store_watcher::Run() {
@@ -155,16 +232,24 @@
     if (generation != generation_) {
       break;
     }
-    if (!listed) {
-      co_await Pause(kRetryInterval);
-      continue;
-    }
-    for (const watch_scope& keys : WatchScopes()) {
-      SpawnTask(io_.get_executor(), "store watch",
-                Watch(generation, keys, *listed),
-                [this, generation] { RestartAfter(generation); });
+    if (listed) {
+      StartWatches(*listed);
+      break;
     }
-    break;
+    co_await Pause(NextRetryPause());
+  }
+}
+
+void store_watcher::StartWatches(store_version table_position) {
+  const std::uint64_t generation = ++generation_;
+  following_ = false;
+  watching_ = true;
+  for (const watch_scope& keys : WatchScopes()) {
+    const store_version after = keys.prefix == kAllKeysPrefix
+                                    ? table_position
+                                    : log_.PositionOf(keys.prefix);
+    SpawnTask(io_.get_executor(), "store watch", Watch(generation, keys, after),
+              [this, generation] { RestartAfter(generation); });
   }
 }
 
@@ -187,8 +272,10 @@
     }
     if (!changes) {
       ReportFailure(changes.error(), now);
-      co_await Pause(kRetryInterval);
-      continue;
+      co_await Pause(NextRetryPause());
+      // One read tries the store from here on, not each of the watches.
+      RestartAfter(generation);
+      break;
     }
     if (EndOutage(now)) {
       // The other watches may have lost their connections without an error.
@@ -196,9 +283,7 @@
       break;
     }
     after = changes.value().revision;
-    for (const kv_event& event : changes.value().events) {
-      state_.Apply(event, now);
-    }
+    ApplyChanges(scope.prefix, changes.value().events, after, now);
     if (!changes.value().events.empty()) {
       NotifyChanged();
       co_await Pause(scope.pause_after_change);
@@ -206,13 +291,133 @@
   }
 }
 
+void store_watcher::ApplyChanges(std::string_view prefix,
+                                 const std::vector<kv_event>& events,
+                                 store_version up_to,
+                                 instant now) {
+  for (const kv_event& event : events) {
+    state_.Apply(event, now);
+  }
+  log_.Append(prefix, events, up_to);
+}
+
+bool store_watcher::MayFollow(instant now) const {
+  return duty_ == watch_duty::kNone && watching_ && !failing_since_ &&
+         !relays_.empty() && now >= follow_after_;
+}
+
+void store_watcher::StartFollowing(instant now) {
+  log_event(log_level::kInfo, "follows a relay")
+      .With("relay", relays_.front().ToString())
+      .Write();
+  // Ends the watches.
+  ++generation_;
+  watching_ = false;
+  following_ = true;
+  follower_.Start(relays_, now);
+}
+
+void store_watcher::StopFollowing(std::string_view reason) {
+  const instant now = BootNow();
+  log_event(log_level::kInfo, "watches the store")
+      .With("reason", reason)
+      .With("confirmed_ms_ago", std::chrono::duration_cast<milliseconds>(
+                                    now - follower_.confirmed_at())
+                                    .count())
+      .Write();
+  follow_after_ = now + follow_delay_;
+  StartWatches(store_version());
+  SetFollowTimer(follow_after_);
+}
+
+void store_watcher::SetFollowTimer(instant time) {
+  follow_timer_.expires_after(
+      std::max<duration>(time - BootNow(), milliseconds(1)));
+  follow_timer_.async_wait([this](boost::system::error_code cancelled) {
+    if (!cancelled) {
+      Follow();
+    }
+  });
+}
+
+void store_watcher::Follow() {
+  const instant now = BootNow();
+  if (!following_) {
+    if (!MayFollow(now)) {
+      SetFollowTimer(std::max(follow_after_, now + kMinFollowDelay));
+      return;
+    }
+    StartFollowing(now);
+  }
+  // If the store doesn't answer this daemon either, watching gains nothing.
+  if (follower_.NeedsStore(now) && store_is_available()) {
+    follow_delay_ = std::min(2 * follow_delay_, kMaxFollowDelay);
+    StopFollowing("no relay vouches for a recent state");
+    return;
+  }
+  follower_action action = follower_.Next(now);
+  if (const auto* ask = std::get_if<ask_relay>(&action)) {
+    handlers_.send(ask->relay,
+                   fleet_update_request{ask->number, log_.positions()});
+    action = follower_.Next(now);
+  }
+  SetFollowTimer(std::get<wait_until>(action).time);
+}
+
+void store_watcher::OnUpdateRequest(const address& from,
+                                    const fleet_update_request& request) {
+  const instant now = BootNow();
+  fleet_update update;
+  update.number = request.number;
+  auto changes = log_.ChangesAfter(request.positions, kMaxUpdateBytes);
+  if (watching_ && !failing_since_ && changes) {
+    update.confirmed = true;
+    update.confirmed_age_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(now - last_success_at_)
+            .count());
+    update.has_more = changes->has_more;
+    update.removal_delay_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(
+            std::max<duration>(state_.removals_delayed_until() - now,
+                               duration(0)))
+            .count());
+    update.scopes = std::move(changes->scopes);
+  }
+  handlers_.send(from, update);
+}
+
+void store_watcher::OnUpdate(const address& from, const fleet_update& update) {
+  const instant now = BootNow();
+  if (!following_) {
+    return;
+  }
+  if (follower_.OnUpdate(from, update, now) &&
+      update.scopes.size() == log_.scope_count()) {
+    follow_delay_ = kMinFollowDelay;
+    if (update.removal_delay_ms > 0) {
+      state_.DelayRemovalsUntil(now + milliseconds(update.removal_delay_ms));
+    }
+    bool has_changed = false;
+    for (std::size_t i = 0; i < update.scopes.size(); ++i) {
+      const scope_changes& scope = update.scopes[i];
+      ApplyChanges(log_.prefix(i), EventsOf(scope), store_version(scope.up_to),
+                   now);
+      has_changed = has_changed || !scope.changes.empty();
+    }
+    if (has_changed) {
+      NotifyChanged();
+    }
+  }
+  Follow();
+}
+
 void store_watcher::NotifyChanged() {
   for (const error& problem : state_.TakeErrors()) {
     log_event(log_level::kWarn, "malformed value ignored")
         .With(problem)
         .Write();
   }
-  on_change_(state_);
+  handlers_.on_change(state_);
   ScheduleLapse();
 }
 
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -1,8 +1,9 @@
-// Keeps a daemon's copy of the fleet's state up to date from the platform's
-// store: reads all values once, then watches for changes. All functions and the
-// change handler run on the control thread.
+// Keeps a daemon's copy of the fleet's state up to date: reads all values of
+// the platform's store once, then watches the store for changes, or follows a
+// relay of its failure domain that does. All functions and the handlers run on
+// the control thread.
 //
-//   store_watcher watcher(io, store, decoders, [](const fleet_state&) { ... });
+//   store_watcher watcher(io, store, decoders, handlers);
 //   watcher.Start();
 
 #ifndef BLUEBELL_GATEWAY_STORE_WATCHER_H_
@@ -11,15 +12,22 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "bluebell/core/address.h"
 #include "bluebell/core/error.h"
 #include "bluebell/core/time.h"
+#include "bluebell/fleet/change_log.h"
 #include "bluebell/fleet/fleet_state.h"
+#include "bluebell/fleet/fleet_update.h"
+#include "bluebell/fleet/state_follower.h"
+#include "bluebell/wire/wire_message.h"
 
 namespace boost::asio {
 class io_context;
@@ -33,6 +41,8 @@
 // and how soon it needs them, in ascending order.
 enum class watch_duty {
   kNone,
+  // Hands changes on to the other daemons of its failure domain.
+  kRelay,
   // Dispatches a service without keys.
   kDispatcher,
   // Second in the dispatcher order of a keyed service: would take over from the
@@ -42,14 +52,20 @@
   kCoordinator,
 };
 
+// Functions that a store_watcher calls.
+struct watcher_handlers {
+  // The state has changed.
+  std::function<void(const fleet_state& state)> on_change;
+  // Sends a message to another daemon. It may be lost.
+  std::function<void(const address& to, const wire_message& message)> send;
+};
+
 class store_watcher {
  public:
-  using change_handler = std::function<void(const fleet_state& state)>;
-
   store_watcher(boost::asio::io_context& io,
                 kv_client& store,
                 fleet_decoders decoders,
-                change_handler on_change);
+                watcher_handlers handlers);
   store_watcher(const store_watcher&) = delete;
   store_watcher& operator=(const store_watcher&) = delete;
   ~store_watcher() = default;
@@ -62,9 +78,15 @@
   // the whole store.
   void ReportSuccess(instant now);
   void ReportFailure(const error& cause, instant now);
-  // Daemons with a duty get changes earlier but make more calls to the store. A
-  // change of the duty starts a new read of the whole store.
+  // Daemons with a duty watch the store. Those without follow the relays, after
+  // some time and if there are any.
   void SetDuty(watch_duty duty);
+  void SetRelays(std::vector<address> relays);
+
+  // Messages of daemons that follow this one, and of the relay that it follows.
+  void OnUpdateRequest(const address& from,
+                       const fleet_update_request& request);
+  void OnUpdate(const address& from, const fleet_update& update);
 
   // False from a failed call to the store until the next successful one.
   bool store_is_available() const { return !failing_since_; }
@@ -102,24 +124,58 @@
   // Restarts after an unexpected error of that generation, unless a later one
   // has replaced it.
   void RestartAfter(std::uint64_t failed_generation);
+  // Replaces the watches by those of the present duty. `table_position` is the
+  // revision up to which the key tables are known, for a duty that needs them.
+  void StartWatches(store_version table_position);
   boost::asio::awaitable<void> Pause(milliseconds time);
+  // The pause before the next read of the store after one that failed.
+  milliseconds NextRetryPause();
+  // Takes in changes of the keys with `prefix`, all up to `up_to`.
+  void ApplyChanges(std::string_view prefix,
+                    const std::vector<kv_event>& events,
+                    store_version up_to,
+                    instant now);
   // Logs malformed values, calls the change handler and sets the lapse timer.
   void NotifyChanged();
   void CheckExpectation();
   // Sets the timer that drops the endpoints whose entries stayed missing.
   void ScheduleLapse();
 
+  bool MayFollow(instant now) const;
+  void StartFollowing(instant now);
+  // Watches the store again, from the present positions.
+  void StopFollowing(std::string_view reason);
+  // Asks a relay if that is due, and sets the timer for the next time.
+  void Follow();
+  void SetFollowTimer(instant time);
+
   boost::asio::io_context& io_;
   kv_client& store_;
   std::string endpoint_prefix_;
   std::string config_key_;
   fleet_state state_;
-  change_handler on_change_;
+  // What this daemon can hand on, and its positions in the store's changes.
+  change_log log_;
+  watcher_handlers handlers_;
   std::optional<instant> failing_since_;
   std::uint64_t expected_revision_ = 0;
   // Another daemon has received changes of the store during the present outage.
   bool peer_saw_changes_ = false;
   watch_duty duty_ = watch_duty::kNone;
+  std::vector<address> relays_;
+  state_follower follower_;
+  // True while this daemon follows a relay instead of watching the store.
+  bool following_ = false;
+  // True if the watches deliver all changes, so that others may follow.
+  bool watching_ = false;
+  // The earliest time at which this daemon may begin to follow, and how long it
+  // waits with that after relays have failed it.
+  instant follow_after_;
+  milliseconds follow_delay_;
+  instant last_success_at_;
+  milliseconds retry_pause_{0};
+  std::minstd_rand random_;
+  boost::asio::steady_timer follow_timer_;
   boost::asio::steady_timer expectation_timer_;
   boost::asio::steady_timer lapse_timer_;
   // Increases with each Restart(). Coroutines of an earlier generation end when
--- a/bluebell/kv/kv_types.h
+++ b/bluebell/kv/kv_types.h
@@ -38,6 +38,9 @@
   std::string key;
   // The store's revision of the deletion.
   store_version revision;
+  // False if a listing no longer had the key: it was deleted at `revision` or
+  // before.
+  bool is_exact = true;
 
   friend bool operator==(const kv_deletion&, const kv_deletion&) = default;
 };
--- a/bluebell/proxy/traffic_server.cc
+++ b/bluebell/proxy/traffic_server.cc
@@ -244,6 +244,12 @@
           [&](const coordinator_yield& yield) {
             callbacks_.on_coordinator_yield(from, yield);
           },
+          [&](const fleet_update_request& request) {
+            callbacks_.on_update_request(from, request);
+          },
+          [&](const fleet_update& update) {
+            callbacks_.on_update(from, update);
+          },
           [&](const endpoint_leaving& leaving) {
             callbacks_.on_endpoint_leaving(leaving.endpoint);
           },
--- a/bluebell/proxy/traffic_server.h
+++ b/bluebell/proxy/traffic_server.h
@@ -22,6 +22,7 @@
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/fleet/fleet_update.h"
 #include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
@@ -60,6 +61,11 @@
       on_coordinator_yield;
   // An endpoint has stated that it is leaving, to this daemon or to another.
   std::function<void(const endpoint_instance& endpoint)> on_endpoint_leaving;
+  // Another daemon follows this one, or answers this one.
+  std::function<void(const address& from, const fleet_update_request& request)>
+      on_update_request;
+  std::function<void(const address& from, const fleet_update& update)>
+      on_update;
   // Another daemon has a newer state of the store, at this revision.
   std::function<void(std::uint64_t revision)> on_newer_revision;
 };
--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -62,6 +62,8 @@
     {"coordinator_claim", 1, kMaxSmallBodyBytes},
     {"coordinator_yield", 1, kMaxSmallBodyBytes},
     {"endpoint_leaving", 1, kMaxSmallBodyBytes},
+    {"fleet_update_request", 1, kMaxSmallBodyBytes},
+    {"fleet_update", 1, kMaxDatagramBytes - kFrameHeaderBytes},
 }};
 
 error Failure(errc code, std::string detail) {
--- a/bluebell/wire/frame_test.cc
+++ b/bluebell/wire/frame_test.cc
@@ -83,6 +83,17 @@
                   SampleLoad()},
       pressure_update{service, kEndpoint, pressure},
       link_probe{},
+      endpoint_leaving{kEndpoint},
+      fleet_update_request{7, {3, 4, 5}},
+      fleet_update{7,
+                   true,
+                   120,
+                   true,
+                   1'500,
+                   {{3,
+                     9,
+                     {{"servers/i-1", "{}", false, 9, true},
+                      {"servers/i-2", "", true, 9, false}}}}},
   };
 }
 
--- a/bluebell/wire/wire_message.h
+++ b/bluebell/wire/wire_message.h
@@ -5,6 +5,7 @@
 
 #include <variant>
 
+#include "bluebell/fleet/fleet_update.h"
 #include "bluebell/keyspace/coordinator_change.h"
 #include "bluebell/membership/heartbeat.h"
 #include "bluebell/permits/permit_message.h"
@@ -40,7 +41,9 @@
                                   permit_report_ack,
                                   coordinator_claim,
                                   coordinator_yield,
-                                  endpoint_leaving>;
+                                  endpoint_leaving,
+                                  fleet_update_request,
+                                  fleet_update>;
 
 }  // namespace bluebell
 
