--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -120,6 +120,7 @@
   }
   has_request_ = false;
   closes_ = true;
+  UpdateBusy();
   co_await WaitUntil([this] {
     buffer_.consume(buffer_.size());
     return pipeline_.empty() && !writer_runs_;
@@ -473,7 +474,7 @@
   const bool is_open = stream_.socket().is_open() && !aborted_;
   const bool busy =
       !served_requests_.empty() ||
-      (is_open && (!pipeline_.empty() || writer_runs_ || closes_));
+      (is_open && (!pipeline_.empty() || pipeline_.closing() || closes_));
   if (busy != counted_as_busy_) {
     counted_as_busy_ = busy;
     shared_state_->busy_count += busy ? 1 : 0;
