--- a/bluebell/proxy/traffic_server.h
+++ b/bluebell/proxy/traffic_server.h
@@ -105,8 +105,8 @@
   void BeginShutdown();
   // Stops accepting connections of callers and closes the idle ones.
   void StopAccepting();
-  // Passes the number of requests being served to `done`, on the traffic
-  // thread.
+  // Passes the number of connections of callers with a request that is served
+  // or whose response isn't delivered yet to `done`, on the traffic thread.
   void CountActive(std::function<void(std::size_t active)> done);
 
  private:
