--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -88,6 +88,29 @@
   }
 }
 
+// Guards against a request that waits until its deadline although each endpoint
+// has asked its daemon for a pause.
+TEST_CASE("a request that excludes every endpoint is refused at once") {
+  slot_scheduler scheduler(service_name("manifest"));
+  std::vector<fleet_endpoint> endpoints = MakeEndpoints(3);
+  endpoints[2].draining = true;
+  scheduler.SetEndpoints(endpoints, nullptr, kStart);
+  permit_request request = MakeRequest(1, 0);
+  request.excluded_endpoints = {endpoints[0].instance.endpoint};
+  scheduler.RequestPermit(request, kStart);
+  const auto granted =
+      RepliesOfType<permit_granted>(scheduler.TakeReplies(kStart));
+  REQUIRE(granted.size() == 1);
+  CHECK(granted.front().endpoint == endpoints[1].instance);
+  request.id.number = 2;
+  request.excluded_endpoints.push_back(endpoints[1].instance.endpoint);
+  scheduler.RequestPermit(request, kStart);
+  const auto refused =
+      RepliesOfType<permit_refused>(scheduler.TakeReplies(kStart));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused.front().reason == permit_refusal::kNoEndpoint);
+}
+
 TEST_CASE("the next free slot goes to the most urgent request") {
   slot_scheduler scheduler(service_name("manifest"));
   scheduler.SetEndpoints(MakeEndpoints(1, 1), nullptr, kStart);
