--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,130 +1,149 @@
-// A gateway gets SIGTERM while requests wait in it for a free slot of their
-// service. Checks that each of them is answered.
+// The upstreams shed a part of their requests, and some of their answers arrive
+// twice: the second copy comes late, when the next request has arrived on the
+// same connection. Checks that no request that was refused with 503 has run,
+// and that none runs twice.
 
-#include <csignal>
+#include <map>
+#include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "review/standins/deployment.h"
+#include "review/standins/trouble.h"
 #include "review/standins/upstream.h"
 
 namespace review {
 namespace {
 
-constexpr int kRequests = 56;
+constexpr int kUpstreams = 7;
+// `garble` with "extra late": a share of 0.6 of the service's upstreams repeats
+// 0.03 of its answers for 5 s.
+constexpr int kRepeatingUpstreams = 4;
+constexpr double kRepeatedShare = 0.03;
+constexpr milliseconds kRepeatsFrom{4'000};
+constexpr milliseconds kRepeatsFor{5'000};
+// `srv_grey` with "shed": a share of 0.45 of the requests for 8.5 s.
+constexpr double kShedShare = 0.45;
+constexpr milliseconds kShedsFrom{3'000};
+constexpr milliseconds kShedsFor{8'500};
+constexpr milliseconds kLength{15'000};
+// Until the gateways are ready and the keys granted.
+constexpr milliseconds kStartUp{8'000};
+constexpr int kClients = 8;
 constexpr milliseconds kBetweenRequests{20};
-constexpr milliseconds kTimeLimit{15'000};
-// The mean work of `note-history` on the users' sheet.
-constexpr milliseconds kWork{880};
-constexpr milliseconds kGrace{6'000};
-// LossSlackS of the users' sheet.
-constexpr milliseconds kLossSlack{200};
-
-struct sent_request {
-  std::string attempt;
-  instant sent_at;
-  instant ended_at;
-  int status = 0;
-};
-
-// True if an upstream was at work on the request in the last sixth of GraceS.
-bool WasAtWorkLate(const std::vector<request_run>& runs,
-                   const std::string& attempt,
-                   instant stopped_at) {
-  const instant from = stopped_at + kGrace * 5 / 6;
-  for (const request_run& run : runs) {
-    if (run.attempt == attempt && run.began < stopped_at + kGrace &&
-        (!run.ended || *run.ended >= from)) {
-      return true;
-    }
-  }
-  return false;
-}
 
 [[noreturn]] void Run(const std::string& record_file) {
   run_record record(record_file);
   store platform;
-  platform.Put(
-      "op/config",
-      ConfigText("00000001",
-                 {{"note-history", "/notes/", "safe", "manifest", 15, 5, 2, 2}},
-                 {{"manifest", false}}));
-  upstream first({"i-1", "manifest"}, platform, record);
-  upstream second({"i-2", "manifest"}, platform, record);
-  for (upstream* each : {&first, &second}) {
-    each->work_time = [](const http_message&) { return kWork; };
+  platform.Put("op/config", ConfigText("00000001",
+                                       {{"transfer-note", "/notes/", "unsafe",
+                                         "tracker", 5, 0.5, 0, 2}},
+                                       {{"tracker", true}}));
+  const instant start = Now() + kStartUp;
+  const time_window sheds{start + kShedsFrom, start + kShedsFrom + kShedsFor};
+  repeated_answers repeats(
+      {start + kRepeatsFrom, start + kRepeatsFrom + kRepeatsFor},
+      kRepeatedShare);
+  shared_chance chance(22);
+  std::vector<std::unique_ptr<upstream>> upstreams;
+  for (int i = 1; i <= kUpstreams; ++i) {
+    upstream_options options{"i-" + std::to_string(i), "tracker"};
+    options.keyed = true;
+    upstreams.push_back(std::make_unique<upstream>(options, platform, record));
+    if (!HasTrouble()) {
+      continue;
+    }
+    upstream& each = *upstreams.back();
+    each.sheds = [&](const http_message&) {
+      return sheds.Contains(Now()) && chance.Happens(kShedShare);
+    };
+    if (i <= kRepeatingUpstreams) {
+      each.on_answer = [&] { repeats.CountAnswer(); };
+      each.repeats_previous = [&](const http_message&,
+                                  const answered_call& previous) {
+        // The copies fall on answers that say that the request has not run.
+        return previous.response.Header("X-Not-Executed").has_value() &&
+               repeats.Take();
+      };
+    }
+  }
+  for (const auto& each : upstreams) {
     each->Start();
   }
-  gateway stopped(1, platform.port(), record);
-  gateway other(2, platform.port(), record);
-  if (!stopped.WaitReady(milliseconds(10'000)) ||
-      !other.WaitReady(milliseconds(10'000))) {
+  gateway first(1, platform.port(), record);
+  gateway second(2, platform.port(), record);
+  if (!first.WaitReady(milliseconds(10'000)) ||
+      !second.WaitReady(milliseconds(10'000))) {
     record.Conclude("a gateway isn't ready: the case can't run");
     End(2);
   }
-  // Until both know each other.
-  Sleep(milliseconds(3'000));
+  std::this_thread::sleep_until(start);
   std::mutex mutex;
-  std::vector<sent_request> requests(kRequests);
+  std::map<std::string, int> statuses;
   std::vector<std::thread> clients;
-  for (int i = 0; i < kRequests; ++i) {
-    clients.emplace_back([&, i] {
-      sent_request request;
-      request.attempt = "note-" + std::to_string(i);
-      request.sent_at = Now();
-      const auto answer = Call(stopped.front_port(),
-                               {"GET", "/notes/" + std::to_string(i),
-                                request.attempt, std::nullopt, kTimeLimit},
-                               record);
-      request.ended_at = Now();
-      request.status = answer ? answer->status() : 0;
-      const std::lock_guard lock(mutex);
-      requests[static_cast<std::size_t>(i)] = request;
+  const instant until = start + kLength;
+  for (int client = 0; client < kClients; ++client) {
+    clients.emplace_back([&, client] {
+      std::mt19937 random(static_cast<unsigned>(client));
+      for (int number = 0; Now() < until; ++number) {
+        call_options call;
+        call.path = "/notes/" + std::to_string(number);
+        call.attempt =
+            "note-" + std::to_string(client) + "-" + std::to_string(number);
+        call.key = std::uniform_int_distribution<std::uint32_t>(
+            0, upstream::kKeys - 1)(random);
+        const gateway& target = client % 2 == 0 ? first : second;
+        const auto answer = Call(target.front_port(), call, record);
+        {
+          const std::lock_guard lock(mutex);
+          statuses[call.attempt] = answer ? answer->status() : 0;
+        }
+        Sleep(kBetweenRequests);
+      }
     });
-    Sleep(kBetweenRequests);
-  }
-  Sleep(milliseconds(500));
-  const instant stopped_at = Now();
-  if (HasTrouble()) {
-    stopped.Signal(SIGTERM);
-    while (!stopped.HasEnded() && Now() < stopped_at + kGrace) {
-      Sleep(milliseconds(10));
-    }
-    stopped.Kill();
   }
   for (std::thread& each : clients) {
     each.join();
   }
-  std::vector<request_run> runs = first.Runs();
-  for (const request_run& run : second.Runs()) {
-    runs.push_back(run);
+  Sleep(milliseconds(1'000));
+  std::map<std::string, int> runs;
+  for (const auto& each : upstreams) {
+    for (const request_run& run : each->Runs()) {
+      ++runs[run.attempt];
+    }
   }
-  int lost = 0;
-  int answered = 0;
-  for (const sent_request& each : requests) {
-    answered += each.status != 0 ? 1 : 0;
-    const bool had_time = each.ended_at < each.sent_at + kTimeLimit &&
-                          each.ended_at > each.sent_at + kLossSlack;
-    if (each.status == 0 && had_time &&
-        !WasAtWorkLate(runs, each.attempt, stopped_at)) {
-      ++lost;
-      record.Add("LOST: " + each.attempt + ", " +
-                 std::to_string(std::chrono::duration_cast<milliseconds>(
-                                    each.ended_at - each.sent_at)
-                                    .count()) +
-                 " ms after it was sent");
+  int served = 0;
+  int refused_and_run = 0;
+  int run_twice = 0;
+  for (const auto& [attempt, status] : statuses) {
+    served += status == 200 ? 1 : 0;
+    if ((status == 503 || status == 429) && runs[attempt] > 0) {
+      ++refused_and_run;
+      record.Add("REFUSED: " + attempt + " was answered " +
+                 std::to_string(status) + " and has run");
+    }
+    if (runs[attempt] > 1) {
+      ++run_twice;
+      record.Add("TWICE: " + attempt + " has run " +
+                 std::to_string(runs[attempt]) + " times");
     }
   }
-  record.Conclude(std::to_string(kRequests) + " requests, " +
-                  std::to_string(answered) + " answered, " +
-                  std::to_string(lost) +
-                  " whole requests ended without an answer (LOST)");
-  stopped.Kill();
-  other.Kill();
+  record.Conclude(std::to_string(statuses.size()) + " requests, " +
+                  std::to_string(served) +
+                  " served; the repeating upstreams gave " +
+                  std::to_string(repeats.answers()) +
+                  " answers in that time and repeated " +
+                  std::to_string(repeats.repeated()) + "; " +
+                  std::to_string(refused_and_run) +
+                  " requests were refused with 503 and have run (REFUSED), " +
+                  std::to_string(run_twice) + " have run twice (TWICE)");
+  first.Kill();
+  second.Kill();
   // The threads of the stand-ins still use what was made here.
-  End(lost > 0 ? 1 : 0);
+  End(refused_and_run + run_twice > 0 ? 1 : 0);
 }
 
 }  // namespace
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,11 +1,10 @@
-// A client hides a request in the body of another one, whose header states a
-// transfer coding that doesn't delimit the body. Checks that no upstream runs
-// the hidden request.
+// A gateway gets SIGTERM while requests wait in it for a free slot of their
+// service. Checks that each of them is answered.
 
-#include <map>
-#include <memory>
-#include <set>
+#include <csignal>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "review/standins/deployment.h"
@@ -14,93 +13,118 @@
 namespace review {
 namespace {
 
-constexpr int kPlainRequests = 20;
-constexpr milliseconds kAnswerTime{2'000};
-// The last coding isn't "chunked", so that the end of the body can't be known.
-const std::vector<std::string> kUndelimited{"identity", "chunked, identity",
-                                            "gzip"};
+constexpr int kRequests = 56;
+constexpr milliseconds kBetweenRequests{20};
+constexpr milliseconds kTimeLimit{15'000};
+// The mean work of `note-history` on the users' sheet.
+constexpr milliseconds kWork{880};
+constexpr milliseconds kGrace{6'000};
+// LossSlackS of the users' sheet.
+constexpr milliseconds kLossSlack{200};
 
-std::string Header(const std::string& attempt, const std::string& framing) {
-  return "POST /notes/1 HTTP/1.1\r\nHost: review.example\r\nX-Attempt-Id: " +
-         attempt + "\r\nX-Deadline-Ms: 5000\r\n" + framing + "\r\n\r\n";
-}
+struct sent_request {
+  std::string attempt;
+  instant sent_at;
+  instant ended_at;
+  int status = 0;
+};
 
-std::string Chunked(const std::string& body) {
-  std::string size;
-  for (std::size_t left = body.size(); left > 0; left /= 16) {
-    size.insert(0, 1, "0123456789abcdef"[left % 16]);
+// True if an upstream was at work on the request in the last sixth of GraceS.
+bool WasAtWorkLate(const std::vector<request_run>& runs,
+                   const std::string& attempt,
+                   instant stopped_at) {
+  const instant from = stopped_at + kGrace * 5 / 6;
+  for (const request_run& run : runs) {
+    if (run.attempt == attempt && run.began < stopped_at + kGrace &&
+        (!run.ended || *run.ended >= from)) {
+      return true;
+    }
   }
-  return size + "\r\n" + body + "\r\n0\r\n\r\n";
+  return false;
 }
 
 [[noreturn]] void Run(const std::string& record_file) {
   run_record record(record_file);
   store platform;
-  platform.Put("op/config", ConfigText("00000001",
-                                       {{"pickup-booking", "/notes/", "unsafe",
-                                         "booker", 5, 0.8, 1, 2}},
-                                       {{"booker", false}}));
-  std::vector<std::unique_ptr<upstream>> upstreams;
-  for (int i = 1; i <= 2; ++i) {
-    upstreams.push_back(std::make_unique<upstream>(
-        upstream_options{"i-" + std::to_string(i), "booker"}, platform,
-        record));
-    upstreams.back()->Start();
+  platform.Put(
+      "op/config",
+      ConfigText("00000001",
+                 {{"note-history", "/notes/", "safe", "manifest", 15, 5, 2, 2}},
+                 {{"manifest", false}}));
+  upstream first({"i-1", "manifest"}, platform, record);
+  upstream second({"i-2", "manifest"}, platform, record);
+  for (upstream* each : {&first, &second}) {
+    each->work_time = [](const http_message&) { return kWork; };
+    each->Start();
   }
-  gateway entry(1, platform.port(), record);
-  if (!entry.WaitReady(milliseconds(10'000))) {
-    record.Conclude("the gateway isn't ready: the case can't run");
+  gateway stopped(1, platform.port(), record);
+  gateway other(2, platform.port(), record);
+  if (!stopped.WaitReady(milliseconds(10'000)) ||
+      !other.WaitReady(milliseconds(10'000))) {
+    record.Conclude("a gateway isn't ready: the case can't run");
     End(2);
   }
-  Sleep(milliseconds(2'000));
-  std::set<std::string> sent;
-  for (int i = 0; i < kPlainRequests; ++i) {
-    call_options call;
-    call.path = "/notes/" + std::to_string(i);
-    call.attempt = "booking-" + std::to_string(i);
-    sent.insert(call.attempt);
-    Call(entry.front_port(), call, record);
+  // Until both know each other.
+  Sleep(milliseconds(3'000));
+  std::mutex mutex;
+  std::vector<sent_request> requests(kRequests);
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kRequests; ++i) {
+    clients.emplace_back([&, i] {
+      sent_request request;
+      request.attempt = "note-" + std::to_string(i);
+      request.sent_at = Now();
+      const auto answer = Call(stopped.front_port(),
+                               {"GET", "/notes/" + std::to_string(i),
+                                request.attempt, std::nullopt, kTimeLimit},
+                               record);
+      request.ended_at = Now();
+      request.status = answer ? answer->status() : 0;
+      const std::lock_guard lock(mutex);
+      requests[static_cast<std::size_t>(i)] = request;
+    });
+    Sleep(kBetweenRequests);
   }
-  for (std::size_t i = 0; i < kUndelimited.size(); ++i) {
-    const std::string outer = "outer-" + std::to_string(i);
-    const std::string body =
-        Header("hidden-" + std::to_string(i), "Content-Length: 0");
-    // Without the disturbance the same body is sent in chunks.
-    const std::string request =
-        HasTrouble()
-            ? Header(outer, "Transfer-Encoding: " + kUndelimited[i]) + body
-            : Header(outer, "Transfer-Encoding: chunked") + Chunked(body);
-    sent.insert(outer);
-    record.Add("client sends " + outer +
-               (HasTrouble() ? ", Transfer-Encoding: " + kUndelimited[i] : "") +
-               ", with a request in its body");
-    const auto link = connection::Open(entry.front_port());
-    if (!link || !link->Write(request)) {
-      continue;
-    }
-    const instant until = Now() + kAnswerTime;
-    while (const auto answer = link->Read(until)) {
-      record.Add("client of " + outer + " gets " +
-                 std::to_string(answer->status()) + " for " +
-                 answer->HeaderOr("X-Attempt-Id", "no request"));
+  Sleep(milliseconds(500));
+  const instant stopped_at = Now();
+  if (HasTrouble()) {
+    stopped.Signal(SIGTERM);
+    while (!stopped.HasEnded() && Now() < stopped_at + kGrace) {
+      Sleep(milliseconds(10));
     }
+    stopped.Kill();
+  }
+  for (std::thread& each : clients) {
+    each.join();
+  }
+  std::vector<request_run> runs = first.Runs();
+  for (const request_run& run : second.Runs()) {
+    runs.push_back(run);
   }
-  int unasked = 0;
-  for (const auto& each : upstreams) {
-    for (const request_run& run : each->Runs()) {
-      if (!sent.contains(run.attempt)) {
-        ++unasked;
-        record.Add("UNASKED: " + each->id() + " has run " + run.attempt +
-                   ", which was only a part of a body");
-      }
+  int lost = 0;
+  int answered = 0;
+  for (const sent_request& each : requests) {
+    answered += each.status != 0 ? 1 : 0;
+    const bool had_time = each.ended_at < each.sent_at + kTimeLimit &&
+                          each.ended_at > each.sent_at + kLossSlack;
+    if (each.status == 0 && had_time &&
+        !WasAtWorkLate(runs, each.attempt, stopped_at)) {
+      ++lost;
+      record.Add("LOST: " + each.attempt + ", " +
+                 std::to_string(std::chrono::duration_cast<milliseconds>(
+                                    each.ended_at - each.sent_at)
+                                    .count()) +
+                 " ms after it was sent");
     }
   }
-  record.Conclude(std::to_string(sent.size()) + " requests sent, " +
-                  std::to_string(unasked) +
-                  " requests from bodies were run (UNASKED)");
-  entry.Kill();
+  record.Conclude(std::to_string(kRequests) + " requests, " +
+                  std::to_string(answered) + " answered, " +
+                  std::to_string(lost) +
+                  " whole requests ended without an answer (LOST)");
+  stopped.Kill();
+  other.Kill();
   // The threads of the stand-ins still use what was made here.
-  End(unasked > 0 ? 1 : 0);
+  End(lost > 0 ? 1 : 0);
 }
 
 }  // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 # starts, under review/bin/. Needs only the packages of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+rm -rf review/bin
 mkdir -p review/bin
 compile() {
   g++ -std=c++20 -O1 -Wall -Wextra -I. -c "$1" -o "$2"
--- a/review/standins/upstream.cc
+++ b/review/standins/upstream.cc
@@ -211,7 +211,8 @@
   http_message response = Response(status);
   response.headers.push_back({"X-Not-Executed", "1"});
   response.headers.push_back({"X-Instance-Id", options_.id});
-  if (const auto attempt = request.Header("X-Attempt-Id")) {
+  const auto attempt = request.Header("X-Attempt-Id");
+  if (attempt && options_.echoes_when_turning_away) {
     response.headers.push_back({"X-Attempt-Id", *attempt});
   }
   return response;
--- a/review/standins/upstream.h
+++ b/review/standins/upstream.h
@@ -29,6 +29,8 @@
   std::uint32_t slots = 2;
   std::uint32_t queue = 8;
   bool keyed = false;
+  // Whether the answers to requests that were turned away bear X-Attempt-Id.
+  bool echoes_when_turning_away = true;
 };
 
 // One run of a request.
