Review: sources clean for the linter

Vectors reserve their size, one loop becomes any_of, one function is const, and two reads of the environment are marked, as they happen before other threads write it. No case behaves otherwise.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -84,6 +84,7 @@
   std::mutex mutex;
   std::map<std::string, int> statuses;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   const instant until = start + kLength;
   for (int client = 0; client < kClients; ++client) {
     clients.emplace_back([&, client] {
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,6 +1,7 @@
 // A gateway gets SIGTERM while requests wait in it for a free slot of their
 // service. Checks that each of them is answered.
 
+#include <algorithm>
 #include <csignal>
 #include <mutex>
 #include <string>
@@ -34,13 +35,10 @@
                    const std::string& attempt,
                    instant stopped_at) {
   const instant from = stopped_at + kGrace * 5 / 6;
-  for (const request_run& run : runs) {
-    if (run.attempt == attempt && run.began < stopped_at + kGrace &&
-        (!run.ended || *run.ended >= from)) {
-      return true;
-    }
-  }
-  return false;
+  return std::any_of(runs.begin(), runs.end(), [&](const request_run& run) {
+    return run.attempt == attempt && run.began < stopped_at + kGrace &&
+           (!run.ended || *run.ended >= from);
+  });
 }
 
 [[noreturn]] void Run(const std::string& record_file) {
@@ -69,6 +67,7 @@
   std::mutex mutex;
   std::vector<sent_request> requests(kRequests);
   std::vector<std::thread> clients;
+  clients.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     clients.emplace_back([&, i] {
       sent_request request;
--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -80,7 +80,7 @@
       peer_port_(FreePort()),
       metrics_port_(FreePort()) {
   // The script gives each run a folder of its own.
-  const char* folder = std::getenv("TMPDIR");
+  const char* folder = std::getenv("TMPDIR");  // NOLINT(concurrency-mt-unsafe)
   folder_ = folder == nullptr ? "/tmp" : folder;
   Start();
 }
@@ -126,6 +126,7 @@
   std::vector<std::string> environment{boot, "PATH=/usr/bin:/bin", "HOME=/tmp",
                                        "LANG=C"};
   std::vector<char*> variables;
+  variables.reserve(environment.size() + 1);
   for (std::string& each : environment) {
     variables.push_back(each.data());
   }
@@ -170,7 +171,7 @@
   }
 }
 
-bool gateway::WaitReady(milliseconds limit) {
+bool gateway::WaitReady(milliseconds limit) const {
   const instant until = Now() + limit;
   while (Now() < until) {
     if (const auto link = connection::Open(ready_port_)) {
@@ -210,7 +211,7 @@
 }
 
 bool HasTrouble() {
-  const char* value = std::getenv("TROUBLE");
+  const char* value = std::getenv("TROUBLE");  // NOLINT(concurrency-mt-unsafe)
   return value == nullptr || std::string(value) != "0";
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -53,7 +53,7 @@
   bool HasEnded();
   void Kill();
   // Waits until the gateway says that it is ready. False after `limit`.
-  bool WaitReady(milliseconds limit);
+  bool WaitReady(milliseconds limit) const;
 
   std::uint16_t front_port() const { return front_port_; }
   const std::string& name() const { return name_; }
