Refuse requests that a shutdown leaves no time for

Callers: at SIGTERM, requests that waited in a gateway for a slot got no response; their connections ended when the process exited, 5.6 s later.

Cause: the wait for a permit was bounded by the caller's deadline only, and nothing compared a granted request's expected work with the time left. A lost response of the endpoint is ruled out: the endpoint saw no run of the dropped requests.

Change: shutdown_window says until when responses have to be there. Permit requests, also those that wait, state the time until then. The dispatcher moves the deadline of a waiting request forward and refuses it at once if the queue before it is too long. A permit that comes too late for the expected work is given back unused. The 503 is true, and its Retry-After is short, since another daemon can serve the request.

--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -30,9 +30,6 @@
 // The load balancer removes a daemon after two failed health checks, one per
 // second. Until then the daemon accepts connections.
 constexpr milliseconds kLoadBalancerRemovalTime{2'600};
-// Time between the last point at which Shutdown() calls `done` and the kill of
-// the process.
-constexpr milliseconds kExitMargin{400};
 constexpr milliseconds kShutdownCheckInterval{50};
 
 // Non-zero and within a signed 64-bit integer, so that JSON readers that use
@@ -199,8 +196,8 @@
   }
   log_event(log_level::kInfo, "daemon stopping").Write();
   shutdown_done_ = std::move(done);
-  shutdown_at_ = BootNow();
-  traffic_->BeginShutdown();
+  shutdown_ = shutdown_window::Begin(BootNow(), settings_.shutdown_grace);
+  traffic_->BeginShutdown(*shutdown_);
   role_->Leave();
   member_->Leave();
   FinishShutdown();
@@ -212,14 +209,14 @@
     if (cancelled) {
       return;
     }
-    const duration elapsed = BootNow() - shutdown_at_;
+    const instant now = BootNow();
     const milliseconds accept_time =
         std::min(kLoadBalancerRemovalTime, settings_.shutdown_grace / 2);
-    if (elapsed >= accept_time && !stopped_accepting_) {
+    if (now >= shutdown_->began_at() + accept_time && !stopped_accepting_) {
       stopped_accepting_ = true;
       traffic_->StopAccepting();
     }
-    if (elapsed >= settings_.shutdown_grace - kExitMargin) {
+    if (now >= shutdown_->exit_at()) {
       log_event(log_level::kWarn, "daemon stopped before shutdown was complete")
           .Write();
       shutdown_done_();
--- a/bluebell/gateway/gateway_daemon.h
+++ b/bluebell/gateway/gateway_daemon.h
@@ -10,12 +10,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
-#include "bluebell/core/time.h"
+#include "bluebell/proxy/shutdown_window.h"
 #include "bluebell/settings/gateway_settings.h"
 #include "bluebell/telemetry/metrics_registry.h"
 
@@ -72,7 +73,7 @@
   std::unique_ptr<coordinator_role> role_;
   boost::asio::steady_timer shutdown_timer_;
   std::function<void()> shutdown_done_;
-  instant shutdown_at_;
+  std::optional<shutdown_window> shutdown_;
   bool stopped_accepting_ = false;
 };
 
--- a/bluebell/permits/permit_message.cc
+++ b/bluebell/permits/permit_message.cc
@@ -10,6 +10,8 @@
       return "no endpoint in service";
     case permit_refusal::kOwnerUnavailable:
       return "the key's owner is unavailable";
+    case permit_refusal::kShuttingDown:
+      return "the daemon is shutting down";
   }
   return "refused";
 }
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -127,6 +127,8 @@
   // The key has no owner, or its owner can't be reached or doesn't serve the
   // key at the moment.
   kOwnerUnavailable,
+  // The requesting daemon is about to exit. Not sent in messages.
+  kShuttingDown,
 };
 
 // Text for logs and for the caller, for example "overloaded".
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -39,6 +39,16 @@
 constexpr milliseconds kExpiryMargin{700};
 constexpr milliseconds kExpiryCheckInterval{100};
 constexpr milliseconds kEndpointRefreshInterval{20};
+// The deadlines that are computed from the repetitions of a request differ by
+// the time that the messages travel.
+constexpr milliseconds kDeadlineTolerance{100};
+
+// The time in which `capacity`, in slots of an average endpoint, does the work.
+duration WaitFor(duration work, double capacity) {
+  return capacity <= 0 ? duration(0)
+                       : duration(static_cast<std::int64_t>(
+                             static_cast<double>(work.count()) / capacity));
+}
 
 }  // namespace
 
@@ -146,13 +156,10 @@
     return;
   }
   RefreshEndpoints(now);
-  const bool is_waiting =
-      shared_queue_.Contains(message.id) ||
-      std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
-        return entry.second.queue().Contains(message.id);
-      });
-  if (is_waiting) {
-    replies_.emplace_back(permit_queued{message.id});
+  if (const auto [queue, capacity] = FindQueue(message.id); queue != nullptr) {
+    if (ShortenDeadline(*queue, capacity, message, now)) {
+      replies_.emplace_back(permit_queued{message.id});
+    }
     return;
   }
   waiting_request request;
@@ -175,6 +182,39 @@
   }
 }
 
+std::pair<wait_queue*, double> slot_scheduler::FindQueue(const permit_id& id) {
+  if (shared_queue_.Contains(id)) {
+    return {&shared_queue_, shared_capacity_};
+  }
+  for (auto& [name, endpoint_state] : endpoints_) {
+    if (endpoint_state.queue().Contains(id)) {
+      return {&endpoint_state.queue(), endpoint_state.capacity()};
+    }
+  }
+  return {nullptr, 0};
+}
+
+bool slot_scheduler::ShortenDeadline(wait_queue& queue,
+                                     double capacity,
+                                     const permit_request& repetition,
+                                     instant now) {
+  const permit_id& id = repetition.id;
+  const waiting_request& waiting = *queue.Find(id);
+  const instant deadline = now + milliseconds(repetition.time_left_ms);
+  if (deadline + kDeadlineTolerance >= waiting.deadline) {
+    return true;
+  }
+  const duration wait = WaitFor(queue.WorkBefore(id), capacity);
+  if (now + wait + waiting.work > deadline) {
+    queue.Remove(id);
+    RefuseOverloaded(id, wait);
+    return false;
+  }
+  queue.SetDeadline(id, deadline);
+  next_infeasible_ = std::min(next_infeasible_, waiting.InfeasibleAt());
+  return true;
+}
+
 bool slot_scheduler::EnqueueOrRefuse(waiting_request request, instant now) {
   const permit_id id = request.message.id;
   if (endpoints_.empty()) {
@@ -450,16 +490,11 @@
   if (owner.HasFreeSlot(now) && work_before == duration(0)) {
     return duration(0);
   }
-  return duration(static_cast<std::int64_t>(
-      static_cast<double>(work_before.count()) / owner.capacity()));
+  return WaitFor(work_before, owner.capacity());
 }
 
 duration slot_scheduler::ExpectedSharedWait(std::uint32_t rank) const {
-  const duration work_before = shared_queue_.WorkBefore(rank);
-  return shared_capacity_ <= 0 ? duration(0)
-                               : duration(static_cast<std::int64_t>(
-                                     static_cast<double>(work_before.count()) /
-                                     shared_capacity_));
+  return WaitFor(shared_queue_.WorkBefore(rank), shared_capacity_);
 }
 
 double slot_scheduler::Cost(const scheduled_endpoint& endpoint_state,
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bluebell/core/ids.h"
@@ -58,7 +59,8 @@
 
   // Requests a permit. The reply is permit_granted or permit_refused, possibly
   // after a permit_queued. Repeating the request for a permit that waits or was
-  // granted repeats that reply and takes no further slot.
+  // granted repeats that reply and takes no further slot. If the repetition
+  // leaves less time, the request is refused if it can't be answered by then.
   void RequestPermit(const permit_request& message, instant now);
   // Releases a permit, or withdraws a waiting request, and rates the endpoint
   // by the outcome.
@@ -132,6 +134,15 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
+  // Moves the deadline of a request that waits in `queue` forward to that of
+  // its repetition, or refuses it. Returns false in the latter case.
+  bool ShortenDeadline(wait_queue& queue,
+                       double capacity,
+                       const permit_request& repetition,
+                       instant now);
+  // The queue in which the request waits and the capacity that serves it; null
+  // if it doesn't wait.
+  std::pair<wait_queue*, double> FindQueue(const permit_id& id);
   // False if the request excludes every endpoint that takes new requests.
   bool HasCandidate(const permit_request& message) const;
   void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -471,5 +471,51 @@
   CHECK(shares.at(1) > 0.85);
 }
 
+// Guards against requests of a daemon that shuts down and that wait until its
+// exit, although the queue before them is longer than that.
+TEST_CASE(
+    "waiting requests with less time than their queue needs are refused") {
+  slot_scheduler scheduler(service_name("manifest"));
+  scheduler.SetEndpoints(MakeEndpoints(1, 1), nullptr, kStart);
+  constexpr std::uint64_t kRequests = 8;
+  permit_request request = MakeRequest(1, 0);
+  request.time_left_ms = 10'000;
+  for (; request.id.number <= kRequests; ++request.id.number) {
+    scheduler.RequestPermit(request, kStart);
+  }
+  scheduler.TakeReplies(kStart);
+  const instant shutdown = kStart + milliseconds(100);
+  request.time_left_ms = 700;
+  for (request.id.number = 1; request.id.number <= kRequests;
+       ++request.id.number) {
+    scheduler.RequestPermit(request, shutdown);
+  }
+  const auto replies = scheduler.TakeReplies(shutdown);
+  const auto refused = RepliesOfType<permit_refused>(replies);
+  // The work is 0.2 s a request, so that one runs and three can follow it.
+  REQUIRE(refused.size() == 4);
+  CHECK(refused.front().id.number == 5);
+  CHECK(scheduler.waiting_count() == 3);
+  // Those that wait further are refused when their time is nearly over.
+  const instant end = shutdown + milliseconds(700);
+  CHECK(RepliesOfType<permit_refused>(scheduler.TakeReplies(end)).size() == 3);
+  CHECK(scheduler.waiting_count() == 0);
+}
+
+TEST_CASE("a repetition with a little less time changes no deadline") {
+  slot_scheduler scheduler(service_name("manifest"));
+  scheduler.SetEndpoints(MakeEndpoints(1, 1), nullptr, kStart);
+  scheduler.RequestPermit(MakeRequest(1, 0), kStart);
+  scheduler.RequestPermit(MakeRequest(2, 0), kStart);
+  scheduler.TakeReplies(kStart);
+  permit_request repetition = MakeRequest(2, 0);
+  repetition.time_left_ms -= 50;
+  scheduler.RequestPermit(repetition, kStart);
+  CHECK(RepliesOfType<permit_queued>(scheduler.TakeReplies(kStart)).size() ==
+        1);
+  const instant before_end = kStart + milliseconds(1'850);
+  CHECK(scheduler.TakeReplies(before_end).empty());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -34,6 +34,36 @@
   return positions_.contains(id);
 }
 
+const wait_queue::requests_by_sequence& wait_queue::RequestsAt(
+    const rank_queue& queue,
+    sequence number) {
+  return queue.on_time.contains(number) ? queue.on_time : queue.late;
+}
+
+const waiting_request* wait_queue::Find(const permit_id& id) const {
+  const auto found = positions_.find(id);
+  if (found == positions_.end()) {
+    return nullptr;
+  }
+  const auto& [rank, number] = found->second;
+  return &RequestsAt(rank_queues_.at(rank), number).at(number);
+}
+
+void wait_queue::SetDeadline(const permit_id& id, instant deadline) {
+  const auto found = positions_.find(id);
+  if (found == positions_.end()) {
+    return;
+  }
+  const auto& [rank, number] = found->second;
+  rank_queue& queue = rank_queues_.at(rank);
+  const auto on_time = queue.on_time.find(number);
+  waiting_request& request =
+      on_time != queue.on_time.end() ? on_time->second : queue.late.at(number);
+  by_infeasible_time_.erase({request.InfeasibleAt(), number});
+  request.deadline = deadline;
+  by_infeasible_time_.emplace(std::pair(request.InfeasibleAt(), number), id);
+}
+
 bool wait_queue::Remove(const permit_id& id) {
   const auto found = positions_.find(id);
   if (found == positions_.end()) {
@@ -116,4 +146,25 @@
   return work;
 }
 
+duration wait_queue::WorkBefore(const permit_id& id) const {
+  const auto& [own_rank, number] = positions_.at(id);
+  duration work(0);
+  for (const auto& [rank, queue] : rank_queues_) {
+    if (rank < own_rank) {
+      work += queue.work;
+    }
+  }
+  const rank_queue& own = rank_queues_.at(own_rank);
+  const requests_by_sequence& same = RequestsAt(own, number);
+  for (auto each = same.begin(); each->first < number; ++each) {
+    work += each->second.work;
+  }
+  if (&same == &own.late) {
+    for (const auto& [other, request] : own.on_time) {
+      work += request.work;
+    }
+  }
+  return work;
+}
+
 }  // namespace bluebell
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -31,6 +31,10 @@
   void Push(waiting_request request);
 
   bool Contains(const permit_id& id) const;
+  // Null if the request isn't in the queue. Valid until the next change.
+  const waiting_request* Find(const permit_id& id) const;
+  // Replaces the deadline of a request in the queue, which keeps its position.
+  void SetDeadline(const permit_id& id, instant deadline);
   // Returns false if the request isn't in the queue.
   bool Remove(const permit_id& id);
 
@@ -52,6 +56,9 @@
 
   // The sum of the work of all requests that go before a new request of `rank`.
   duration WorkBefore(std::uint32_t rank) const;
+  // The sum of the work of all requests that go before the request `id`, which
+  // must be in the queue. Takes time in proportion to the length of its rank.
+  duration WorkBefore(const permit_id& id) const;
   bool empty() const { return positions_.empty(); }
   std::size_t size() const { return positions_.size(); }
 
@@ -76,6 +83,9 @@
   // Moves the requests that have become late from `on_time` to `late`.
   static void MoveLate(rank_queue& queue, instant now);
   waiting_request Take(const queue_position& position);
+  // Those requests of a rank, on time or late, that include `number`.
+  static const requests_by_sequence& RequestsAt(const rank_queue& queue,
+                                                sequence number);
 
   std::map<std::uint32_t, rank_queue> rank_queues_;
   // Finds a request by its id without a scan of the queue. While endpoints are
--- a/bluebell/permits/wait_queue_test.cc
+++ b/bluebell/permits/wait_queue_test.cc
@@ -101,5 +101,38 @@
   CHECK(queue.WorkBefore(1) == duration(0));
 }
 
+TEST_CASE("a shorter deadline keeps the position and ends the wait earlier") {
+  wait_queue queue;
+  queue.Push(MakeRequest(1, 1, seconds(5)));
+  queue.Push(MakeRequest(2, 1, seconds(5)));
+  queue.SetDeadline({1, 1}, kStart + seconds(1));
+  CHECK(queue.Find({1, 1})->deadline == kStart + seconds(1));
+  CHECK(queue.NextInfeasible() < kStart + seconds(1));
+  CHECK(NumberOf(queue.TakeNext(kStart, AnyRank, AnyRequest)) == 1);
+  queue.SetDeadline({1, 2}, kStart + seconds(2));
+  CHECK(queue.TakeInfeasible(kStart + seconds(1)).empty());
+  CHECK(queue.TakeInfeasible(kStart + seconds(2)).size() == 1);
+  CHECK(queue.empty());
+}
+
+TEST_CASE("the work before a waiting request is that of those ahead of it") {
+  wait_queue queue;
+  queue.Push(MakeRequest(1, 1, milliseconds(10)));
+  queue.Push(MakeRequest(2, 0, seconds(5)));
+  queue.Push(MakeRequest(3, 1, seconds(5)));
+  queue.Push(MakeRequest(4, 2, seconds(5)));
+  CHECK(queue.WorkBefore(permit_id{1, 2}) == duration(0));
+  CHECK(queue.WorkBefore(permit_id{1, 1}) == milliseconds(100));
+  CHECK(queue.WorkBefore(permit_id{1, 3}) == milliseconds(200));
+  CHECK(queue.WorkBefore(permit_id{1, 4}) == milliseconds(300));
+  // Moves request 1 behind those that are still on time.
+  CHECK(NumberOf(queue.TakeNext(kStart + milliseconds(50), AnyRank,
+                                AnyRequest)) == 2);
+  queue.Push(MakeRequest(5, 1, seconds(5)));
+  CHECK(NumberOf(queue.TakeNext(kStart + milliseconds(50), AnyRank,
+                                AnyRequest)) == 3);
+  CHECK(queue.WorkBefore(permit_id{1, 1}) == milliseconds(100));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/proxy/permit_client.cc
+++ b/bluebell/proxy/permit_client.cc
@@ -102,12 +102,15 @@
   instant unanswered_since = BootNow();
   while (!pending->reply) {
     const instant now = BootNow();
-    if (now >= deadline) {
+    const instant wait_limit = WaitLimit(deadline);
+    if (now >= wait_limit) {
       Withdraw(request.id, *pending);
       pending_.erase(request.id);
-      co_return acquire_result{
-          request.id, pending->last_dispatcher,
-          permit_refused{request.id, permit_refusal::kOverloaded, 0}};
+      const permit_refusal reason = wait_limit < deadline
+                                        ? permit_refusal::kShuttingDown
+                                        : permit_refusal::kOverloaded;
+      co_return acquire_result{request.id, pending->last_dispatcher,
+                               permit_refused{request.id, reason, 0}};
     }
     last_requested_[request.service] = now;
     const std::optional<address> to = DispatcherOf(request.service);
@@ -122,10 +125,11 @@
     request.objective_left_ms =
         std::chrono::duration_cast<milliseconds>(target_time - now).count();
     request.time_left_ms =
-        std::chrono::duration_cast<milliseconds>(deadline - now).count();
+        std::chrono::duration_cast<milliseconds>(wait_limit - now).count();
     const milliseconds wait_time =
         pending->queued || !to ? kQueuedCheckInterval : kRequestRetryInterval;
-    pending->timer.expires_after(std::min<duration>(wait_time, deadline - now));
+    pending->timer.expires_after(
+        std::min<duration>(wait_time, wait_limit - now));
     SendPermitRequest(request, to);
     if (pending->reply) {
       break;
@@ -164,6 +168,18 @@
   co_return acquired;
 }
 
+void permit_client::BeginShutdown(const shutdown_window& window) {
+  shutdown_ = window;
+  // Sends the requests again, with less time.
+  for (const auto& [id, pending] : pending_) {
+    pending->timer.cancel();
+  }
+}
+
+instant permit_client::WaitLimit(instant deadline) const {
+  return shutdown_ ? std::min(deadline, shutdown_->answer_by()) : deadline;
+}
+
 void permit_client::MarkSilent(const address& peer) {
   peer_state& state = peer_states_[peer];
   if (!std::exchange(state.silent, true)) {
--- a/bluebell/proxy/permit_client.h
+++ b/bluebell/proxy/permit_client.h
@@ -26,6 +26,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/permits/permit_message.h"
+#include "bluebell/proxy/shutdown_window.h"
 #include "bluebell/wire/wire_message.h"
 
 namespace boost::asio {
@@ -43,7 +44,8 @@
   // The dispatcher that got the request last; nullopt if it is this daemon.
   std::optional<address> dispatcher;
   // permit_refusal::kOverloaded also if the deadline passed, or the coroutine
-  // was cancelled, before a reply came.
+  // was cancelled, before a reply came; kShuttingDown if the daemon's shutdown
+  // left no time to wait longer.
   std::variant<permit_granted, permit_refused> reply;
 };
 
@@ -79,6 +81,11 @@
   void OnReply(const address& from, const permit_reply& reply);
   void OnReportAck(const address& from, const permit_report_ack& ack);
 
+  // Ends the waits for permits, also those that have begun, so that all callers
+  // have a response before the process exits. Each wait ends as soon as the
+  // dispatcher knows that it would last too long.
+  void BeginShutdown(const shutdown_window& window);
+
   // Starts to report the permits in use to the dispatchers at regular
   // intervals.
   void StartReports();
@@ -114,6 +121,8 @@
     std::optional<instant> outdated_since;
   };
 
+  // When a wait that may last until `deadline` ends.
+  instant WaitLimit(instant deadline) const;
   // The first daemon in the service's dispatcher order that isn't silent;
   // nullopt if it is this daemon.
   std::optional<address> DispatcherOf(const service_name& service);
@@ -144,6 +153,7 @@
   // continue for some time after that.
   std::map<service_name, instant> last_requested_;
   std::uint64_t next_permit_number_ = 1;
+  std::optional<shutdown_window> shutdown_;
   boost::asio::steady_timer report_timer_;
 };
 
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -35,6 +35,8 @@
 
 // The Retry-After time of refusals that no dispatcher has given a time for.
 constexpr milliseconds kDefaultRetryAfter{500};
+// The Retry-After time of requests that another daemon may serve at once.
+constexpr milliseconds kShutdownRetryAfter{50};
 // Subtracted from the time that a caller says it will wait, since part of it
 // passed before the request arrived and the response has to travel back.
 constexpr milliseconds kResponseTransitMargin{20};
@@ -296,6 +298,22 @@
   }
 }
 
+milliseconds request_server::RetryAfterOf(const permit_refused& refused,
+                                          instant deadline) const {
+  // Another daemon may have time to serve the request.
+  const bool ends_by_shutdown = shutdown_ && shutdown_->answer_by() < deadline;
+  return ends_by_shutdown ? kShutdownRetryAfter
+                          : milliseconds(refused.retry_after_ms);
+}
+
+bool request_server::IsTooLateToSend(const request_progress& progress,
+                                     const permit_granted& granted,
+                                     instant now) const {
+  return shutdown_ && shutdown_->answer_by() < progress.deadline &&
+         !shutdown_->HasTimeFor(milliseconds(granted.expected_ms),
+                                progress.idempotent, now);
+}
+
 std::optional<fleet_endpoint> request_server::EndpointOf(
     const permit_granted& granted,
     instant now) const {
@@ -361,7 +379,7 @@
   if (const auto* refused = std::get_if<permit_refused>(&acquired.reply)) {
     context.reason = std::string(Describe(refused->reason));
     co_return refuse_with(FinalStatus(progress, replied_at),
-                          milliseconds(refused->retry_after_ms));
+                          RetryAfterOf(*refused, progress.deadline));
   }
   const auto& granted = std::get<permit_granted>(acquired.reply);
   permit_release release;
@@ -369,6 +387,12 @@
   release.service = context.service;
   release.endpoint = granted.endpoint.endpoint;
   context.endpoint = granted.endpoint.endpoint.value();
+  if (IsTooLateToSend(progress, granted, replied_at)) {
+    permits_.Release(release);
+    context.reason = std::string(Describe(permit_refusal::kShuttingDown));
+    co_return refuse_with(FinalStatus(progress, replied_at),
+                          kShutdownRetryAfter);
+  }
   const std::optional<fleet_endpoint> endpoint =
       EndpointOf(granted, replied_at);
   if (!endpoint) {
@@ -401,8 +425,8 @@
       const instant now = BootNow();
       const bool worthwhile =
           now + milliseconds(granted.expected_ms) < progress.deadline;
-      retry_taken = worthwhile && !shutting_down_ &&
-                    BudgetOf(context.service).TryRetry(now);
+      retry_taken =
+          worthwhile && !shutdown_ && BudgetOf(context.service).TryRetry(now);
       return retry_taken;
     };
   }
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -25,6 +25,7 @@
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/proxy/exchange_result.h"
 #include "bluebell/proxy/served_response.h"
+#include "bluebell/proxy/shutdown_window.h"
 #include "bluebell/proxy/weighted_round_robin.h"
 #include "bluebell/settings/gateway_settings.h"
 
@@ -33,6 +34,7 @@
 class endpoint_connection_pool;
 class metrics_registry;
 class permit_client;
+struct request_progress;
 
 class request_server {
  public:
@@ -51,8 +53,9 @@
   ~request_server() = default;
 
   void SetView(fleet_view view);
-  // Prepares for the daemon's shutdown: no attempt is abandoned early any more.
-  void BeginShutdown() { shutting_down_ = true; }
+  // Prepares for the daemon's shutdown: requests that can't be answered in time
+  // are refused, and no attempt is abandoned early any more.
+  void BeginShutdown(const shutdown_window& window) { shutdown_ = window; }
 
   // Returns the final response to the request, which was read at `arrived` and
   // must exist until then. The coroutine is cancelled when the caller closes
@@ -73,6 +76,13 @@
   // Makes one attempt. Returns nullopt if another one has to follow.
   boost::asio::awaitable<std::optional<served_response>> Attempt(
       request_context& context);
+  // The Retry-After time of a request that got no permit.
+  milliseconds RetryAfterOf(const permit_refused& refused,
+                            instant deadline) const;
+  // True if the daemon exits before the request would be answered.
+  bool IsTooLateToSend(const request_progress& progress,
+                       const permit_granted& granted,
+                       instant now) const;
   // The endpoint that a permit names; nullopt if this daemon must not use it.
   std::optional<fleet_endpoint> EndpointOf(const permit_granted& granted,
                                            instant now) const;
@@ -106,7 +116,7 @@
   std::map<service_name, retry_budget> budgets_;
   leaving_handler on_leaving_;
   endpoint_pauses pauses_;
-  bool shutting_down_ = false;
+  std::optional<shutdown_window> shutdown_;
   std::minstd_rand random_;
 };
 
--- a/bluebell/proxy/traffic_server.cc
+++ b/bluebell/proxy/traffic_server.cc
@@ -288,11 +288,12 @@
   });
 }
 
-void traffic_server::BeginShutdown() {
-  asio::post(*io_, [this] {
+void traffic_server::BeginShutdown(const shutdown_window& window) {
+  asio::post(*io_, [this, window] {
     shutting_down_ = true;
     connection_state_->stopping = true;
-    server_.BeginShutdown();
+    server_.BeginShutdown(window);
+    permits_.BeginShutdown(window);
   });
 }
 
--- a/bluebell/proxy/traffic_server.h
+++ b/bluebell/proxy/traffic_server.h
@@ -31,6 +31,7 @@
 #include "bluebell/proxy/permit_client.h"
 #include "bluebell/proxy/permit_dispatcher.h"
 #include "bluebell/proxy/request_server.h"
+#include "bluebell/proxy/shutdown_window.h"
 #include "bluebell/settings/gateway_settings.h"
 #include "bluebell/wire/wire_message.h"
 
@@ -100,9 +101,10 @@
   void Measure(const service_name& service,
                std::function<void(measured_load load)> done);
 
-  // The daemon no longer reports that it is ready, and each response asks the
-  // caller to close its connection.
-  void BeginShutdown();
+  // The daemon no longer reports that it is ready, each response asks the
+  // caller to close its connection, and requests that can't be answered within
+  // the window are refused.
+  void BeginShutdown(const shutdown_window& window);
   // Stops accepting connections of callers and closes the idle ones.
   void StopAccepting();
   // Passes the number of connections of callers with a request that is served
