Keep attempts apart whose responses can't be told from earlier ones

Cause: an endpoint repeated a rejection where the next response was expected. The pool told responses apart by the attempt id only. A keyed request's next attempt has the same id, endpoint and mostly connection as the one before, and a response without an id was always accepted.

Change: attempt_history keeps what a connection has carried. An attempt isn't sent where its id may still be answered twice; a connection ends after a response that names no attempt or another one.

--- /dev/null
+++ b/bluebell/proxy/attempt_history.h
@@ -0,0 +1,53 @@
+// What a kept connection to an endpoint has carried. Decides which responses
+// belong to the attempt that is outstanding, and whether the connection may
+// carry another one. An endpoint may send a copy of an earlier response late,
+// where the next response is expected, and only the attempt id tells them
+// apart. Does no I/O. Not thread-safe.
+//
+//   if (history.MayCarry(attempt)) {
+//     history.Begin(attempt);
+//     ...
+//     if (history.IsResponseToCurrent(reply.attempt)) {
+//       history.End(relayed);
+//     }
+//   }
+
+#ifndef BLUEBELL_PROXY_ATTEMPT_HISTORY_H_
+#define BLUEBELL_PROXY_ATTEMPT_HISTORY_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bluebell {
+
+class attempt_history {
+ public:
+  // True if the responses to `attempt`, an id or empty, can be told apart from
+  // all responses that the connection has carried.
+  bool MayCarry(std::string_view attempt) const;
+  // Starts an exchange. Requires MayCarry().
+  void Begin(std::string attempt);
+  // True if a response that names the attempt `stated`, or none, belongs to the
+  // exchange; false if it is to be skipped.
+  bool IsResponseToCurrent(std::string_view stated);
+  // Ends the exchange. `may_be_repeated` is true if an attempt with the same id
+  // can follow.
+  void End(bool may_be_repeated);
+
+  // False if the connection must carry no further attempt.
+  bool is_reusable() const { return !ambiguous_; }
+
+ private:
+  bool is_new_ = true;
+  // True if a late response could not be told from the next one, or if the
+  // endpoint has sent a response that nothing had asked for.
+  bool ambiguous_ = false;
+  std::string current_;
+  // The ended attempts whose id may come again.
+  std::vector<std::string> repeatable_;
+};
+
+}  // namespace bluebell
+
+#endif  // BLUEBELL_PROXY_ATTEMPT_HISTORY_H_
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -1,6 +1,7 @@
 #include "bluebell/proxy/endpoint_connection_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -24,6 +25,7 @@
 #include "bluebell/http/read_limits.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
+#include "bluebell/proxy/attempt_history.h"
 
 namespace bluebell {
 
@@ -46,7 +48,9 @@
 // endless response doesn't make the others fail.
 constexpr std::size_t kMaxResponsesPerBudget = 4;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kFirstServerError = 500;
 // An idle connection is closed this long before the end of the keep-alive time
 // that the endpoint states.
 constexpr milliseconds kKeepAliveMargin{1'500};
@@ -55,6 +59,13 @@
 constexpr milliseconds kMaxKeepAlive{8'000};
 constexpr std::size_t kMaxIdlePerEndpoint = 8;
 
+// True if an attempt with the same id can follow this response.
+bool MayBeRepeated(unsigned status, const platform::endpoint_reply& reply) {
+  const bool is_success = status < kFirstRedirect;
+  return reply.not_run || status >= kFirstServerError ||
+         (is_success && !reply.has_receipt);
+}
+
 }  // namespace
 
 struct endpoint_connection_pool::connection {
@@ -74,6 +85,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  attempt_history history;
   instant used_at;
   instant close_at;
 };
@@ -87,20 +99,22 @@
 
 endpoint_connection_pool::connection_ptr endpoint_connection_pool::TakeIdle(
     const endpoint_instance& endpoint,
-    milliseconds max_idle_time,
+    const exchange_options& options,
     instant now) {
   const auto found = idle_.find(endpoint);
   if (found == idle_.end()) {
     return nullptr;
   }
   std::vector<connection_ptr>& idle = found->second;
-  while (!idle.empty()) {
-    // The connection used last is the most likely to be still open.
-    if (now - idle.back()->used_at > max_idle_time) {
-      return nullptr;
+  // The connection used last is the most likely to be still open.
+  for (std::size_t end = idle.size();
+       end > 0 && now - idle[end - 1]->used_at <= options.max_idle_time;
+       --end) {
+    if (!idle[end - 1]->history.MayCarry(options.attempt)) {
+      continue;
     }
-    connection_ptr last = std::move(idle.back());
-    idle.pop_back();
+    connection_ptr last = std::move(idle[end - 1]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(end - 1));
     if (now < last->close_at && last->IsReusable()) {
       return last;
     }
@@ -179,8 +193,7 @@
   const instant started = BootNow();
   const std::string peer =
       endpoint.instance.endpoint.value() + " " + endpoint.where.ToString();
-  connection_ptr link =
-      TakeIdle(endpoint.instance, options.max_idle_time, started);
+  connection_ptr link = TakeIdle(endpoint.instance, options, started);
   if (!link) {
     link = std::make_unique<connection>(io_);
     ++opened_count_;
@@ -198,6 +211,7 @@
     }
     SetSocketOptions(link->stream.socket());
   }
+  link->history.Begin(options.attempt);
   // If this coroutine ends early, the connection is reset, so that the endpoint
   // stops its work.
   ResetOnClose(link->stream.socket());
@@ -242,16 +256,15 @@
     const bool ends_with_connection = parser.need_eof();
     http_response response = parser.release();
     platform::endpoint_reply reply_info = platform::ReadEndpointReply(response);
-    const bool stale = !reply_info.attempt.empty() &&
-                       !options.attempt.empty() &&
-                       reply_info.attempt != options.attempt;
-    if (stale || response.result_int() < kFirstFinalStatus) {
+    if (response.result_int() < kFirstFinalStatus ||
+        !link->history.IsResponseToCurrent(reply_info.attempt)) {
       continue;
     }
+    link->history.End(MayBeRepeated(response.result_int(), reply_info));
     abandon_timer.cancel();
     const instant now = BootNow();
     if (response.keep_alive() && !ends_with_connection &&
-        link->buffer.size() == 0) {
+        link->buffer.size() == 0 && link->history.is_reusable()) {
       const milliseconds keep_alive_time =
           reply_info.keep_alive ? *reply_info.keep_alive - kKeepAliveMargin
                                 : kDefaultKeepAlive;
--- a/bluebell/proxy/endpoint_connection_pool.h
+++ b/bluebell/proxy/endpoint_connection_pool.h
@@ -1,7 +1,8 @@
 // A pool of HTTP connections to endpoints that are reused between requests.
 // Each connection carries one request at a time. Responses to earlier requests
-// are skipped; a connection with any other unexpected input, or without a
-// complete response, is closed. An endpoint may send bytes without end; all
+// are skipped, and attempt_history keeps apart those that could be confused; a
+// connection with any other unexpected input, or without a complete response,
+// is closed. An endpoint may send bytes without end; all
 // responses together stay within a budget of memory. Used on the traffic thread
 // only.
 //
@@ -39,7 +40,8 @@
 // Options of sending one request.
 struct exchange_options {
   // The attempt id that the caller sent, or empty. A response that names
-  // another attempt is skipped.
+  // another attempt is skipped. Without an id, the exchange has a connection of
+  // its own.
   std::string attempt;
   // An exchange without a complete response by then ends; as exchange_lost with
   // errc::kTimeout if the request was sent.
@@ -83,9 +85,10 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
   using connection_ptr = std::unique_ptr<connection>;
 
-  // Removes a usable connection from the idle ones. Null if there is none.
+  // Removes a connection that may carry the exchange from the idle ones. Null
+  // if there is none.
   connection_ptr TakeIdle(const endpoint_instance& endpoint,
-                          milliseconds max_idle_time,
+                          const exchange_options& options,
                           instant now);
   // Reads one response into `parser` and reserves its bytes. Fails if it
   // exceeds the limit of one response or that of all.
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -31,8 +31,9 @@
 using platform::SampleResponse;
 
 // A test endpoint that answers each request with the next script and counts
-// connections and requests. It closes the connection after an empty script or
-// one without Content-Length, by a reset if `resets` is true.
+// connections and requests. Each connection has a thread of its own. It closes
+// the connection after an empty script or one without Content-Length, by a
+// reset if `resets` is true.
 class scripted_server {
  public:
   explicit scripted_server(std::vector<std::string> scripts,
@@ -40,7 +41,7 @@
       : scripts_(std::move(scripts)),
         resets_(resets),
         acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        thread_([this] { Serve(); }) {}
+        thread_([this] { Accept(); }) {}
   scripted_server(const scripted_server&) = delete;
   scripted_server& operator=(const scripted_server&) = delete;
   ~scripted_server() {
@@ -49,8 +50,18 @@
     tcp::socket wake(io_);
     wake.connect(acceptor_.local_endpoint(), ignored);
     thread_.join();
+    for (const auto& each : sockets_) {
+      each->shutdown(tcp::socket::shutdown_both, ignored);
+    }
+    for (std::thread& each : connection_threads_) {
+      each.join();
+    }
   }
 
+  // From now on, a further copy of a connection's last response precedes the
+  // next one on it.
+  void RepeatResponses() { repeats_ = true; }
+
   fleet_endpoint entry() {
     fleet_endpoint entry;
     entry.instance = {endpoint_id("i-1"), incarnation(1)};
@@ -64,39 +75,53 @@
   int requests() const { return requests_; }
 
  private:
-  void Serve() {
-    std::size_t next = 0;
+  void Accept() {
     while (!stopping_) {
       boost::system::error_code failure;
-      tcp::socket socket(io_);
-      acceptor_.accept(socket, failure);
+      const auto socket = std::make_shared<tcp::socket>(io_);
+      acceptor_.accept(*socket, failure);
       if (failure || stopping_) {
         return;
       }
       ++connections_;
-      std::string received;
-      while (next < scripts_.size()) {
-        const std::size_t size = asio::read_until(
-            socket, asio::dynamic_buffer(received), "\r\n\r\n", failure);
-        if (failure) {
-          break;
-        }
-        received.erase(0, size);
-        ++requests_;
-        const std::string& script = scripts_[next++];
-        asio::write(socket, asio::buffer(script), failure);
-        const bool closes = script.empty() ||
-                            script.find("Content-Length") == std::string::npos;
-        if (closes) {
-          break;
-        }
+      sockets_.push_back(socket);
+      connection_threads_.emplace_back([this, socket] { Serve(*socket); });
+    }
+  }
+
+  void Serve(tcp::socket& socket) {
+    boost::system::error_code failure;
+    std::string received;
+    std::string last;
+    while (!failure) {
+      const std::size_t size = asio::read_until(
+          socket, asio::dynamic_buffer(received), "\r\n\r\n", failure);
+      if (failure) {
+        break;
       }
-      if (resets_) {
-        socket.set_option(asio::socket_base::linger(true, 0), failure);
-        // The destructor of the socket would close the connection in order.
-        socket.close(failure);
+      received.erase(0, size);
+      const auto number = static_cast<std::size_t>(requests_++);
+      if (number >= scripts_.size()) {
+        break;
+      }
+      const std::string& script = scripts_[number];
+      asio::write(socket, asio::buffer(repeats_ ? last + script : script),
+                  failure);
+      last = script;
+      const bool closes =
+          script.empty() || script.find("Content-Length") == std::string::npos;
+      if (closes) {
+        break;
       }
     }
+    boost::system::error_code ignored;
+    if (resets_) {
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      // The destructor of the socket would close the connection in order.
+      socket.close(ignored);
+    } else {
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+    }
   }
 
   std::vector<std::string> scripts_;
@@ -104,8 +129,12 @@
   asio::io_context io_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> repeats_ = false;
   std::atomic<int> connections_ = 0;
   std::atomic<int> requests_ = 0;
+  // Used by the accepting thread, and after its end.
+  std::vector<std::shared_ptr<tcp::socket>> sockets_;
+  std::vector<std::thread> connection_threads_;
   std::thread thread_;
 };
 
@@ -285,5 +314,55 @@
       std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "b")));
 }
 
+// A response by which an endpoint states that it didn't run the request;
+// without an id if `attempt` is empty.
+std::string Rejection(const std::string& attempt) {
+  return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" +
+         (attempt.empty() ? "" : "X-Attempt-Id: " + attempt + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
+// Guards against callers that are told "not run" for a request that runs: a
+// late copy of the first rejection was taken for the response to the next
+// attempt of the same request on the same connection.
+TEST_CASE("a copy of a rejection doesn't answer its request's next attempt") {
+  scripted_server server({Rejection("1"), SampleResponse("1", "one")});
+  server.RepeatResponses();
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+}
+
+// Guards against the same for another request, where endpoints reject without
+// naming the attempt.
+TEST_CASE(
+    "a copy of a rejection without an id doesn't answer another request") {
+  scripted_server server({Rejection(""), SampleResponse("2", "two")});
+  server.RepeatResponses();
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
+  CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
+}
+
+TEST_CASE("a connection on which a copy arrived isn't used again") {
+  scripted_server server({SampleResponse("1", "one"),
+                          SampleResponse("2", "two"),
+                          SampleResponse("3", "three")});
+  server.RepeatResponses();
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+  CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
+  CHECK(BodyOf(caller.Send(server.entry(), "3")) == "three");
+  CHECK(caller.connection_pool.opened_count() == 2);
+}
+
+TEST_CASE("a connection with a rejection carries other requests") {
+  scripted_server server({Rejection("1"), SampleResponse("2", "two")});
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
+  CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
+  CHECK(caller.connection_pool.opened_count() == 1);
+}
+
 }  // namespace
 }  // namespace bluebell
