Hand a configuration that fits in no datagram to followers through the store

Cause: a relay put the change into one update, whatever its size. An update of 105,591 bytes is no datagram and was never sent, so that a follower heard nothing until it gave the relays up after 1.9 s, and then read the store.

Change: a change that is too large for a datagram ends a batch. An update that has more to follow and no changes says that the next one is to be read from the store, and the follower watches the store at once.

state_follower_test: the partial update of an older test had no change in it, which no relay sent; it has one now, and the same checks.

--- a/bluebell/fleet/change_log.cc
+++ b/bluebell/fleet/change_log.cc
@@ -12,6 +12,9 @@
 
 // The changes that are held for each scope.
 constexpr std::size_t kMaxChanges = 1'000;
+// A change with more bytes isn't handed on: beside the other fields of an
+// update it might not fit in a datagram.
+constexpr std::size_t kMaxChangeBytes = 60'000;
 // The bytes of a change on the wire beside its key and value.
 constexpr std::size_t kChangeOverhead = 32;
 
@@ -91,12 +94,15 @@
       if (change.revision <= positions[i]) {
         continue;
       }
-      bytes += change.key.size() + change.value.size() + kChangeOverhead;
+      const std::size_t change_bytes =
+          change.key.size() + change.value.size() + kChangeOverhead;
+      bytes += change_bytes;
       // Changes of one revision are handed on together.
       const bool may_end_here =
           changes.changes.empty() ||
           changes.changes.back().revision < change.revision;
-      if (bytes > max_bytes && may_end_here && count > 0) {
+      const bool is_full = bytes > max_bytes && may_end_here && count > 0;
+      if (is_full || change_bytes > kMaxChangeBytes) {
         changes.up_to = changes.changes.empty()
                             ? positions[i]
                             : changes.changes.back().revision;
--- a/bluebell/fleet/change_log.h
+++ b/bluebell/fleet/change_log.h
@@ -31,7 +31,8 @@
   struct batch {
     // In the order of the scopes.
     std::vector<scope_changes> scopes;
-    // True if changes were left out for lack of room.
+    // True if changes were left out for lack of room. If there are none in the
+    // batch, the next one is too large for any batch.
     bool has_more = false;
   };
 
@@ -47,7 +48,8 @@
               const store_version& up_to);
 
   // The changes after `positions`, of about `max_bytes` at the most, but at
-  // least one if there is any. nullopt if this daemon doesn't hold them all.
+  // least one if there is any that fits in a datagram. nullopt if this daemon
+  // doesn't hold them all.
   std::optional<batch> ChangesAfter(const std::vector<std::uint64_t>& positions,
                                     std::size_t max_bytes) const;
 
--- a/bluebell/fleet/change_log_test.cc
+++ b/bluebell/fleet/change_log_test.cc
@@ -89,6 +89,27 @@
   CHECK(first->scopes[1] == scope_changes{10, 10, {}});
 }
 
+// Guards against updates that fit in no datagram and are never sent.
+TEST_CASE("a change too large for a datagram ends the batch before it") {
+  change_log log = MakeLog(10);
+  const kv_item large{"a/2", std::string(100'000, 'x'), store_version(12),
+                      kv_lease()};
+  log.Append("", {Put("a/1", 11), large, Put("b/1", 13)}, store_version(13));
+  const auto first = log.ChangesAfter({10, 10}, kRoom);
+  REQUIRE(first);
+  CHECK(first->has_more);
+  CHECK(first->scopes[0].up_to == 11);
+  CHECK(first->scopes[0].changes.size() == 1);
+  const auto none = log.ChangesAfter({11, 13}, kRoom);
+  REQUIRE(none);
+  CHECK(none->has_more);
+  CHECK(none->scopes[0] == scope_changes{11, 11, {}});
+  const auto rest = log.ChangesAfter({12, 10}, kRoom);
+  REQUIRE(rest);
+  CHECK(!rest->has_more);
+  CHECK(rest->scopes[1].changes.size() == 1);
+}
+
 TEST_CASE("known changes and those past the end of a listing are skipped") {
   change_log log = MakeLog(10);
   log.Append("a/", {Put("a/1", 12)}, store_version(12));
--- a/bluebell/fleet/fleet_update.h
+++ b/bluebell/fleet/fleet_update.h
@@ -69,7 +69,9 @@
   // the requested changes any more; `scopes` is empty then.
   bool confirmed = false;
   std::uint32_t confirmed_age_ms = 0;
-  // True if more changes follow when they are asked for.
+  // True if more changes follow when they are asked for. If there are none in
+  // this update, the next one fits in no update and has to be read from the
+  // store.
   bool has_more = false;
   // How much longer endpoints stay in use after their entry is deleted; see
   // fleet_state::OnStoreRecovered().
--- a/bluebell/fleet/state_follower.cc
+++ b/bluebell/fleet/state_follower.cc
@@ -13,6 +13,7 @@
   pending_.reset();
   next_request_at_ = now;
   confirmed_at_ = now;
+  misses_large_change_ = false;
 }
 
 void state_follower::SetRelays(std::vector<address> relays) {
@@ -34,7 +35,8 @@
 }
 
 bool state_follower::NeedsStore(instant now) const {
-  return relays_.empty() || now - confirmed_at_ >= kMaxUnconfirmed;
+  return relays_.empty() || misses_large_change_ ||
+         now - confirmed_at_ >= kMaxUnconfirmed;
 }
 
 follower_action state_follower::Next(instant now) {
@@ -72,6 +74,14 @@
     ChangeRelay(asked_all ? sent_at + kPollInterval : now);
     return false;
   }
+  const bool has_changes = std::any_of(
+      update.scopes.begin(), update.scopes.end(),
+      [](const scope_changes& each) { return !each.changes.empty(); });
+  misses_large_change_ = update.has_more && !has_changes;
+  if (misses_large_change_) {
+    next_request_at_ = sent_at + kPollInterval;
+    return false;
+  }
   if (update.has_more) {
     next_request_at_ = now;
     return true;
--- a/bluebell/fleet/state_follower.h
+++ b/bluebell/fleet/state_follower.h
@@ -59,9 +59,11 @@
   // Replaces the relays; a request in flight stays valid if its relay remains.
   void SetRelays(std::vector<address> relays);
 
-  // True if no relay vouches for a recent state, so that the daemon has to
-  // watch the store itself.
+  // True if no relay vouches for a recent state, or the relays can't hand a
+  // change on, so that the daemon has to watch the store itself.
   bool NeedsStore(instant now) const;
+  // True if a change is too large for the relays' updates.
+  bool misses_large_change() const { return misses_large_change_; }
   // What to do now. Call it again after each update and when a wait has ended.
   follower_action Next(instant now);
   // Takes note of an update. Returns true if it answers the latest request and
@@ -87,6 +89,7 @@
   std::uint64_t last_number_ = 0;
   instant next_request_at_;
   instant confirmed_at_;
+  bool misses_large_change_ = false;
 };
 
 }  // namespace bluebell
--- a/bluebell/fleet/state_follower_test.cc
+++ b/bluebell/fleet/state_follower_test.cc
@@ -114,12 +114,40 @@
   REQUIRE(first);
   fleet_update update = Confirmed(first->number, 0);
   update.has_more = true;
+  update.scopes = {{1, 2, {{"daemons/a", "entry", false, 2, true}}}};
   const instant now = kStart + milliseconds(2);
   CHECK(follower.OnUpdate(kFirst, update, now));
   CHECK(follower.confirmed_at() == kStart);
   CHECK(Asks(follower, now));
 }
 
+// Guards against a follower that hears of a change late because no update can
+// carry it, for example a configuration with very many routes.
+TEST_CASE("a change too large for an update sends the follower to the store") {
+  change_log log({"config/", "daemons/"});
+  log.Reset(store_version(1));
+  log.Append("config/",
+             {kv_item{"config/routes", std::string(100'000, 'x'),
+                      store_version(5), kv_lease()}},
+             store_version(5));
+  state_follower follower = Started();
+  const auto first = Asks(follower, kStart);
+  REQUIRE(first);
+  const auto changes = log.ChangesAfter({1, 1}, 24'000);
+  REQUIRE(changes);
+  fleet_update update = Confirmed(first->number, 0);
+  update.has_more = changes->has_more;
+  update.scopes = changes->scopes;
+  const instant now = kStart + milliseconds(2);
+  CHECK(!follower.OnUpdate(kFirst, update, now));
+  CHECK(follower.NeedsStore(now));
+  CHECK(follower.misses_large_change());
+  // Without the store, it doesn't ask again before the next interval.
+  CHECK(!Asks(follower, now));
+  follower.Start({kFirst, kSecond}, now);
+  CHECK(!follower.NeedsStore(now));
+}
+
 TEST_CASE("without relays a daemon needs the store") {
   state_follower follower = Started();
   follower.SetRelays({});
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -352,6 +352,10 @@
   }
   // If the store doesn't answer this daemon either, watching gains nothing.
   if (follower_.NeedsStore(now) && store_is_available()) {
+    if (follower_.misses_large_change()) {
+      StopFollowing("a change is too large for a relay");
+      return;
+    }
     follow_delay_ = std::min(2 * follow_delay_, kMaxFollowDelay);
     StopFollowing("no relay vouches for a recent state");
     return;
