Count the memory that a response occupies

Cause: a body without a stated length is read into a buffer that grows by doubling, and only the bytes received counted in the budget that all responses share. Endless bodies could occupy nearly twice the budget.

Evidence: endpoint_connection_pool_test failed before in 2 of 3 forms: 70,059 bytes counted for 123,520 in memory (until the connection ends) and 70,582 for 119,296 (chunked). With a stated length it passed, so that the growth is the cause. Endless heads, chunk headers and replies to orders were bounded already.

Change: a response reserves the capacity of its body.

After: proxy, all test cases pass.

--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -178,7 +178,10 @@
     }
     // Counts chunk headers and trailers too, which have no limit of their own.
     received += size;
-    if (received > max_bytes || !memory.GrowTo(received)) {
+    // A body without a stated length occupies up to twice its size.
+    const std::size_t occupied =
+        std::max(received, header_bytes + parser.get().body().capacity());
+    if (received > max_bytes || !memory.GrowTo(occupied)) {
       co_return bhttp::error::body_limit;
     }
   }
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -314,6 +314,29 @@
       std::holds_alternative<exchange_lost>(caller.Send(server.entry(), "b")));
 }
 
+// Guards against bodies without a stated length that occupy twice the memory
+// that counts, since their buffer grows by doubling.
+TEST_CASE("a response counts with the memory that its body occupies") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Signature: s\r\n";
+  std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 70; ++i) {
+    chunked += "3e8\r\n" + std::string(1'000, 'x') + "\r\n";
+  }
+  chunked += "0\r\n\r\n";
+  const std::string script =
+      GENERATE_COPY(SampleResponse("a", std::string(70'000, 'x')),
+                    head + "\r\n" + std::string(70'000, 'x'), chunked);
+  scripted_server server({script});
+  const auto memory = std::make_shared<byte_budget>(kMemoryLimit);
+  client caller(memory);
+  const exchange_result end = caller.Send(server.entry(), "a");
+  const auto* answered = std::get_if<exchange_answered>(&end);
+  REQUIRE(answered != nullptr);
+  CHECK(answered->response.body().size() == 70'000);
+  CHECK(memory->used() >= answered->response.body().capacity());
+}
+
 // A response by which an endpoint states that it didn't run the request;
 // without an id if `attempt` is empty.
 std::string Rejection(const std::string& attempt) {
