Fault soak: endpoints that send a response twice

A new disturbance lasts 1 to 4 s: before a third of its responses, an endpoint sends a copy of the connection's previous one, also of responses to orders about keys.

--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -91,7 +91,7 @@
 }
 
 void fault_schedule::DoFault() {
-  switch (Pick(9)) {
+  switch (Pick(10)) {
     case 0:
       KillGateway(Pick(world_.gateways()));
       break;
@@ -114,6 +114,9 @@
     case 7:
       KillEndpoint(Pick(world_.endpoints().size()));
       break;
+    case 8:
+      RepeatResponses();
+      break;
     default:
       TakeOrdersLate(Pick(world_.endpoints().size()));
       break;
@@ -265,6 +268,14 @@
   world_.endpoints()[index]->TakeOrdersLate(BootNow() + lasts);
 }
 
+void fault_schedule::RepeatResponses() {
+  const milliseconds lasts =
+      Begin("all endpoints repeat responses", PickTime(1'000, 4'000));
+  for (const auto& endpoint : world_.endpoints()) {
+    endpoint->RepeatResponses(BootNow() + lasts);
+  }
+}
+
 void fault_schedule::Heal() {
   healed_ = true;
   for (std::size_t i = 0; i < world_.gateways(); ++i) {
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -49,6 +49,7 @@
   void DisturbLink();
   void KillEndpoint(std::size_t index);
   void TakeOrdersLate(std::size_t index);
+  void RepeatResponses();
 
   std::size_t Pick(std::size_t count);
   milliseconds PickTime(int least, int most);
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -32,6 +32,7 @@
 // After its announcement an endpoint may be sent requests for this long.
 constexpr milliseconds kDrainTime{2'000};
 constexpr double kLateShare = 0.5;
+constexpr double kRepeatedShare = 0.3;
 
 }  // namespace
 
@@ -61,6 +62,10 @@
     return started.error();
   }
   server_ = std::move(started).value();
+  server_->RepeatResponses([this] {
+    return BootNow() < repeats_until_ &&
+           std::bernoulli_distribution(kRepeatedShare)(random_);
+  });
   ++life_;
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   const auto now = static_cast<std::uint64_t>(
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -71,6 +71,9 @@
 
   // Orders about keys stay unanswered and are carried out late until then.
   void TakeOrdersLate(instant until) { late_until_ = until; }
+  // A part of the responses, also those to orders, is sent once more until
+  // then, where the next response on the connection is expected.
+  void RepeatResponses(instant until) { repeats_until_ = until; }
   // Grants that arrive until then were held up on their way.
   void ExcuseGrants(instant until) { excused_until_ = until; }
 
@@ -122,6 +125,7 @@
   bool draining_ = false;
   std::optional<instant> announced_;
   instant late_until_;
+  instant repeats_until_;
   instant excused_until_;
   std::uint64_t works_ = 0;
   std::map<std::uint64_t, running_work> running_;
--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -44,6 +44,7 @@
   asio::steady_timer accept_timer;
   http_server_options options;
   http_handler handler;
+  std::function<bool()> repeats = [] { return false; };
   std::set<std::shared_ptr<session>> sessions;
   std::size_t peak = 0;
   bool stopped = false;
@@ -93,6 +94,25 @@
     if (is_head_) {
       reply.body().clear();
     }
+    const auto server = server_.lock();
+    if (has_replied_ && server && server->repeats()) {
+      // Still holds the previous response.
+      bhttp::async_write(socket_, reply_,
+                         [self = shared_from_this(), reply = std::move(reply)](
+                             error_code error, size_t) mutable {
+                           if (error) {
+                             self->Close();
+                           } else {
+                             self->WriteNew(std::move(reply));
+                           }
+                         });
+      return;
+    }
+    WriteNew(std::move(reply));
+  }
+
+  void WriteNew(http_response reply) {
+    has_replied_ = true;
     reply_ = std::move(reply);
     bhttp::async_write(socket_, reply_,
                        [self = shared_from_this()](error_code error, size_t) {
@@ -119,6 +139,8 @@
   http_response reply_;
   bool keep_alive_ = true;
   bool is_head_ = false;
+  // True if `reply_` has been sent.
+  bool has_replied_ = false;
 };
 
 void Admit(const std::shared_ptr<http_server::state>& server,
@@ -185,6 +207,10 @@
   return std::shared_ptr<http_server>(new http_server(server));
 }
 
+void http_server::RepeatResponses(std::function<bool()> repeats) {
+  state_->repeats = std::move(repeats);
+}
+
 void http_server::Stop() {
   state_->stopped = true;
   error_code ignored;
--- a/testing/http_server.h
+++ b/testing/http_server.h
@@ -46,6 +46,10 @@
       const http_server_options& options,
       http_handler handler);
 
+  // Before each response, while `repeats` returns true, a further copy of the
+  // connection's previous response is sent. Call it before the first request.
+  void RepeatResponses(std::function<bool()> repeats);
+
   // Closes the listening socket and resets all connections.
   void Stop();
 
