Name the pair of a waiting request's queue and its capacity

A reader of slot_scheduler had to guess what the two members of a pair are. Also corrects the example of attempt_history.

--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -156,8 +156,8 @@
     return;
   }
   RefreshEndpoints(now);
-  if (const auto [queue, capacity] = FindQueue(message.id); queue != nullptr) {
-    if (ShortenDeadline(*queue, capacity, message, now)) {
+  if (const queue_state waiting_in = FindQueue(message.id); waiting_in.queue) {
+    if (ShortenDeadline(waiting_in, message, now)) {
       replies_.emplace_back(permit_queued{message.id});
     }
     return;
@@ -182,7 +182,7 @@
   }
 }
 
-std::pair<wait_queue*, double> slot_scheduler::FindQueue(const permit_id& id) {
+slot_scheduler::queue_state slot_scheduler::FindQueue(const permit_id& id) {
   if (shared_queue_.Contains(id)) {
     return {&shared_queue_, shared_capacity_};
   }
@@ -191,20 +191,20 @@
       return {&endpoint_state.queue(), endpoint_state.capacity()};
     }
   }
-  return {nullptr, 0};
+  return {};
 }
 
-bool slot_scheduler::ShortenDeadline(wait_queue& queue,
-                                     double capacity,
+bool slot_scheduler::ShortenDeadline(const queue_state& waiting_in,
                                      const permit_request& repetition,
                                      instant now) {
   const permit_id& id = repetition.id;
+  wait_queue& queue = *waiting_in.queue;
   const waiting_request& waiting = *queue.Find(id);
   const instant deadline = now + milliseconds(repetition.time_left_ms);
   if (deadline + kDeadlineTolerance >= waiting.deadline) {
     return true;
   }
-  const duration wait = WaitFor(queue.WorkBefore(id), capacity);
+  const duration wait = WaitFor(queue.WorkBefore(id), waiting_in.capacity);
   if (now + wait + waiting.work > deadline) {
     queue.Remove(id);
     RefuseOverloaded(id, wait);
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -24,7 +24,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "bluebell/core/ids.h"
@@ -113,6 +112,11 @@
     // The lowest cost of all endpoints in service, with or without a free slot.
     double least_cost = 0;
   };
+  // A queue and the capacity that serves it, in slots of an average endpoint.
+  struct queue_state {
+    wait_queue* queue = nullptr;
+    double capacity = 0;
+  };
   // The endpoint that owns a key and the fencing token of its assignment. The
   // endpoint is null if the key has no owner that may get the request.
   struct key_owner {
@@ -134,15 +138,13 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
-  // Moves the deadline of a request that waits in `queue` forward to that of
-  // its repetition, or refuses it. Returns false in the latter case.
-  bool ShortenDeadline(wait_queue& queue,
-                       double capacity,
+  // The queue in which the request waits; null if it doesn't wait.
+  queue_state FindQueue(const permit_id& id);
+  // Moves the deadline of a waiting request forward to that of its repetition,
+  // or refuses it. Returns false in the latter case.
+  bool ShortenDeadline(const queue_state& waiting_in,
                        const permit_request& repetition,
                        instant now);
-  // The queue in which the request waits and the capacity that serves it; null
-  // if it doesn't wait.
-  std::pair<wait_queue*, double> FindQueue(const permit_id& id);
   // False if the request excludes every endpoint that takes new requests.
   bool HasCandidate(const permit_request& message) const;
   void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
--- a/bluebell/proxy/attempt_history.h
+++ b/bluebell/proxy/attempt_history.h
@@ -8,7 +8,7 @@
 //     history.Begin(attempt);
 //     ...
 //     if (history.IsResponseToCurrent(reply.attempt)) {
-//       history.End(relayed);
+//       history.End(may_be_repeated);
 //     }
 //   }
 
