--- a/bluebell/gateway/relayed_update_test.cc
+++ b/bluebell/gateway/relayed_update_test.cc
@@ -14,8 +14,8 @@
 constexpr std::size_t kMaxUpdateBytes = 24'000;
 
 // Guards against a relay whose updates fit in no datagram: the daemons that
-// follow it heard nothing after a large configuration until their patience was
-// over.
+// follow it heard nothing after a large configuration until they gave the relay
+// up.
 TEST_CASE("each update of a relay fits in a datagram") {
   const std::size_t bytes =
       GENERATE(100, 20'000, 40'000, 64'000, 70'000, 300'000);
