Log what ties an endpoint's response to the attempt

attempt_history::Match says how a response is tied to the attempt: by its id, as the first on its connection, or not at all. "request ended" has the endpoint's status and that match, and bluebell_attempts_total counts them by result. Which responses are accepted is unchanged.

bluebell_proxy_test passes, with a test case for the match.

--- a/bluebell/proxy/attempt_history.cc
+++ b/bluebell/proxy/attempt_history.cc
@@ -13,6 +13,20 @@
 
 }  // namespace
 
+std::string_view Describe(response_match match) {
+  switch (match) {
+    case response_match::kNamed:
+      return "named";
+    case response_match::kFirst:
+      return "first";
+    case response_match::kUnnamed:
+      return "unnamed";
+    case response_match::kOther:
+      return "other";
+  }
+  return "unknown";
+}
+
 bool attempt_history::MayCarry(std::string_view attempt) const {
   if (is_new_) {
     return true;
@@ -23,23 +37,25 @@
 }
 
 void attempt_history::Begin(std::string attempt) {
-  is_new_ = false;
+  is_first_ = std::exchange(is_new_, false);
   ambiguous_ = ambiguous_ || attempt.empty();
   current_ = std::move(attempt);
 }
 
-bool attempt_history::IsResponseToCurrent(std::string_view stated) {
+response_match attempt_history::Match(std::string_view stated) {
   if (stated.empty()) {
-    // No earlier response on this connection lacked the id, so this one is no
-    // copy. A copy of it could not be told from the next response.
+    // A copy of this response could not be told from the next one.
     ambiguous_ = true;
-    return true;
+    return is_first_ ? response_match::kFirst : response_match::kUnnamed;
+  }
+  if (current_.empty()) {
+    return response_match::kFirst;
   }
-  if (!current_.empty() && stated != current_) {
+  if (stated != current_) {
     ambiguous_ = true;
-    return false;
+    return response_match::kOther;
   }
-  return true;
+  return response_match::kNamed;
 }
 
 void attempt_history::End(bool may_be_repeated) {
--- a/bluebell/proxy/attempt_history.h
+++ b/bluebell/proxy/attempt_history.h
@@ -7,7 +7,7 @@
 //   if (history.MayCarry(attempt)) {
 //     history.Begin(attempt);
 //     ...
-//     if (history.IsResponseToCurrent(reply.attempt)) {
+//     if (history.Match(reply.attempt) != response_match::kOther) {
 //       history.End(may_be_repeated);
 //     }
 //   }
@@ -15,12 +15,28 @@
 #ifndef BLUEBELL_PROXY_ATTEMPT_HISTORY_H_
 #define BLUEBELL_PROXY_ATTEMPT_HISTORY_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace bluebell {
 
+// What ties a response to the attempt that is outstanding.
+enum class response_match : std::uint8_t {
+  // It names the attempt.
+  kNamed,
+  // It names none, and the connection has carried nothing before.
+  kFirst,
+  // It names none, and the connection was used before. The bytes may belong to
+  // no attempt at all.
+  kUnnamed,
+  // It names another attempt.
+  kOther,
+};
+
+std::string_view Describe(response_match match);
+
 class attempt_history {
  public:
   // True if the responses to `attempt`, an id or empty, can be told apart from
@@ -28,9 +44,9 @@
   bool MayCarry(std::string_view attempt) const;
   // Starts an exchange. Requires MayCarry().
   void Begin(std::string attempt);
-  // True if a response that names the attempt `stated`, or none, belongs to the
-  // exchange; false if it is to be skipped.
-  bool IsResponseToCurrent(std::string_view stated);
+  // Returns what ties a response that names the attempt `stated`, or none, to
+  // the exchange. One that matches kOther is to be skipped.
+  response_match Match(std::string_view stated);
   // Ends the exchange. `may_be_repeated` is true if an attempt with the same id
   // can follow.
   void End(bool may_be_repeated);
@@ -40,6 +56,8 @@
 
  private:
   bool is_new_ = true;
+  // The exchange that is outstanding is the connection's first one.
+  bool is_first_ = false;
   // True if a late response could not be told from the next one, or if the
   // endpoint has sent a response that nothing had asked for.
   bool ambiguous_ = false;
--- a/bluebell/proxy/attempt_history_test.cc
+++ b/bluebell/proxy/attempt_history_test.cc
@@ -14,7 +14,7 @@
               bool may_be_repeated = false) {
   REQUIRE(history.MayCarry(attempt));
   history.Begin(attempt);
-  CHECK(history.IsResponseToCurrent(stated));
+  CHECK(history.Match(stated) != response_match::kOther);
   history.End(may_be_repeated);
 }
 
@@ -59,12 +59,22 @@
   attempt_history history;
   Exchange(history, "a", "a");
   history.Begin("b");
-  CHECK_FALSE(history.IsResponseToCurrent("a"));
-  CHECK(history.IsResponseToCurrent("b"));
+  CHECK(history.Match("a") == response_match::kOther);
+  CHECK(history.Match("b") == response_match::kNamed);
   history.End(false);
   CHECK_FALSE(history.is_reusable());
 }
 
+TEST_CASE("a response without an id is the first's only on a new connection") {
+  attempt_history history;
+  history.Begin("a");
+  CHECK(history.Match("") == response_match::kFirst);
+  attempt_history used;
+  Exchange(used, "a", "a");
+  used.Begin("b");
+  CHECK(used.Match("") == response_match::kUnnamed);
+}
+
 TEST_CASE("the number of remembered attempts is bounded") {
   attempt_history history;
   int carried = 0;
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -259,8 +259,11 @@
     const bool ends_with_connection = parser.need_eof();
     http_response response = parser.release();
     platform::endpoint_reply reply_info = platform::ReadEndpointReply(response);
-    if (response.result_int() < kFirstFinalStatus ||
-        !link->history.IsResponseToCurrent(reply_info.attempt)) {
+    if (response.result_int() < kFirstFinalStatus) {
+      continue;
+    }
+    const response_match match = link->history.Match(reply_info.attempt);
+    if (match == response_match::kOther) {
       continue;
     }
     link->history.End(MayBeRepeated(response.result_int(), reply_info));
@@ -274,7 +277,7 @@
       AddIdle(endpoint.instance, std::move(link), keep_alive_time, now);
     }
     co_return exchange_answered{std::move(response), std::move(reply_info),
-                                now - started, std::move(memory)};
+                                match, now - started, std::move(memory)};
   }
   co_return exchange_lost{error(errc::kMalformedMessage, step::kReadReply, peer,
                                 "only responses to other requests arrived"),
--- a/bluebell/proxy/exchange_result.h
+++ b/bluebell/proxy/exchange_result.h
@@ -10,6 +10,7 @@
 #include "bluebell/core/error.h"
 #include "bluebell/core/time.h"
 #include "bluebell/http/http_message.h"
+#include "bluebell/proxy/attempt_history.h"
 #include "platform/proxy_headers.h"
 
 namespace bluebell {
@@ -19,6 +20,7 @@
   http_response response;
   // What the headers of the response state.
   platform::endpoint_reply reply_info;
+  response_match match = response_match::kNamed;
   // From the call of Send() to the end of the response.
   duration elapsed{0};
   // The memory of the response.
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -144,6 +144,10 @@
   std::vector<endpoint_id> excluded_endpoints;
   // The last attempt, for the log. `permit_wait` is the sum over all attempts.
   std::string endpoint;
+  // The status of the endpoint's response, zero without one, and what ties the
+  // response to the attempt.
+  unsigned endpoint_status = 0;
+  std::string_view match;
   std::string reason;
   permit_id permit;
   std::string dispatcher;
@@ -448,9 +452,15 @@
       caller_left ? permit_outcome::kAbandoned : OutcomeOf(exchange, result);
   release.took_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(ended - replied_at).count());
+  context.endpoint_status = 0;
+  context.match = {};
   if (const auto* answered = std::get_if<exchange_answered>(&exchange)) {
     release.load = answered->reply_info.load;
+    context.endpoint_status = answered->response.result_int();
+    context.match = Describe(answered->match);
   }
+  metrics_.Add(metric::kAttempts,
+               {context.service.value(), Describe(result), context.match});
   permits_.Release(release);
   context.reason = std::string(Describe(result));
   if (caller_left) {
@@ -526,6 +536,9 @@
             context.route == nullptr ? std::string_view() : context.route->name)
       .With("service", context.service)
       .With("endpoint", context.endpoint)
+      .With("endpoint_status", context.endpoint_status)
+      .With("match", context.match)
+      .With("idempotent", context.progress.idempotent)
       .With("dispatcher", context.dispatcher)
       .With("permit", context.permit.number)
       .With("holder", context.permit.holder)
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -19,6 +19,7 @@
   kRefusals,             // labels service, reason
   kForwards,             // label service
   kRetries,              // label service
+  kAttempts,             // labels service, result, match
   kOrdersWritten,        // label service
   kLateAnswersDropped,   // label link
   kMessagesDropped,      // labels link, reason
