--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,10 @@
 soak: install build
 	@$(BUILD)/testing/soak --seeds=$(SEEDS)
 
-# The gateway's processes under faults from outside.
+# The gateway's processes under faults from outside. With
+# SOAK_OPTIONS=--endpoint-faults, mostly endpoints are faulty.
 fault-soak: install build
-	@$(BUILD)/testing/gateway/fault_soak --program=$(BUILD)/programs/bluebellgw --seeds=$(SEEDS)
+	@$(BUILD)/testing/gateway/fault_soak --program=$(BUILD)/programs/bluebellgw --seeds=$(SEEDS) $(SOAK_OPTIONS)
 
 measure: install build
 	@$(BUILD)/testing/measure --out=measure.json
--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -4,9 +4,11 @@
 #include <chrono>
 #include <csignal>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "bluebell/core/boot_clock.h"
+#include "testing/gateway/endpoint_fault.h"
 #include "testing/gateway/gateway_world.h"
 
 namespace bluebell {
@@ -17,6 +19,60 @@
 // A daemon that was killed is started again, and an endpoint too.
 constexpr int kLeastDownMs = 100;
 constexpr int kMostDownMs = 2'500;
+constexpr double kSpoiledShare = 0.1;
+constexpr double kFailedShare = 0.3;
+constexpr double kTurnedAwayShare = 0.3;
+constexpr int kMostExtraDelayMs = 150;
+constexpr std::size_t kMostTruncatedBytes = 200;
+
+struct named_fault {
+  std::string name;
+  endpoint_fault fault;
+};
+
+// A response without a body and without the id of an attempt.
+std::string BareResponse(const std::string& status_line, bool not_run) {
+  return "HTTP/1.1 " + status_line + "\r\n" +
+         (not_run ? "X-Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+}
+
+// The faults of endpoints that the platform's pages describe. Bytes that belong
+// to no request come `delay` after a response; a truncated one has
+// `truncated_bytes`.
+std::vector<named_fault> EndpointFaults(milliseconds delay,
+                                        std::size_t truncated_bytes) {
+  const auto spoil = [](std::vector<response_fault> kinds) {
+    return spoil_responses{std::move(kinds), kSpoiledShare};
+  };
+  return {
+      {"truncated responses",
+       spoil({truncate_response{truncated_bytes, connection_end::kClose},
+              truncate_response{truncated_bytes, connection_end::kReset},
+              truncate_response{truncated_bytes, connection_end::kSilence}})},
+      {"lost responses",
+       spoil({truncate_response{0, connection_end::kClose},
+              truncate_response{0, connection_end::kReset},
+              truncate_response{0, connection_end::kSilence}})},
+      {"responses without a length", spoil({send_unframed()})},
+      {"bytes that are no response",
+       spoil({replace_response{"\x16\x03\x01 no response\r\n\r\n"},
+              replace_response{"HTTP/1.1 \r\n\r\n"}})},
+      {"copies after responses",
+       spoil({append_copy{milliseconds(0)}, append_copy{delay}})},
+      {"rejections after responses",
+       spoil(
+           {append_bytes{BareResponse("503 Service Unavailable", true), delay},
+            append_bytes{BareResponse("400 Bad Request", true), delay}})},
+      {"other bytes after responses",
+       spoil(
+           {append_bytes{BareResponse("503 Service Unavailable", false), delay},
+            append_bytes{BareResponse("200 OK", false), delay},
+            append_bytes{"no response", delay}})},
+      {"failed requests", fail_work{{500, 503, 429, 408}, kFailedShare}},
+      {"rejections", turn_work_away{true, kTurnedAwayShare}},
+      {"rejections without an id", turn_work_away{false, kTurnedAwayShare}},
+  };
+}
 
 }  // namespace
 
@@ -39,10 +95,13 @@
   if (healed_ || BootNow() >= ends_) {
     return;
   }
-  const bool planned = planned_only_ || std::bernoulli_distribution(
-                                            kPlannedShare)(world_.random());
+  const bool planned =
+      selection_ == fault_selection::kPlanned ||
+      std::bernoulli_distribution(kPlannedShare)(world_.random());
   if (planned) {
     DoPlanned();
+  } else if (selection_ == fault_selection::kEndpoints) {
+    DisturbEndpoints();
   } else {
     DoFault();
   }
@@ -276,6 +335,23 @@
   }
 }
 
+void fault_schedule::DisturbEndpoints() {
+  const std::vector<named_fault> faults =
+      EndpointFaults(PickTime(0, kMostExtraDelayMs), Pick(kMostTruncatedBytes));
+  const named_fault& chosen = faults.at(Pick(faults.size()));
+  const bool all = Pick(2) == 0;
+  const std::size_t one = Pick(world_.endpoints().size());
+  const milliseconds lasts =
+      Begin(chosen.name + (all ? " at all endpoints"
+                               : " at endpoint-" + std::to_string(one)),
+            PickTime(500, 4'000));
+  for (std::size_t i = 0; i < world_.endpoints().size(); ++i) {
+    if (all || i == one) {
+      world_.endpoints()[i]->SetFault(chosen.fault, BootNow() + lasts);
+    }
+  }
+}
+
 void fault_schedule::Heal() {
   healed_ = true;
   for (std::size_t i = 0; i < world_.gateways(); ++i) {
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -18,12 +18,23 @@
 
 class gateway_world;
 
+// Which faults come.
+enum class fault_selection : std::uint8_t {
+  // Daemons are stopped and started, settings and configurations change and
+  // endpoints are emptied, and nothing else happens.
+  kPlanned,
+  // Daemons, the store, links and endpoints fail too.
+  kMixed,
+  // Planned changes, and endpoints that spoil, fail and turn away requests.
+  kEndpoints,
+};
+
 class fault_schedule {
  public:
-  // With `planned_only` daemons are stopped and started, settings and
-  // configurations change and endpoints are emptied, and nothing else happens.
-  fault_schedule(gateway_world& world, bool planned_only, std::ostream& log)
-      : world_(world), planned_only_(planned_only), log_(log) {}
+  fault_schedule(gateway_world& world,
+                 fault_selection selection,
+                 std::ostream& log)
+      : world_(world), selection_(selection), log_(log) {}
   fault_schedule(const fault_schedule&) = delete;
   fault_schedule& operator=(const fault_schedule&) = delete;
   ~fault_schedule() = default;
@@ -50,6 +61,7 @@
   void KillEndpoint(std::size_t index);
   void TakeOrdersLate(std::size_t index);
   void RepeatResponses();
+  void DisturbEndpoints();
 
   std::size_t Pick(std::size_t count);
   milliseconds PickTime(int least, int most);
@@ -58,7 +70,7 @@
   void Planned(const std::string& what);
 
   gateway_world& world_;
-  bool planned_only_;
+  fault_selection selection_;
   std::ostream& log_;
   instant ends_;
   bool healed_ = false;
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -31,7 +31,7 @@
 
 Usage:
   fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
-             [--seconds=N] [--logs=FOLDER] [--port=N]
+             [--seconds=N] [--logs=FOLDER] [--port=N] [--endpoint-faults]
 
 Options:
   --program=FILE  The program bluebellgw.
@@ -41,6 +41,7 @@
   --seconds=N     How long faults last in each run [default: 14].
   --logs=FOLDER   Logs of runs that broke a promise [default: fault-soak-logs].
   --port=N        The first port on loopback [default: 18000].
+  --endpoint-faults  Planned changes and faulty endpoints only.
 )";
 
 using bluebell::milliseconds;
@@ -66,8 +67,18 @@
   std::string logs;
   std::size_t gateways = 0;
   milliseconds length{0};
+  bool endpoint_faults = false;
 };
 
+bluebell::fault_selection SelectionOf(std::uint64_t seed,
+                                      const soak_options& soak) {
+  if (soak.endpoint_faults) {
+    return bluebell::fault_selection::kEndpoints;
+  }
+  return seed % kPlannedOnlyEach == 0 ? bluebell::fault_selection::kPlanned
+                                      : bluebell::fault_selection::kMixed;
+}
+
 // Returns the promises that the run broke.
 std::vector<std::string> RunSeed(std::uint64_t seed,
                                  std::uint16_t port,
@@ -85,7 +96,7 @@
   }
   bluebell::gateway_world& world = *made.value();
   std::ofstream log(options.folder + "/faults.log");
-  bluebell::fault_schedule faults(world, seed % kPlannedOnlyEach == 0, log);
+  bluebell::fault_schedule faults(world, SelectionOf(seed, soak), log);
   world.RunFor(kStart);
   faults.Start(soak.length);
   world.RunFor(soak.length);
@@ -122,9 +133,13 @@
     if (broken.empty()) {
       std::filesystem::remove_all(soak.logs + "/seed-" + std::to_string(seed));
     } else {
+      const std::string folder = soak.logs + "/seed-" + std::to_string(seed);
+      std::ofstream all(folder + "/violations.log");
+      for (const std::string& each : broken) {
+        all << each << '\n';
+      }
       std::cout << "seed " << seed << ": " << broken.size()
-                << " violations; logs in " << soak.logs << "/seed-" << seed
-                << '\n';
+                << " violations; logs in " << folder << '\n';
     }
   }
 }
@@ -135,7 +150,8 @@
   const soak_options soak{
       options["--program"].asString(), options["--logs"].asString(),
       static_cast<std::size_t>(options["--gateways"].asLong()),
-      std::chrono::seconds(options["--seconds"].asLong())};
+      std::chrono::seconds(options["--seconds"].asLong()),
+      options["--endpoint-faults"].asBool()};
   totals sum;
   std::vector<std::thread> threads;
   const auto jobs = static_cast<std::uint16_t>(options["--jobs"].asLong());
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <utility>
+#include <variant>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
@@ -62,10 +63,7 @@
     return started.error();
   }
   server_ = std::move(started).value();
-  server_->RepeatResponses([this] {
-    return BootNow() < repeats_until_ &&
-           std::bernoulli_distribution(kRepeatedShare)(random_);
-  });
+  server_->SetResponseFaults([this] { return ChooseResponseFault(); });
   ++life_;
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   const auto now = static_cast<std::uint64_t>(
@@ -118,6 +116,25 @@
   return response;
 }
 
+template <typename Fault>
+const Fault* soak_endpoint::FaultNow() {
+  const auto* fault = std::get_if<Fault>(&fault_);
+  const bool befalls = fault != nullptr && BootNow() < faulty_until_ &&
+                       std::bernoulli_distribution(fault->share)(random_);
+  return befalls ? fault : nullptr;
+}
+
+response_fault soak_endpoint::ChooseResponseFault() {
+  if (BootNow() < repeats_until_ &&
+      std::bernoulli_distribution(kRepeatedShare)(random_)) {
+    return repeat_previous();
+  }
+  if (const auto* spoiled = FaultNow<spoil_responses>()) {
+    return spoiled->kinds.at(random_() % spoiled->kinds.size());
+  }
+  return send_unchanged();
+}
+
 void soak_endpoint::After(milliseconds delay, std::function<void()> what) {
   RunAfter(io_, delay,
            [what = std::move(what), life = life_, weak = weak_from_this()] {
@@ -219,7 +236,13 @@
   if (announced_ && now > *announced_ + kDrainTime) {
     record_.late_arrivals.push_back({id, options_.id, *announced_, now});
   }
-  if (running_.size() < options_.slots) {
+  if (const auto* away = FaultNow<turn_work_away>()) {
+    http_response response = NotRun(kUnavailable);
+    if (away->names_attempt) {
+      response.set("X-Attempt-Id", id);
+    }
+    taken.respond(response);
+  } else if (running_.size() < options_.slots) {
     StartWork(taken);
   } else if (waiting_.size() < options_.slots) {
     waiting_.push_back(std::move(taken));
@@ -252,6 +275,9 @@
                                   return each.range.Contains(*ended.key);
                                 });
   row.status = held ? kOk : kServerError;
+  if (const auto* failing = FaultNow<fail_work>()) {
+    row.status = failing->statuses.at(random_() % failing->statuses.size());
+  }
   row.answered = now;
   http_response response(bhttp::int_to_status(row.status), kHttp11);
   response.set("X-Attempt-Id", row.id);
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bluebell/core/address.h"
@@ -24,6 +25,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/http/http_message.h"
 #include "bluebell/keyspace/key_range.h"
+#include "testing/gateway/endpoint_fault.h"
 #include "testing/gateway/key_holders.h"
 #include "testing/gateway/soak_record.h"
 #include "testing/http_server.h"
@@ -74,6 +76,11 @@
   // A part of the responses, also those to orders, is sent once more until
   // then, where the next response on the connection is expected.
   void RepeatResponses(instant until) { repeats_until_ = until; }
+  // The process is faulty until then. A later fault replaces this one.
+  void SetFault(endpoint_fault fault, instant until) {
+    fault_ = std::move(fault);
+    faulty_until_ = until;
+  }
   // Grants that arrive until then were held up on their way.
   void ExcuseGrants(instant until) { excused_until_ = until; }
 
@@ -112,6 +119,11 @@
   void AnswerReleases();
   void After(milliseconds delay, std::function<void()> what);
   http_response NotRun(unsigned status) const;
+  // The fault that is in force now and befalls this request or response; null
+  // if there is none of that kind.
+  template <typename Fault>
+  const Fault* FaultNow();
+  response_fault ChooseResponseFault();
 
   boost::asio::io_context& io_;
   soak_endpoint_options options_;
@@ -126,6 +138,8 @@
   std::optional<instant> announced_;
   instant late_until_;
   instant repeats_until_;
+  endpoint_fault fault_;
+  instant faulty_until_;
   instant excused_until_;
   std::uint64_t works_ = 0;
   std::map<std::uint64_t, running_work> running_;
--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -1,18 +1,26 @@
 #include "testing/http_server.h"
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
+#include <variant>
+
+#include "bluebell/core/overloaded.h"
 
 namespace bluebell {
 
@@ -44,7 +52,9 @@
   asio::steady_timer accept_timer;
   http_server_options options;
   http_handler handler;
-  std::function<bool()> repeats = [] { return false; };
+  std::function<response_fault()> choose_fault = [] {
+    return response_fault(send_unchanged());
+  };
   std::set<std::shared_ptr<session>> sessions;
   std::size_t peak = 0;
   bool stopped = false;
@@ -88,6 +98,14 @@
     });
   }
 
+  // What follows the last byte of a message.
+  enum class next_step : std::uint8_t { kNone, kRead, kClose, kReset };
+
+  struct outgoing_message {
+    std::string bytes;
+    next_step then = next_step::kNone;
+  };
+
   void Write(http_response reply) {
     reply.keep_alive(keep_alive_);
     reply.prepare_payload();
@@ -95,33 +113,101 @@
       reply.body().clear();
     }
     const auto server = server_.lock();
-    if (has_replied_ && server && server->repeats()) {
-      // Still holds the previous response.
-      bhttp::async_write(socket_, reply_,
-                         [self = shared_from_this(), reply = std::move(reply)](
-                             error_code error, size_t) mutable {
-                           if (error) {
-                             self->Close();
-                           } else {
-                             self->WriteNew(std::move(reply));
-                           }
-                         });
+    if (!server) {
       return;
     }
-    WriteNew(std::move(reply));
+    const next_step then = keep_alive_ ? next_step::kRead : next_step::kClose;
+    const std::string bytes = ToBytes(reply);
+    std::visit(
+        overloaded{
+            [&](const send_unchanged&) { Send(bytes, then); },
+            [&](const repeat_previous&) { Send(previous_ + bytes, then); },
+            [&](const truncate_response& fault) {
+              Send(bytes.substr(0, fault.bytes), StepAfter(fault.end));
+            },
+            [&](const send_unframed&) {
+              reply.content_length(boost::none);
+              reply.keep_alive(false);
+              Send(ToBytes(reply), next_step::kClose);
+            },
+            [&](const replace_response& fault) {
+              Send(fault.bytes, next_step::kClose);
+            },
+            [&](const append_bytes& fault) {
+              Send(bytes, then);
+              SendLater(fault.bytes, fault.delay);
+            },
+            [&](const append_copy& fault) {
+              Send(bytes, then);
+              SendLater(bytes, fault.delay);
+            }},
+        server->choose_fault());
+    previous_ = bytes;
+  }
+
+  static std::string ToBytes(const http_response& response) {
+    std::ostringstream bytes;
+    bytes << response;
+    return bytes.str();
+  }
+
+  static next_step StepAfter(connection_end end) {
+    switch (end) {
+      case connection_end::kClose:
+        return next_step::kClose;
+      case connection_end::kReset:
+        return next_step::kReset;
+      case connection_end::kSilence:
+        return next_step::kNone;
+    }
+    return next_step::kClose;
+  }
+
+  void Send(std::string bytes, next_step then) {
+    outgoing_.push_back({std::move(bytes), then});
+    if (outgoing_.size() == 1) {
+      SendFirst();
+    }
+  }
+
+  void SendLater(std::string bytes, milliseconds delay) {
+    const auto timer =
+        std::make_shared<asio::steady_timer>(socket_.get_executor(), delay);
+    timer->async_wait([timer, bytes = std::move(bytes),
+                       weak = weak_from_this()](error_code) mutable {
+      const auto self = weak.lock();
+      if (self && self->socket_.is_open()) {
+        self->Send(std::move(bytes), next_step::kNone);
+      }
+    });
+  }
+
+  void SendFirst() {
+    asio::async_write(socket_, asio::buffer(outgoing_.front().bytes),
+                      [self = shared_from_this()](error_code error, size_t) {
+                        self->OnSent(error);
+                      });
   }
 
-  void WriteNew(http_response reply) {
-    has_replied_ = true;
-    reply_ = std::move(reply);
-    bhttp::async_write(socket_, reply_,
-                       [self = shared_from_this()](error_code error, size_t) {
-                         if (error || !self->keep_alive_) {
-                           self->Close();
-                         } else {
-                           self->Read();
-                         }
-                       });
+  void OnSent(error_code error) {
+    const next_step then = error ? next_step::kClose : outgoing_.front().then;
+    outgoing_.pop_front();
+    switch (then) {
+      case next_step::kNone:
+        break;
+      case next_step::kRead:
+        Read();
+        break;
+      case next_step::kReset:
+        Reset();
+        [[fallthrough]];
+      case next_step::kClose:
+        Close();
+        return;
+    }
+    if (!outgoing_.empty()) {
+      SendFirst();
+    }
   }
 
   void Close() {
@@ -136,11 +222,11 @@
   std::weak_ptr<http_server::state> server_;
   beast::flat_buffer buffer_;
   std::optional<bhttp::request_parser<bhttp::string_body>> parser_;
-  http_response reply_;
+  std::deque<outgoing_message> outgoing_;
+  // The connection's last response; empty before the first.
+  std::string previous_;
   bool keep_alive_ = true;
   bool is_head_ = false;
-  // True if `reply_` has been sent.
-  bool has_replied_ = false;
 };
 
 void Admit(const std::shared_ptr<http_server::state>& server,
@@ -207,8 +293,8 @@
   return std::shared_ptr<http_server>(new http_server(server));
 }
 
-void http_server::RepeatResponses(std::function<bool()> repeats) {
-  state_->repeats = std::move(repeats);
+void http_server::SetResponseFaults(std::function<response_fault()> choose) {
+  state_->choose_fault = std::move(choose);
 }
 
 void http_server::Stop() {
--- a/testing/http_server.h
+++ b/testing/http_server.h
@@ -20,6 +20,7 @@
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
 #include "bluebell/http/http_message.h"
+#include "testing/response_fault.h"
 
 namespace bluebell {
 
@@ -46,9 +47,8 @@
       const http_server_options& options,
       http_handler handler);
 
-  // Before each response, while `repeats` returns true, a further copy of the
-  // connection's previous response is sent. Call it before the first request.
-  void RepeatResponses(std::function<bool()> repeats);
+  // `choose` is asked before each response. Call it before the first request.
+  void SetResponseFaults(std::function<response_fault()> choose);
 
   // Closes the listening socket and resets all connections.
   void Stop();
