Relay no refusal that the endpoint doesn't state

Cause: an endpoint ran the request and answered with such a status, without the statement that it had not run it. Only that statement proves it; the gateway relayed every complete response of a failed attempt. A status that is a promise between gateway and caller means nothing of the kind between endpoint and gateway.

Change: attempt_result::kUnprovenRefusal. A non-idempotent request ends with 502; an idempotent one is retried or gets the response as before. What an exchange means moves from request_server to attempt_result, which can be tested without connections.

--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -57,6 +57,11 @@
       return progress.idempotent
                  ? RetryOr(progress, relay_response(), true, now)
                  : attempt_decision(relay_response());
+    case attempt_result::kUnprovenRefusal:
+      // The caller of a non-idempotent request would repeat it.
+      return progress.idempotent
+                 ? RetryOr(progress, relay_response(), true, now)
+                 : attempt_decision(failure);
     case attempt_result::kNotRun:
       // Safe for a non-idempotent request too: no attempt of it follows one
       // that may have run.
--- a/bluebell/proxy/attempt_policy.h
+++ b/bluebell/proxy/attempt_policy.h
@@ -11,29 +11,10 @@
 #include <variant>
 
 #include "bluebell/core/time.h"
+#include "bluebell/proxy/attempt_result.h"
 
 namespace bluebell {
 
-// How one attempt of a request ended.
-enum class attempt_result : std::uint8_t {
-  // A complete response with a status below 500. A 2xx response has the
-  // endpoint's receipt for its body.
-  kAnswered,
-  // A complete response with a status of 500 or more; the request has run.
-  kFailed,
-  // A complete 2xx response without the endpoint's receipt for its body. It is
-  // never relayed to the caller.
-  kUnconfirmed,
-  // The endpoint states that it did not run the request.
-  kNotRun,
-  // Nothing was sent: the connection failed, or this daemon knows that the
-  // endpoint is not in service.
-  kUnsent,
-  // The request was sent, at least in part, and no complete response arrived.
-  // It is unknown whether the request ran.
-  kLost,
-};
-
 // The attempts of one request so far, and its limits.
 struct request_progress {
   bool idempotent = false;
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -27,6 +27,20 @@
         attempt_decision(relay_response()));
 }
 
+// Guards against callers that are told "not run" for a request that ran: an
+// endpoint's 503, 429 or 408 was relayed though it didn't state that it had not
+// run the request.
+TEST_CASE("a refusal without the endpoint's statement promises nothing") {
+  request_progress progress = Progress(false, 1);
+  progress.may_have_run = true;
+  CHECK(DecideAfterAttempt(progress, attempt_result::kUnprovenRefusal, kNow) ==
+        attempt_decision(fail_request{502}));
+  progress = Progress(true, 2);
+  progress.may_have_run = true;
+  CHECK(DecideAfterAttempt(progress, attempt_result::kUnprovenRefusal, kNow) ==
+        attempt_decision(relay_response()));
+}
+
 TEST_CASE("a request that certainly did not run is sent again") {
   CHECK(DecideAfterAttempt(Progress(false, 1), attempt_result::kNotRun, kNow) ==
         attempt_decision(retry_request{true}));
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -28,9 +28,6 @@
 
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
-constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kFirstSuccess = 200;
-constexpr unsigned kFirstRedirect = 300;
 constexpr int kPercent = 100;
 
 // The Retry-After time of refusals that no dispatcher has given a time for.
@@ -63,65 +60,6 @@
   return {text.data(), text.size()};
 }
 
-std::string_view Describe(attempt_result result) {
-  switch (result) {
-    case attempt_result::kAnswered:
-      return "answered";
-    case attempt_result::kFailed:
-      return "failed";
-    case attempt_result::kUnconfirmed:
-      return "unvouched";
-    case attempt_result::kNotRun:
-      return "not_run";
-    case attempt_result::kUnsent:
-      return "unsent";
-    case attempt_result::kLost:
-      return "lost";
-  }
-  return "unknown";
-}
-
-attempt_result ResultOf(const exchange_result& exchange) {
-  return std::visit(
-      overloaded{[](const exchange_answered& answered) {
-                   const unsigned status = answered.response.result_int();
-                   if (answered.reply_info.not_run) {
-                     return attempt_result::kNotRun;
-                   }
-                   if (status >= kFirstServerError) {
-                     return attempt_result::kFailed;
-                   }
-                   const bool success =
-                       status >= kFirstSuccess && status < kFirstRedirect;
-                   return success && !answered.reply_info.has_receipt
-                              ? attempt_result::kUnconfirmed
-                              : attempt_result::kAnswered;
-                 },
-                 [](const exchange_unsent&) { return attempt_result::kUnsent; },
-                 [](const exchange_lost&) { return attempt_result::kLost; }},
-      exchange);
-}
-
-permit_outcome OutcomeOf(const exchange_result& exchange,
-                         attempt_result result) {
-  switch (result) {
-    case attempt_result::kAnswered:
-      return permit_outcome::kAnswered;
-    case attempt_result::kFailed:
-    case attempt_result::kUnconfirmed:
-      return permit_outcome::kFailed;
-    case attempt_result::kNotRun:
-      return std::get<exchange_answered>(exchange).reply_info.misdirected
-                 ? permit_outcome::kMisdirected
-                 : permit_outcome::kShed;
-    case attempt_result::kUnsent:
-      return permit_outcome::kUnreachable;
-    case attempt_result::kLost:
-      return permit_outcome::kNoResponse;
-  }
-  return permit_outcome::kUnused;
-}
-
 const error* FailureOf(const exchange_result& exchange) {
   return std::visit(
       overloaded{
@@ -479,7 +417,10 @@
     const bool allowed = !retry->uses_retry_budget || retry_taken ||
                          BudgetOf(context.service).TryRetry(ended);
     if (!allowed) {
-      next = result == attempt_result::kFailed
+      // Only an idempotent request is retried after these results.
+      const bool may_relay = result == attempt_result::kFailed ||
+                             result == attempt_result::kUnprovenRefusal;
+      next = may_relay
                  ? attempt_decision(relay_response())
                  : attempt_decision(fail_request{FinalStatus(progress, ended)});
     }
