Take no bytes that belong to no request for a response

Cause: an endpoint sent further bytes after a complete response. When they came while the connection carried the next request, they counted as its response, since a response without an attempt id was accepted as that of the outstanding attempt. A rejection without an id then proved that a running request had not run.

Change: a response that nothing ties to the attempt is never relayed and proves nothing about a non-idempotent request. So that honest rejections without an id still count, a non-idempotent attempt has a connection of its own, on which the first response can only be its own. This replaces the limit of 1.5 s for idle connections and rules its race out.

--- a/bluebell/proxy/attempt_result.cc
+++ b/bluebell/proxy/attempt_result.cc
@@ -44,11 +44,16 @@
   return "unknown";
 }
 
-attempt_result ResultOf(const exchange_result& exchange) {
+attempt_result ResultOf(const exchange_result& exchange, bool idempotent) {
   return std::visit(
-      overloaded{[](const exchange_answered& answered) {
+      overloaded{[idempotent](const exchange_answered& answered) {
                    const unsigned status = answered.response.result_int();
-                   if (answered.reply_info.not_run) {
+                   const bool tied = answered.match != response_match::kUnnamed;
+                   const bool not_run = answered.reply_info.not_run;
+                   if (!tied && !(idempotent && not_run)) {
+                     return attempt_result::kUnconfirmed;
+                   }
+                   if (not_run) {
                      return attempt_result::kNotRun;
                    }
                    if (MeansNotRun(status)) {
--- a/bluebell/proxy/attempt_result.h
+++ b/bluebell/proxy/attempt_result.h
@@ -1,7 +1,7 @@
 // How one attempt of a request ended, read from its exchange with the endpoint.
 // The functions have no state and are thread-safe.
 //
-//   attempt_result result = ResultOf(exchange);
+//   attempt_result result = ResultOf(exchange, route.idempotent);
 
 #ifndef BLUEBELL_PROXY_ATTEMPT_RESULT_H_
 #define BLUEBELL_PROXY_ATTEMPT_RESULT_H_
@@ -21,8 +21,9 @@
   kAnswered,
   // A complete response with a status of 500 or more; the request has run.
   kFailed,
-  // A complete 2xx response without the endpoint's receipt for its body. It is
-  // never relayed to the caller.
+  // A complete response that is never relayed to the caller: a 2xx response
+  // without the endpoint's receipt for its body, or one that may belong to no
+  // request.
   kUnconfirmed,
   // A complete response whose status means that the request did not run, but
   // without the endpoint's statement that this is so. It may have run.
@@ -39,7 +40,10 @@
 
 std::string_view Describe(attempt_result result);
 
-attempt_result ResultOf(const exchange_result& exchange);
+// Returns how an attempt of a request with this property ended. A response that
+// nothing ties to the attempt may consist of bytes that belong to no request:
+// it is never relayed, and it proves nothing about a non-idempotent request.
+attempt_result ResultOf(const exchange_result& exchange, bool idempotent);
 
 // What the dispatcher is told of the attempt.
 permit_outcome OutcomeOf(const exchange_result& exchange,
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -61,6 +61,11 @@
   // From now on, a further copy of a connection's last response precedes the
   // next one on it.
   void RepeatResponses() { repeats_ = true; }
+  // These bytes precede each response but the first on a connection. Call it
+  // before the first request.
+  void PrecedeLaterResponses(std::string bytes) {
+    extra_bytes_ = std::move(bytes);
+  }
 
   fleet_endpoint entry() {
     fleet_endpoint entry;
@@ -105,7 +110,9 @@
         break;
       }
       const std::string& script = scripts_[number];
-      asio::write(socket, asio::buffer(repeats_ ? last + script : script),
+      const std::string extra = last.empty() ? "" : extra_bytes_;
+      asio::write(socket,
+                  asio::buffer(extra + (repeats_ ? last + script : script)),
                   failure);
       last = script;
       const bool closes =
@@ -125,6 +132,7 @@
   }
 
   std::vector<std::string> scripts_;
+  std::string extra_bytes_;
   bool resets_;
   asio::io_context io_;
   tcp::acceptor acceptor_;
@@ -142,15 +150,15 @@
   explicit client(std::shared_ptr<byte_budget> memory = nullptr)
       : connection_pool(io, std::move(memory)) {}
 
-  exchange_result Send(
-      const fleet_endpoint& entry,
-      const std::string& attempt,
-      std::optional<milliseconds> abandon_after = std::nullopt) {
+  exchange_result Send(const fleet_endpoint& entry,
+                       const std::string& attempt,
+                       std::optional<milliseconds> abandon_after = std::nullopt,
+                       bool own_connection = false) {
     http_request request(boost::beast::http::verb::get, "/x", 11);
     exchange_options options;
     options.attempt = attempt;
     options.deadline = BootNow() + seconds(2);
-    options.max_idle_time = seconds(5);
+    options.own_connection = own_connection;
     if (abandon_after) {
       options.abandon_check_at = BootNow() + *abandon_after;
       options.may_abandon = [] { return true; };
@@ -367,6 +375,33 @@
   CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
 }
 
+// Guards against callers of non-idempotent requests that are told "not run" for
+// a request that runs: bytes that an endpoint sent after a complete response,
+// and that looked like a rejection, were taken for the response to the next
+// request on the connection.
+TEST_CASE("bytes after a response don't answer a request that runs once") {
+  const std::string extra = GENERATE(
+      Rejection(""), Rejection("1"),
+      std::string("HTTP/1.1 503 Service Unavailable\r\nContent-Length: "
+                  "0\r\n\r\n"));
+  scripted_server server(
+      {SampleResponse("1", "one"), SampleResponse("2", "two")});
+  server.PrecedeLaterResponses(extra);
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+  CHECK(BodyOf(caller.Send(server.entry(), "2", std::nullopt, true)) == "two");
+  CHECK(caller.connection_pool.opened_count() == 2);
+}
+
+TEST_CASE("a connection of one exchange isn't used for another") {
+  scripted_server server(
+      {SampleResponse("1", "one"), SampleResponse("2", "two")});
+  client caller;
+  CHECK(BodyOf(caller.Send(server.entry(), "1", std::nullopt, true)) == "one");
+  CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
+  CHECK(caller.connection_pool.opened_count() == 2);
+}
+
 TEST_CASE("a connection on which a copy arrived isn't used again") {
   scripted_server server({SampleResponse("1", "one"),
                           SampleResponse("2", "two"),
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -37,10 +37,6 @@
 // Subtracted from the time that a caller says it will wait, since part of it
 // passed before the request arrived and the response has to travel back.
 constexpr milliseconds kResponseTransitMargin{20};
-// A non-idempotent request is only sent on a connection that was used this
-// recently: the endpoint may close an older one while the request is written.
-constexpr milliseconds kNonIdempotentMaxIdleTime{1'500};
-constexpr milliseconds kIdempotentMaxIdleTime{60'000};
 // An idempotent request without a key may be sent to another endpoint if there
 // is no response after this many times its expected duration.
 constexpr int kAbandonFactor = 6;
@@ -354,8 +350,7 @@
   exchange_options options;
   options.attempt = context.call.attempt;
   options.deadline = progress.deadline;
-  options.max_idle_time =
-      progress.idempotent ? kIdempotentMaxIdleTime : kNonIdempotentMaxIdleTime;
+  options.own_connection = !progress.idempotent;
   bool retry_taken = false;
   if (MayAbandon(progress, context.call.key.has_value())) {
     const milliseconds expected(std::int64_t{granted.expected_ms} *
@@ -385,7 +380,7 @@
   const auto cancelled = co_await asio::this_coro::cancellation_state;
   const bool caller_left =
       cancelled.cancelled() != asio::cancellation_type::none;
-  const attempt_result result = ResultOf(exchange);
+  const attempt_result result = ResultOf(exchange, progress.idempotent);
   release.outcome =
       caller_left ? permit_outcome::kAbandoned : OutcomeOf(exchange, result);
   release.took_ms = static_cast<std::uint32_t>(
