Send a rejected non-idempotent attempt to no endpoint again

Callers: a non-idempotent request with a key was answered 503 and ran.

Cause: after a rejection, a keyed request goes to the same endpoint with the same attempt id. And a request with a key to a service without owners wasn't kept from the endpoint that had rejected it.

Change: a non-idempotent request whose key has one owner ends with 503 at its first rejection, which is true and comes at once; its caller has another attempt id. Whether the owner matters is taken from the service, not from the presence of a key in the request.

--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-bool MayAbandon(const request_progress& progress, bool keyed) {
-  return progress.idempotent && !keyed &&
+bool MayAbandon(const request_progress& progress) {
+  return progress.idempotent && !progress.keyed &&
          progress.sent_attempts + 1 < progress.max_attempts;
 }
 
@@ -63,6 +63,11 @@
                  ? RetryOr(progress, relay_response(), true, now)
                  : attempt_decision(failure);
     case attempt_result::kNotRun:
+      if (progress.keyed && !progress.idempotent) {
+        // A second rejection by the same endpoint could be a copy of the first,
+        // under the same attempt id, while the request runs.
+        return failure;
+      }
       // Safe for a non-idempotent request too: no attempt of it follows one
       // that may have run.
       return RetryOr(progress, failure, true, now);
--- a/bluebell/proxy/attempt_policy.h
+++ b/bluebell/proxy/attempt_policy.h
@@ -18,6 +18,8 @@
 // The attempts of one request so far, and its limits.
 struct request_progress {
   bool idempotent = false;
+  // Only the owner of the request's key can run it.
+  bool keyed = false;
   // The number of attempts that may be sent to an endpoint.
   std::uint32_t max_attempts = 1;
   // The number of attempts that were sent to an endpoint.
@@ -60,7 +62,7 @@
 // another one. Always false for a keyed request: it could only be sent to the
 // same owner again, would queue there behind other requests, and the work done
 // so far would be lost.
-bool MayAbandon(const request_progress& progress, bool keyed);
+bool MayAbandon(const request_progress& progress);
 
 // Returns the HTTP status of a request that ends without a response that can be
 // relayed: 503 if it certainly did not run, 504 if no time is left for another
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -50,6 +50,19 @@
         attempt_decision(retry_request{false}));
 }
 
+// Guards against a caller that is told "not run" for a request that runs: a
+// copy of a rejection under the same id was taken for the response to the next
+// attempt, which a keyed request makes at the same endpoint.
+TEST_CASE("no endpoint gets a rejected non-idempotent attempt again") {
+  request_progress progress = Progress(false, 1);
+  progress.keyed = true;
+  CHECK(DecideAfterAttempt(progress, attempt_result::kNotRun, kNow) ==
+        attempt_decision(fail_request{503}));
+  progress.idempotent = true;
+  CHECK(DecideAfterAttempt(progress, attempt_result::kNotRun, kNow) ==
+        attempt_decision(retry_request{true}));
+}
+
 TEST_CASE("status 503 is returned only for a request that did not run") {
   CHECK(DecideAfterAttempt(Progress(false, 2), attempt_result::kNotRun, kNow) ==
         attempt_decision(fail_request{503}));
@@ -81,10 +94,12 @@
 // key's only owner again and ended with status 502 although its work was nearly
 // done.
 TEST_CASE("an attempt is abandoned early only in favour of another endpoint") {
-  CHECK(MayAbandon(Progress(true, 0), false));
-  CHECK(!MayAbandon(Progress(true, 0), true));
-  CHECK(!MayAbandon(Progress(false, 0), false));
-  CHECK(!MayAbandon(Progress(true, 1), false));
+  request_progress keyed = Progress(true, 0);
+  keyed.keyed = true;
+  CHECK(MayAbandon(Progress(true, 0)));
+  CHECK(!MayAbandon(keyed));
+  CHECK(!MayAbandon(Progress(false, 0)));
+  CHECK(!MayAbandon(Progress(true, 1)));
 }
 
 TEST_CASE("a request without time left is not attempted again") {
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -13,6 +13,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/fleet/fleet_service.h"
 #include "bluebell/proxy/attempt_policy.h"
 #include "bluebell/proxy/endpoint_connection_pool.h"
 #include "bluebell/proxy/permit_client.h"
@@ -197,6 +198,10 @@
         time_left, *context.call.time_left - kResponseTransitMargin);
   }
   context.progress.idempotent = bluebell::IsIdempotent(route.kind);
+  const fleet_service* service =
+      context.view->config->FindService(context.service);
+  context.progress.keyed =
+      context.call.key && service != nullptr && service->keyed;
   context.progress.max_attempts = std::max(1U, route.max_attempts);
   context.progress.deadline = context.arrived + time_left;
   while (true) {
@@ -352,7 +357,7 @@
   options.deadline = progress.deadline;
   options.own_connection = !progress.idempotent;
   bool retry_taken = false;
-  if (MayAbandon(progress, context.call.key.has_value())) {
+  if (MayAbandon(progress)) {
     const milliseconds expected(std::int64_t{granted.expected_ms} *
                                 kAbandonFactor);
     options.abandon_check_at =
@@ -441,7 +446,7 @@
           },
           [&](const retry_request&) -> std::optional<served_response> {
             // A key has one owner, which gets the next attempt too.
-            if (!context.call.key || progress.unsent_attempts > 1) {
+            if (!progress.keyed || progress.unsent_attempts > 1) {
               context.excluded_endpoints.push_back(granted.endpoint.endpoint);
             }
             metrics_.Add(metric::kRetries, {context.service.value()});
