Give each order about keys a connection of its own

Cause: the responses to grants and releases have no field that names their call, and calls shared connections. A copy of the response to a grant passed for the confirmation of a release; it would also pass for the response to another grant, which proves that this one can't be carried out late any more.

Change: http_client_options::reuse_connections; orders don't reuse connections.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -31,7 +31,6 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds kWriteRetryInterval{200};
-constexpr milliseconds kGrantConnectionIdleTimeout{6'000};
 // The replies are short; a faulty endpoint may send bytes without end.
 constexpr std::uint64_t kMaxOrderReplyBytes = 64U << 10U;
 
@@ -65,7 +64,9 @@
   std::unique_ptr<http_client>& client = clients_[where];
   if (!client) {
     http_client_options options;
-    options.idle_timeout = kGrantConnectionIdleTimeout;
+    // Orders have no id that a response could name, and a response proves that
+    // keys were released or that a grant can't be carried out late any more.
+    options.reuse_connections = false;
     options.max_body_bytes = kMaxOrderReplyBytes;
     auto new_client = http_client::Make(io_, where, options);
     if (!new_client) {
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -80,7 +80,7 @@
     }
     ++calls_;
     request.set(bhttp::field::host, where_.ToString());
-    request.keep_alive(true);
+    request.keep_alive(options_.reuse_connections);
     request.prepare_payload();
     SpawnTask(io_.get_executor(), "HTTP call",
               Run(shared_from_this(), std::move(request), timeout, call_step,
@@ -196,7 +196,7 @@
                               timeout);
     }
     http_response response = parser.release();
-    if (response.keep_alive()) {
+    if (self->options_.reuse_connections && response.keep_alive()) {
       self->KeepForReuse(std::move(link));
     }
     co_return response;
--- a/bluebell/http/http_client.h
+++ b/bluebell/http/http_client.h
@@ -37,6 +37,10 @@
   // A connection that has been idle for this time isn't used again, so that a
   // call doesn't fail because the server closes the connection meanwhile.
   milliseconds idle_timeout{5'000};
+  // False: each call has a connection of its own. Nothing that the server sends
+  // for other calls can then be taken for the response. Necessary where a
+  // response has no field that names its call and is proof of something.
+  bool reuse_connections = true;
 
   friend bool operator==(const http_client_options&,
                          const http_client_options&) = default;
--- a/bluebell/http/http_client_test.cc
+++ b/bluebell/http/http_client_test.cc
@@ -1,12 +1,17 @@
 #include "bluebell/http/http_client.h"
 
+#include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <catch2/catch.hpp>
 
@@ -49,5 +54,93 @@
   CHECK(failure == asio::error::connection_reset);
 }
 
+// Answers each request with its number among all requests. Before the second
+// and any later response on a connection, a copy of the one before is sent.
+class repeating_server {
+ public:
+  repeating_server()
+      : acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    Accept();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  repeating_server(const repeating_server&) = delete;
+  repeating_server& operator=(const repeating_server&) = delete;
+  ~repeating_server() {
+    io_.stop();
+    thread_.join();
+  }
+
+  address where() const {
+    return address::Parse("127.0.0.1:" +
+                          std::to_string(acceptor_.local_endpoint().port()))
+        .value();
+  }
+
+ private:
+  struct session {
+    explicit session(tcp::socket accepted) : socket(std::move(accepted)) {}
+    tcp::socket socket;
+    std::string received;
+    std::string last;
+  };
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code failure, tcp::socket socket) {
+          if (!failure) {
+            Serve(std::make_shared<session>(std::move(socket)));
+            Accept();
+          }
+        });
+  }
+
+  void Serve(const std::shared_ptr<session>& served) {
+    asio::async_read_until(
+        served->socket, asio::dynamic_buffer(served->received), "\r\n\r\n",
+        [this, served](boost::system::error_code failure, std::size_t size) {
+          if (failure) {
+            return;
+          }
+          served->received.erase(0, size);
+          const std::string body = std::to_string(++requests_);
+          const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                       std::to_string(body.size()) +
+                                       "\r\n\r\n" + body;
+          asio::write(served->socket, asio::buffer(served->last + response),
+                      failure);
+          served->last = response;
+          Serve(served);
+        });
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  int requests_ = 0;
+  std::thread thread_;
+};
+
+// Guards against keys that are granted while their holder still works on them:
+// a copy of the response to a grant was taken for the confirmation of a release
+// on the same connection.
+TEST_CASE("a copy of a response doesn't answer a call that must have proof") {
+  repeating_server server;
+  asio::io_context io;
+  http_client_options options;
+  options.reuse_connections = false;
+  auto client = http_client::Make(io, server.where(), options).value();
+  for (const std::string expected : {"1", "2", "3"}) {
+    std::optional<result<http_response>> outcome;
+    client->Call(
+        http_request(boost::beast::http::verb::get, "/release", 11), seconds(2),
+        step::kGrantLease,
+        [&](const result<http_response>& response) { outcome = response; });
+    io.restart();
+    io.run();
+    REQUIRE(outcome);
+    REQUIRE(outcome->has_value());
+    CHECK(outcome->value().body() == expected);
+  }
+}
+
 }  // namespace
 }  // namespace bluebell
