Accept only a rejection that names the attempt as proof

Change: only a response that names the attempt proves that a non-idempotent request has not run; any other rejection ends it with 502. Connections are shared again, with the limit of 1.5 s of idle time. The test of the pool that checked the connection of its own gives way to two that check, with the same stray bytes, what the response counts as and that a named one is skipped.

--- a/bluebell/proxy/attempt_result.cc
+++ b/bluebell/proxy/attempt_result.cc
@@ -48,13 +48,13 @@
   return std::visit(
       overloaded{[idempotent](const exchange_answered& answered) {
                    const unsigned status = answered.response.result_int();
-                   const bool tied = answered.match != response_match::kUnnamed;
-                   const bool not_run = answered.reply_info.not_run;
-                   if (!tied && !(idempotent && not_run)) {
-                     return attempt_result::kUnconfirmed;
+                   const bool named = answered.match == response_match::kNamed;
+                   if (answered.reply_info.not_run) {
+                     return named || idempotent ? attempt_result::kNotRun
+                                                : attempt_result::kUnconfirmed;
                    }
-                   if (not_run) {
-                     return attempt_result::kNotRun;
+                   if (answered.match == response_match::kUnnamed) {
+                     return attempt_result::kUnconfirmed;
                    }
                    if (MeansNotRun(status)) {
                      return attempt_result::kUnprovenRefusal;
--- a/bluebell/proxy/attempt_result.h
+++ b/bluebell/proxy/attempt_result.h
@@ -21,9 +21,9 @@
   kAnswered,
   // A complete response with a status of 500 or more; the request has run.
   kFailed,
-  // A complete response that is never relayed to the caller: a 2xx response
-  // without the endpoint's receipt for its body, or one that may belong to no
-  // request.
+  // A complete response that is never relayed to the caller and proves nothing:
+  // a 2xx response without the endpoint's receipt for its body, or one that may
+  // belong to no request.
   kUnconfirmed,
   // A complete response whose status means that the request did not run, but
   // without the endpoint's statement that this is so. It may have run.
@@ -40,9 +40,10 @@
 
 std::string_view Describe(attempt_result result);
 
-// Returns how an attempt of a request with this property ended. A response that
-// nothing ties to the attempt may consist of bytes that belong to no request:
-// it is never relayed, and it proves nothing about a non-idempotent request.
+// Returns how an attempt of a request with this property ended. Bytes that
+// belong to no request can look like a response without an id. So a response
+// that nothing ties to the attempt is never relayed, and only one that names
+// the attempt proves that a non-idempotent request has not run.
 attempt_result ResultOf(const exchange_result& exchange, bool idempotent);
 
 // What the dispatcher is told of the attempt.
--- a/bluebell/proxy/attempt_result_test.cc
+++ b/bluebell/proxy/attempt_result_test.cc
@@ -42,7 +42,7 @@
 // Guards against a request that runs twice, or after its caller was told that
 // it had not run: bytes that an endpoint had sent after an earlier response
 // were taken for the rejection of the next request on the connection.
-TEST_CASE("a rejection that nothing ties to the attempt proves nothing") {
+TEST_CASE("a rejection that doesn't name the attempt proves nothing") {
   const auto rejection = [](response_match match) {
     return Answered(503, true, false, match);
   };
@@ -53,7 +53,7 @@
   CHECK(ResultOf(rejection(response_match::kNamed), false) ==
         attempt_result::kNotRun);
   CHECK(ResultOf(rejection(response_match::kFirst), false) ==
-        attempt_result::kNotRun);
+        attempt_result::kUnconfirmed);
 }
 
 // Guards against a caller that gets an answer of another request.
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -86,6 +86,7 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   attempt_history history;
+  instant used_at;
   instant close_at;
 };
 
@@ -106,7 +107,9 @@
   }
   std::vector<connection_ptr>& idle = found->second;
   // The connection used last is the most likely to be still open.
-  for (std::size_t end = idle.size(); end > 0; --end) {
+  for (std::size_t end = idle.size();
+       end > 0 && now - idle[end - 1]->used_at <= options.max_idle_time;
+       --end) {
     if (!idle[end - 1]->history.MayCarry(options.attempt)) {
       continue;
     }
@@ -124,6 +127,7 @@
                                        milliseconds keep_alive,
                                        instant now) {
   used->stream.expires_never();
+  used->used_at = now;
   used->close_at = now + std::min(keep_alive, kMaxKeepAlive);
   std::vector<connection_ptr>& idle = idle_[endpoint];
   idle.push_back(std::move(used));
@@ -192,10 +196,7 @@
   const instant started = BootNow();
   const std::string peer =
       endpoint.instance.endpoint.value() + " " + endpoint.where.ToString();
-  connection_ptr link;
-  if (!options.own_connection) {
-    link = TakeIdle(endpoint.instance, options, started);
-  }
+  connection_ptr link = TakeIdle(endpoint.instance, options, started);
   if (!link) {
     link = std::make_unique<connection>(io_);
     ++opened_count_;
@@ -268,9 +269,8 @@
     link->history.End(MayBeRepeated(response.result_int(), reply_info));
     abandon_timer.cancel();
     const instant now = BootNow();
-    if (!options.own_connection && response.keep_alive() &&
-        !ends_with_connection && link->buffer.size() == 0 &&
-        link->history.is_reusable()) {
+    if (response.keep_alive() && !ends_with_connection &&
+        link->buffer.size() == 0 && link->history.is_reusable()) {
       const milliseconds keep_alive_time =
           reply_info.keep_alive ? *reply_info.keep_alive - kKeepAliveMargin
                                 : kDefaultKeepAlive;
--- a/bluebell/proxy/endpoint_connection_pool.h
+++ b/bluebell/proxy/endpoint_connection_pool.h
@@ -41,17 +41,15 @@
 struct exchange_options {
   // The attempt id that the caller sent, or empty. A response that names
   // another attempt is skipped. Without an id, the exchange has a connection of
-  // its own in any case.
+  // its own.
   std::string attempt;
   // An exchange without a complete response by then ends; as exchange_lost with
   // errc::kTimeout if the request was sent.
   instant deadline;
-  // The exchange has a new connection, which is closed after it. Its response
-  // is then the first on the connection, and nothing that the endpoint sends
-  // for other requests can be taken for it. Nor can the endpoint have closed an
-  // idle connection while the request is written, which would leave it unknown
-  // whether the request ran.
-  bool own_connection = false;
+  // A connection that was idle for longer isn't reused. The endpoint may close
+  // an idle connection while the request is written to it, and it is then
+  // unknown whether the request ran.
+  milliseconds max_idle_time{0};
   // When to call `may_abandon`, once. If it returns true, the exchange ends as
   // exchange_lost with errc::kTimeout before its deadline. nullopt: the
   // exchange is never abandoned.
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -21,6 +21,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
+#include "bluebell/proxy/attempt_result.h"
 #include "platform/wire_samples.h"
 
 namespace bluebell {
@@ -32,14 +33,16 @@
 
 // A test endpoint that answers each request with the next script and counts
 // connections and requests. Each connection has a thread of its own. It closes
-// the connection after an empty script or one without Content-Length, by a
-// reset if `resets` is true.
+// the connection after an empty script or one without Content-Length, or after
+// any if `always_closes` is true; by a reset if `resets` is true.
 class scripted_server {
  public:
   explicit scripted_server(std::vector<std::string> scripts,
-                           bool resets = false)
+                           bool resets = false,
+                           bool always_closes = false)
       : scripts_(std::move(scripts)),
         resets_(resets),
+        always_closes_(always_closes),
         acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         thread_([this] { Accept(); }) {}
   scripted_server(const scripted_server&) = delete;
@@ -115,8 +118,8 @@
                   asio::buffer(extra + (repeats_ ? last + script : script)),
                   failure);
       last = script;
-      const bool closes =
-          script.empty() || script.find("Content-Length") == std::string::npos;
+      const bool closes = always_closes_ || script.empty() ||
+                          script.find("Content-Length") == std::string::npos;
       if (closes) {
         break;
       }
@@ -134,6 +137,7 @@
   std::vector<std::string> scripts_;
   std::string extra_bytes_;
   bool resets_;
+  bool always_closes_;
   asio::io_context io_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopping_ = false;
@@ -150,15 +154,15 @@
   explicit client(std::shared_ptr<byte_budget> memory = nullptr)
       : connection_pool(io, std::move(memory)) {}
 
-  exchange_result Send(const fleet_endpoint& entry,
-                       const std::string& attempt,
-                       std::optional<milliseconds> abandon_after = std::nullopt,
-                       bool own_connection = false) {
+  exchange_result Send(
+      const fleet_endpoint& entry,
+      const std::string& attempt,
+      std::optional<milliseconds> abandon_after = std::nullopt) {
     http_request request(boost::beast::http::verb::get, "/x", 11);
     exchange_options options;
     options.attempt = attempt;
     options.deadline = BootNow() + seconds(2);
-    options.own_connection = own_connection;
+    options.max_idle_time = seconds(5);
     if (abandon_after) {
       options.abandon_check_at = BootNow() + *abandon_after;
       options.may_abandon = [] { return true; };
@@ -220,6 +224,34 @@
       caller.Send(server.entry(), "1", milliseconds(200))));
 }
 
+// Guards against a caller that gets 200 with an empty or short body, framed as
+// whole: the endpoint stopped within the head or the body of its response and
+// closed the connection.
+TEST_CASE("no prefix of a response is an answer") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  const std::string whole = GENERATE_COPY(SampleResponse("1", "body"),
+                                          SampleResponse("1", ""), chunked);
+  const bool resets = GENERATE(false, true);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    scripted_server server({whole.substr(0, size)}, resets, true);
+    client caller;
+    INFO("the first " << size << " bytes of " << whole);
+    CHECK(std::holds_alternative<exchange_lost>(
+        caller.Send(server.entry(), "1")));
+  }
+  // The head of a response that ends with its connection.
+  const std::string unframed = platform::SampleUnframedResponse("1", "");
+  for (std::size_t size = 0; size < unframed.size(); ++size) {
+    scripted_server server({unframed.substr(0, size)}, resets, true);
+    client caller;
+    INFO("the first " << size << " bytes of " << unframed);
+    CHECK(std::holds_alternative<exchange_lost>(
+        caller.Send(server.entry(), "1")));
+  }
+}
+
 TEST_CASE("a response without a length is complete only at an orderly close") {
   const std::string unframed = platform::SampleUnframedResponse("1", "body");
   {
@@ -379,27 +411,26 @@
 // a request that runs: bytes that an endpoint sent after a complete response,
 // and that looked like a rejection, were taken for the response to the next
 // request on the connection.
-TEST_CASE("bytes after a response don't answer a request that runs once") {
-  const std::string extra = GENERATE(
-      Rejection(""), Rejection("1"),
-      std::string("HTTP/1.1 503 Service Unavailable\r\nContent-Length: "
-                  "0\r\n\r\n"));
+TEST_CASE("bytes after a response prove nothing about the next request") {
+  const std::string bare_refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
   scripted_server server(
       {SampleResponse("1", "one"), SampleResponse("2", "two")});
-  server.PrecedeLaterResponses(extra);
+  server.PrecedeLaterResponses(GENERATE_COPY(Rejection(""), bare_refusal));
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
-  CHECK(BodyOf(caller.Send(server.entry(), "2", std::nullopt, true)) == "two");
-  CHECK(caller.connection_pool.opened_count() == 2);
+  CHECK(ResultOf(caller.Send(server.entry(), "2"), false) ==
+        attempt_result::kUnconfirmed);
+  CHECK(caller.connection_pool.opened_count() == 1);
 }
 
-TEST_CASE("a connection of one exchange isn't used for another") {
+TEST_CASE("bytes that name another attempt don't answer the next request") {
   scripted_server server(
       {SampleResponse("1", "one"), SampleResponse("2", "two")});
+  server.PrecedeLaterResponses(Rejection("1"));
   client caller;
-  CHECK(BodyOf(caller.Send(server.entry(), "1", std::nullopt, true)) == "one");
+  CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
   CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
-  CHECK(caller.connection_pool.opened_count() == 2);
 }
 
 TEST_CASE("a connection on which a copy arrived isn't used again") {
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -38,6 +38,10 @@
 // Subtracted from the time that a caller says it will wait, since part of it
 // passed before the request arrived and the response has to travel back.
 constexpr milliseconds kResponseTransitMargin{20};
+// A non-idempotent request is only sent on a connection that was used this
+// recently: the endpoint may close an older one while the request is written.
+constexpr milliseconds kNonIdempotentMaxIdleTime{1'500};
+constexpr milliseconds kIdempotentMaxIdleTime{60'000};
 // An idempotent request without a key may be sent to another endpoint if there
 // is no response after this many times its expected duration.
 constexpr int kAbandonFactor = 6;
@@ -355,7 +359,8 @@
   exchange_options options;
   options.attempt = context.call.attempt;
   options.deadline = progress.deadline;
-  options.own_connection = !progress.idempotent;
+  options.max_idle_time =
+      progress.idempotent ? kIdempotentMaxIdleTime : kNonIdempotentMaxIdleTime;
   bool retry_taken = false;
   if (MayAbandon(progress)) {
     const milliseconds expected(std::int64_t{granted.expected_ms} *
