Share connections for grants again

Callers: requests were served later.

Cause: each renewal of a grant opened a connection of its own, and a new connection holds one of the endpoint's slots for a moment.

Change: only releases have a connection of their own; their responses prove that no work runs on the keys any more, and they are rare. Grants share connections as before. What is left: bytes of no request that come on such a connection can pass for the response to a grant that is carried out late.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -31,6 +31,7 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds kWriteRetryInterval{200};
+constexpr milliseconds kGrantConnectionIdleTimeout{6'000};
 // The replies are short; a faulty endpoint may send bytes without end.
 constexpr std::uint64_t kMaxOrderReplyBytes = 64U << 10U;
 
@@ -64,9 +65,7 @@
   std::unique_ptr<http_client>& client = clients_[where];
   if (!client) {
     http_client_options options;
-    // Orders have no id that a response could name, and a response proves that
-    // keys were released or that a grant can't be carried out late any more.
-    options.reuse_connections = false;
+    options.idle_timeout = kGrantConnectionIdleTimeout;
     options.max_body_bytes = kMaxOrderReplyBytes;
     auto new_client = http_client::Make(io_, where, options);
     if (!new_client) {
@@ -118,12 +117,21 @@
 asio::awaitable<void> coordinator_role::Release(std::uint64_t term,
                                                 service_name service,
                                                 send_release order) {
-  http_client* client = term == term_ ? ClientOf(order.where) : nullptr;
-  if (client == nullptr) {
+  if (term != term_) {
+    co_return;
+  }
+  // Orders have no id that a response could name, and the response to a release
+  // proves that no work runs on the keys any more.
+  http_client_options options;
+  options.reuse_connections = false;
+  options.max_body_bytes = kMaxOrderReplyBytes;
+  const auto client = http_client::Make(io_, order.where, options);
+  if (!client) {
     co_return;
   }
   const result<http_response> response = co_await AsyncCall(
-      *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
+      *client.value(),
+      platform::EncodeRelease(order.endpoint.endpoint, order.release),
       timing_.release_timeout, step::kGrantLease);
   coordinated_service* coordinated = FindService(service);
   if (coordinated == nullptr || term != term_) {
