--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -113,10 +113,12 @@
         break;
       }
       const std::string& script = scripts_[number];
-      const std::string extra = last.empty() ? "" : extra_bytes_;
-      asio::write(socket,
-                  asio::buffer(extra + (repeats_ ? last + script : script)),
-                  failure);
+      std::string bytes = last.empty() ? "" : extra_bytes_;
+      if (repeats_) {
+        bytes += last;
+      }
+      bytes += script;
+      asio::write(socket, asio::buffer(bytes), failure);
       last = script;
       const bool closes = always_closes_ || script.empty() ||
                           script.find("Content-Length") == std::string::npos;
