Name what applies to a request in the soak's endpoints

Read as a newcomer: two comments and a variable of the fault soak said that a fault befalls a request, and a comment of attempt_policy didn't say what the caller would take the status for. No behaviour changes.

--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -58,7 +58,8 @@
                  ? RetryOr(progress, relay_response(), true, now)
                  : attempt_decision(relay_response());
     case attempt_result::kUnprovenRefusal:
-      // The caller of a non-idempotent request would repeat it.
+      // The caller of a non-idempotent request would take the status as a
+      // promise and repeat the request.
       return progress.idempotent
                  ? RetryOr(progress, relay_response(), true, now)
                  : attempt_decision(failure);
--- a/testing/gateway/endpoint_fault.h
+++ b/testing/gateway/endpoint_fault.h
@@ -12,7 +12,7 @@
 
 namespace bluebell {
 
-// One of `kinds` befalls a response, also one to an order about keys.
+// One of `kinds` is applied to a response, also to one to an order about keys.
 struct spoil_responses {
   std::vector<response_fault> kinds;
   double share = 0;
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -18,7 +18,7 @@
 
 class gateway_world;
 
-// Which faults come.
+// Which faults a schedule has.
 enum class fault_selection : std::uint8_t {
   // Daemons are stopped and started, settings and configurations change and
   // endpoints are emptied, and nothing else happens.
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -119,9 +119,9 @@
 template <typename Fault>
 const Fault* soak_endpoint::FaultNow() {
   const auto* fault = std::get_if<Fault>(&fault_);
-  const bool befalls = fault != nullptr && BootNow() < faulty_until_ &&
+  const bool applies = fault != nullptr && BootNow() < faulty_until_ &&
                        std::bernoulli_distribution(fault->share)(random_);
-  return befalls ? fault : nullptr;
+  return applies ? fault : nullptr;
 }
 
 response_fault soak_endpoint::ChooseResponseFault() {
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -119,8 +119,8 @@
   void AnswerReleases();
   void After(milliseconds delay, std::function<void()> what);
   http_response NotRun(unsigned status) const;
-  // The fault that is in force now and befalls this request or response; null
-  // if there is none of that kind.
+  // Decides at random, by the fault's share, whether a fault of this kind
+  // applies to one request or response. Null if not, or if none is in force.
   template <typename Fault>
   const Fault* FaultNow();
   response_fault ChooseResponseFault();
