Send nothing after a truncated response in the fault soak

Cause: the test endpoint, not the gateway. Its extra bytes for an earlier response ("other bytes after responses" until 3,690 ms after it began) were sent on the connection after the head of a truncated response, in the midst of the signature, and both together read as one whole response that named the attempt. The fault is defined as bytes between responses, never within one.

Change: a session that has truncated a response sends nothing more.

--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -176,7 +176,7 @@
     timer->async_wait([timer, bytes = std::move(bytes),
                        weak = weak_from_this()](error_code) mutable {
       const auto self = weak.lock();
-      if (self && self->socket_.is_open()) {
+      if (self && self->socket_.is_open() && !self->truncated_) {
         self->Send(std::move(bytes), next_step::kNone);
       }
     });
@@ -227,6 +227,8 @@
   std::string previous_;
   bool keep_alive_ = true;
   bool is_head_ = false;
+  // Nothing follows a truncated response: it would become a part of it.
+  bool truncated_ = false;
 };
 
 void Admit(const std::shared_ptr<http_server::state>& server,
