--- a/bluebell/proxy/attempt_result.h
+++ b/bluebell/proxy/attempt_result.h
@@ -1,7 +1,7 @@
 // How one attempt of a request ended, read from its exchange with the endpoint.
 // The functions have no state and are thread-safe.
 //
-//   attempt_result result = ResultOf(exchange, route.idempotent);
+//   attempt_result result = ResultOf(exchange, progress.idempotent);
 
 #ifndef BLUEBELL_PROXY_ATTEMPT_RESULT_H_
 #define BLUEBELL_PROXY_ATTEMPT_RESULT_H_
@@ -40,7 +40,7 @@
 
 std::string_view Describe(attempt_result result);
 
-// Returns how an attempt of a request with this property ended. Bytes that
+// Returns how an attempt of an idempotent or other request ended. Bytes that
 // belong to no request can look like a response without an id. So a response
 // that nothing ties to the attempt is never relayed, and only one that names
 // the attempt proves that a non-idempotent request has not run.
