Keep the ports of failure_test apart from those of the fault soaks

Cause: failure_test chooses one of eight ranges of ports from 22000 to 29999 by its process id, and ctest runs it beside fault_soak_endpoints (26000 to 26599) and fault_soak_regressions (22000 to 22199). One process id in four collides.

Change: its ranges begin at 9000.

--- a/testing/failure_test.cc
+++ b/testing/failure_test.cc
@@ -27,11 +27,13 @@
 
 deployment_plan TestPlan() {
   deployment_plan plan = SmallPlan();
-  // Runs of this program at the same time don't share ports.
+  // Runs of this program at the same time don't share ports, and none uses
+  // those of the fault soaks (from 18'000) and of fault_proxy_test (28'000).
+  constexpr int kFirstPort = 9'000;
   constexpr int kSlots = 8;
   constexpr int kPorts = 1'000;
   plan.first_port =
-      static_cast<std::uint16_t>(22'000 + kPorts * (::getpid() % kSlots));
+      static_cast<std::uint16_t>(kFirstPort + kPorts * (::getpid() % kSlots));
   return plan;
 }
 
@@ -88,6 +90,27 @@
   CHECK(FindFaults(run.plan, run.report, executions.value()) == none);
 }
 
+// The requests of a stream that were meant to be sent before `until` and got no
+// answer, a line each.
+std::string Unanswered(const disturbed_run& run,
+                       std::size_t stream,
+                       duration until) {
+  const auto in_ms = [](duration time) {
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(time).count());
+  };
+  std::string lines;
+  for (const load_record& each : run.report.records) {
+    const bool counts = each.stream == stream && each.intended < until;
+    if (counts && each.outcome != load_outcome::kAnswer) {
+      lines += each.id + " " + ToString(each.outcome) + " " + each.reason +
+               ", sent at " + in_ms(each.intended) + " ms, ended at " +
+               in_ms(each.ended) + " ms\n";
+    }
+  }
+  return lines;
+}
+
 // After the failure is over, each service answers again at each daemon.
 void CheckRecovers(const deployment& region) {
   CHECK(region.WaitReady(kReadyLimit));
@@ -294,6 +317,7 @@
   for (std::size_t stream = 0; stream < run.plan.streams.size(); ++stream) {
     const load_figures before =
         FiguresOf(run.plan, run.report, stream, duration(0), kBefore);
+    INFO(Unanswered(run, stream, kBefore));
     CHECK(before.answers == before.sent);
   }
 }
