Set the flag that ends a test server's connection after a truncated response

Now the flag is set.

The rule itself stays: bytes that complete the body of a truncated response can't be told from its own.

--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -123,6 +123,7 @@
             [&](const send_unchanged&) { Send(bytes, then); },
             [&](const repeat_previous&) { Send(previous_ + bytes, then); },
             [&](const truncate_response& fault) {
+              truncated_ = true;
               Send(bytes.substr(0, fault.bytes), StepAfter(fault.end));
             },
             [&](const send_unframed&) {
