--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 	@$(BUILD)/testing/soak --seeds=$(SEEDS)
 
 # The gateway's processes under faults from outside. With
-# SOAK_OPTIONS=--endpoint-faults, mostly endpoints are faulty.
+# SOAK_OPTIONS=--endpoint-faults or --all-endpoint-faults, mostly endpoints are
+# faulty.
 fault-soak: install build
 	@$(BUILD)/testing/gateway/fault_soak --program=$(BUILD)/programs/bluebellgw --seeds=$(SEEDS) $(SOAK_OPTIONS)
 
--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -19,61 +19,9 @@
 // A daemon that was killed is started again, and an endpoint too.
 constexpr int kLeastDownMs = 100;
 constexpr int kMostDownMs = 2'500;
-constexpr double kSpoiledShare = 0.1;
-constexpr double kFailedShare = 0.3;
-constexpr double kTurnedAwayShare = 0.3;
 constexpr int kMostExtraDelayMs = 150;
 constexpr std::size_t kMostTruncatedBytes = 200;
 
-struct named_fault {
-  std::string name;
-  endpoint_fault fault;
-};
-
-// A response without a body and without the id of an attempt.
-std::string BareResponse(const std::string& status_line, bool not_run) {
-  return "HTTP/1.1 " + status_line + "\r\n" +
-         (not_run ? "X-Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
-}
-
-// The faults of endpoints that the platform's pages describe. Bytes that belong
-// to no request come `delay` after a response; a truncated one has
-// `truncated_bytes`.
-std::vector<named_fault> EndpointFaults(milliseconds delay,
-                                        std::size_t truncated_bytes) {
-  const auto spoil = [](std::vector<response_fault> kinds) {
-    return spoil_responses{std::move(kinds), kSpoiledShare};
-  };
-  return {
-      {"truncated responses",
-       spoil({truncate_response{truncated_bytes, connection_end::kClose},
-              truncate_response{truncated_bytes, connection_end::kReset},
-              truncate_response{truncated_bytes, connection_end::kSilence}})},
-      {"lost responses",
-       spoil({truncate_response{0, connection_end::kClose},
-              truncate_response{0, connection_end::kReset},
-              truncate_response{0, connection_end::kSilence}})},
-      {"responses without a length", spoil({send_unframed()})},
-      {"bytes that are no response",
-       spoil({replace_response{"\x16\x03\x01 no response\r\n\r\n"},
-              replace_response{"HTTP/1.1 \r\n\r\n"}})},
-      {"copies after responses",
-       spoil({append_copy{milliseconds(0)}, append_copy{delay}})},
-      {"rejections after responses",
-       spoil(
-           {append_bytes{BareResponse("503 Service Unavailable", true), delay},
-            append_bytes{BareResponse("400 Bad Request", true), delay}})},
-      {"other bytes after responses",
-       spoil(
-           {append_bytes{BareResponse("503 Service Unavailable", false), delay},
-            append_bytes{BareResponse("200 OK", false), delay},
-            append_bytes{"no response", delay}})},
-      {"failed requests", fail_work{{500, 503, 429, 408}, kFailedShare}},
-      {"rejections", turn_work_away{true, kTurnedAwayShare}},
-      {"rejections without an id", turn_work_away{false, kTurnedAwayShare}},
-  };
-}
-
 }  // namespace
 
 void fault_schedule::Start(milliseconds length) {
@@ -102,6 +50,8 @@
     DoPlanned();
   } else if (selection_ == fault_selection::kEndpoints) {
     DisturbEndpoints();
+  } else if (selection_ == fault_selection::kAllEndpointFaults) {
+    DoEndpointFault();
   } else {
     DoFault();
   }
@@ -182,6 +132,23 @@
   }
 }
 
+void fault_schedule::DoEndpointFault() {
+  switch (Pick(8)) {
+    case 0:
+      KillEndpoint(Pick(world_.endpoints().size()));
+      break;
+    case 1:
+      ExchangeAddresses();
+      break;
+    case 2:
+      TakeOrdersLate(Pick(world_.endpoints().size()));
+      break;
+    default:
+      DisturbEndpoints();
+      break;
+  }
+}
+
 void fault_schedule::StopGateway(std::size_t index) {
   // Callers would find nobody if all were stopped at the same time.
   std::size_t running = 0;
@@ -301,6 +268,32 @@
   });
 }
 
+void fault_schedule::ExchangeAddresses() {
+  // The platform assigns an address again only after this time.
+  constexpr milliseconds kReuse{2'000};
+  const std::size_t first = Pick(world_.endpoints().size());
+  const std::size_t second = Pick(world_.endpoints().size());
+  if (first == second || !world_.endpoints()[first]->running() ||
+      !world_.endpoints()[second]->running()) {
+    return;
+  }
+  const milliseconds down =
+      Begin("exchange addresses of endpoint-" + std::to_string(first) +
+                " and endpoint-" + std::to_string(second),
+            kReuse);
+  world_.KillEndpoint(first);
+  world_.KillEndpoint(second);
+  world_.After(down, [this, first, second] {
+    if (world_.endpoints()[first]->running() ||
+        world_.endpoints()[second]->running()) {
+      return;
+    }
+    world_.endpoints()[first]->ExchangeAddress(*world_.endpoints()[second]);
+    world_.StartEndpoint(first);
+    world_.StartEndpoint(second);
+  });
+}
+
 void fault_schedule::DrainEndpoint(std::size_t index) {
   soak_endpoint& endpoint = *world_.endpoints()[index];
   // One at a time, so that each service keeps some.
@@ -336,9 +329,14 @@
 }
 
 void fault_schedule::DisturbEndpoints() {
-  const std::vector<named_fault> faults =
-      EndpointFaults(PickTime(0, kMostExtraDelayMs), Pick(kMostTruncatedBytes));
-  const named_fault& chosen = faults.at(Pick(faults.size()));
+  endpoint_fault_draw draw;
+  draw.extra_delay = PickTime(0, kMostExtraDelayMs);
+  draw.truncated_bytes = Pick(kMostTruncatedBytes);
+  const std::vector<named_endpoint_fault> faults =
+      selection_ == fault_selection::kAllEndpointFaults
+          ? AllEndpointFaults(draw)
+          : ResponseFaults(draw);
+  const named_endpoint_fault& chosen = faults.at(Pick(faults.size()));
   const bool all = Pick(2) == 0;
   const std::size_t one = Pick(world_.endpoints().size());
   const milliseconds lasts =
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -1,7 +1,7 @@
 // The random faults and planned changes of one run of the gateway. They come in
 // series and overlap; all end before the run does.
 //
-//   fault_schedule faults(world, planned_only);
+//   fault_schedule faults(world, fault_selection::kMixed, log);
 //   faults.Start(length);
 
 #ifndef TESTING_GATEWAY_FAULT_SCHEDULE_H_
@@ -27,6 +27,9 @@
   kMixed,
   // Planned changes, and endpoints that spoil, fail and turn away requests.
   kEndpoints,
+  // These, and endpoints that end, move, take orders late, fill up and close
+  // connections.
+  kAllEndpointFaults,
 };
 
 class fault_schedule {
@@ -50,6 +53,7 @@
   void Next();
   void DoPlanned();
   void DoFault();
+  void DoEndpointFault();
 
   void StopGateway(std::size_t index);
   void ReplaceWhenEnded(std::size_t index);
@@ -59,6 +63,8 @@
   void DisturbStore();
   void DisturbLink();
   void KillEndpoint(std::size_t index);
+  // Two endpoints end, and each starts again at the address of the other.
+  void ExchangeAddresses();
   void TakeOrdersLate(std::size_t index);
   void RepeatResponses();
   void DisturbEndpoints();
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -31,7 +31,8 @@
 
 Usage:
   fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
-             [--seconds=N] [--logs=FOLDER] [--port=N] [--endpoint-faults]
+             [--seconds=N] [--logs=FOLDER] [--port=N]
+             [--endpoint-faults | --all-endpoint-faults]
 
 Options:
   --program=FILE  The program bluebellgw.
@@ -41,7 +42,8 @@
   --seconds=N     How long faults last in each run [default: 14].
   --logs=FOLDER   Logs of runs that broke a promise [default: fault-soak-logs].
   --port=N        The first port on loopback [default: 18000].
-  --endpoint-faults  Planned changes and faulty endpoints only.
+  --endpoint-faults      Planned changes and faulty responses only.
+  --all-endpoint-faults  Those, and all other faults of endpoints.
 )";
 
 using bluebell::milliseconds;
@@ -68,10 +70,14 @@
   std::size_t gateways = 0;
   milliseconds length{0};
   bool endpoint_faults = false;
+  bool all_endpoint_faults = false;
 };
 
 bluebell::fault_selection SelectionOf(std::uint64_t seed,
                                       const soak_options& soak) {
+  if (soak.all_endpoint_faults) {
+    return bluebell::fault_selection::kAllEndpointFaults;
+  }
   if (soak.endpoint_faults) {
     return bluebell::fault_selection::kEndpoints;
   }
@@ -148,10 +154,12 @@
   const auto seeds = bluebell::seed_range::Parse(options["--seeds"].asString());
   std::atomic<std::uint64_t> next = seeds.first;
   const soak_options soak{
-      options["--program"].asString(), options["--logs"].asString(),
+      options["--program"].asString(),
+      options["--logs"].asString(),
       static_cast<std::size_t>(options["--gateways"].asLong()),
       std::chrono::seconds(options["--seconds"].asLong()),
-      options["--endpoint-faults"].asBool()};
+      options["--endpoint-faults"].asBool(),
+      options["--all-endpoint-faults"].asBool()};
   totals sum;
   std::vector<std::thread> threads;
   const auto jobs = static_cast<std::uint16_t>(options["--jobs"].asLong());
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -27,6 +27,7 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kServerError = 500;
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
 constexpr double kMillisPerSecond = 1'000;
 // The term of a grant runs from its arrival, by a clock that is 2% slow.
 constexpr double kSlowClock = 1.02;
@@ -64,6 +65,10 @@
   }
   server_ = std::move(started).value();
   server_->SetResponseFaults([this] { return ChooseResponseFault(); });
+  server_->SetConnectionLimit([this, most = server.max_connections] {
+    const auto* limited = FaultInForce<limit_connections>();
+    return limited != nullptr ? limited->most : most;
+  });
   ++life_;
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   const auto now = static_cast<std::uint64_t>(
@@ -116,11 +121,23 @@
   return response;
 }
 
+http_response soak_endpoint::NotRunNamed(unsigned status,
+                                         const http_request& request) const {
+  http_response response = NotRun(status);
+  response.set("X-Attempt-Id", HeaderText(request, "X-Attempt-Id"));
+  return response;
+}
+
+template <typename Fault>
+const Fault* soak_endpoint::FaultInForce() const {
+  return BootNow() < faulty_until_ ? std::get_if<Fault>(&fault_) : nullptr;
+}
+
 template <typename Fault>
 const Fault* soak_endpoint::FaultNow() {
-  const auto* fault = std::get_if<Fault>(&fault_);
-  const bool applies = fault != nullptr && BootNow() < faulty_until_ &&
-                       std::bernoulli_distribution(fault->share)(random_);
+  const auto* fault = FaultInForce<Fault>();
+  const bool applies =
+      fault != nullptr && std::bernoulli_distribution(fault->share)(random_);
   return applies ? fault : nullptr;
 }
 
@@ -165,7 +182,11 @@
     if (options_.keyed) {
       read = static_cast<shard_key>(std::stoul(key.empty() ? "0" : key));
     }
-    TakeWork({request, respond, read});
+    const std::string limit_ms = HeaderText(request, "X-Deadline-Ms");
+    const instant limit = limit_ms.empty()
+                              ? instant::max()
+                              : BootNow() + milliseconds(std::stoll(limit_ms));
+    TakeWork({request, respond, read, limit});
   }
 }
 
@@ -237,15 +258,16 @@
     record_.late_arrivals.push_back({id, options_.id, *announced_, now});
   }
   if (const auto* away = FaultNow<turn_work_away>()) {
-    http_response response = NotRun(kUnavailable);
-    if (away->names_attempt) {
-      response.set("X-Attempt-Id", id);
-    }
-    taken.respond(response);
+    taken.respond(away->names_attempt ? NotRunNamed(away->status, taken.request)
+                                      : NotRun(away->status));
   } else if (running_.size() < options_.slots) {
     StartWork(taken);
   } else if (waiting_.size() < options_.slots) {
     waiting_.push_back(std::move(taken));
+  } else if (const auto* slow = FaultInForce<slow_work>()) {
+    if (slow->rejects_when_full) {
+      taken.respond(NotRunNamed(kUnavailable, taken.request));
+    }
   } else {
     taken.respond(NotRun(kUnavailable));
   }
@@ -255,12 +277,21 @@
   const std::uint64_t number = ++works_;
   const std::string id = HeaderText(started.request, "X-Attempt-Id");
   const std::string signature = ProcessName() + "." + std::to_string(random_());
-  running_[number] = {started.key, record_.executions.size()};
-  record_.executions.push_back({id, options_.id, options_.service, BootNow(),
+  milliseconds length(std::uniform_int_distribution<int>(5, 60)(random_));
+  if (const auto* slow = FaultNow<slow_work>()) {
+    length = milliseconds(std::uniform_int_distribution<std::int64_t>(
+        0, slow->longest.count())(random_));
+  }
+  const instant now = BootNow();
+  const auto time_left =
+      std::chrono::duration_cast<milliseconds>(started.limit - now);
+  running_[number] = {started.key, record_.executions.size(),
+                      time_left < length};
+  record_.executions.push_back({id, options_.id, options_.service, now,
                                 std::nullopt, 0, signature,
                                 "body of " + signature});
-  const milliseconds length(std::uniform_int_distribution<int>(5, 60)(random_));
-  After(length, [this, number, started] { FinishWork(number, started); });
+  After(std::min(length, time_left),
+        [this, number, started] { FinishWork(number, started); });
 }
 
 void soak_endpoint::FinishWork(std::uint64_t number, const work& done) {
@@ -274,7 +305,9 @@
                                 [&](const waiting_release& each) {
                                   return each.range.Contains(*ended.key);
                                 });
-  row.status = held ? kOk : kServerError;
+  row.status = !held                 ? kServerError
+               : ended.ends_at_limit ? kGatewayTimeout
+                                     : kOk;
   if (const auto* failing = FaultNow<fail_work>()) {
     row.status = failing->statuses.at(random_() % failing->statuses.size());
   }
@@ -289,11 +322,17 @@
   response.body() = row.body;
   done.respond(response);
   AnswerReleases();
+  StartWaiting(now);
+}
+
+void soak_endpoint::StartWaiting(instant now) {
   while (!waiting_.empty() && running_.size() < options_.slots) {
     const work next = std::move(waiting_.front());
     waiting_.pop_front();
     if (next.key && !holders_.Holds(ProcessName(), *next.key, now)) {
       next.respond(NotRun(kMisdirected));
+    } else if (next.limit <= now) {
+      next.respond(NotRunNamed(kUnavailable, next.request));
     } else {
       StartWork(next);
     }
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -81,6 +81,11 @@
     fault_ = std::move(fault);
     faulty_until_ = until;
   }
+  // Changes places with another one. Neither may run.
+  void ExchangeAddress(soak_endpoint& other) {
+    std::swap(options_.listen, other.options_.listen);
+    std::swap(options_.shown, other.options_.shown);
+  }
   // Grants that arrive until then were held up on their way.
   void ExcuseGrants(instant until) { excused_until_ = until; }
 
@@ -96,10 +101,14 @@
     http_request request;
     http_responder respond;
     std::optional<shard_key> key;
+    // When the caller stops waiting.
+    instant limit;
   };
   struct running_work {
     std::optional<shard_key> key;
     std::size_t row = 0;
+    // The endpoint ends the work at its limit.
+    bool ends_at_limit = false;
   };
   struct waiting_release {
     key_range range;
@@ -116,9 +125,14 @@
   void TakeWork(work taken);
   void StartWork(const work& started);
   void FinishWork(std::uint64_t number, const work& done);
+  void StartWaiting(instant now);
   void AnswerReleases();
   void After(milliseconds delay, std::function<void()> what);
   http_response NotRun(unsigned status) const;
+  http_response NotRunNamed(unsigned status, const http_request& request) const;
+  // Null if no fault of this kind is in force.
+  template <typename Fault>
+  const Fault* FaultInForce() const;
   // Decides at random, by the fault's share, whether a fault of this kind
   // applies to one request or response. Null if not, or if none is in force.
   template <typename Fault>
--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -46,7 +46,8 @@
       : acceptor(context),
         accept_timer(context),
         options(std::move(given)),
-        handler(std::move(on_request)) {}
+        handler(std::move(on_request)),
+        max_connections([most = options.max_connections] { return most; }) {}
 
   tcp::acceptor acceptor;
   asio::steady_timer accept_timer;
@@ -55,6 +56,7 @@
   std::function<response_fault()> choose_fault = [] {
     return response_fault(send_unchanged());
   };
+  std::function<std::size_t()> max_connections;
   std::set<std::shared_ptr<session>> sessions;
   std::size_t peak = 0;
   bool stopped = false;
@@ -90,6 +92,7 @@
       Close();
       return;
     }
+    ++requests_read_;
     const http_request request = parser_->release();
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == bhttp::verb::head;
@@ -141,6 +144,14 @@
             [&](const append_copy& fault) {
               Send(bytes, then);
               SendLater(bytes, fault.delay);
+            },
+            [&](const announce_close&) {
+              reply.keep_alive(false);
+              Send(ToBytes(reply), next_step::kClose);
+            },
+            [&](const close_when_idle& fault) {
+              Send(bytes, then);
+              CloseLater(fault.delay);
             }},
         server->choose_fault());
     previous_ = bytes;
@@ -183,6 +194,19 @@
     });
   }
 
+  // Closes the connection after `delay` unless another request has been read.
+  void CloseLater(milliseconds delay) {
+    const auto timer =
+        std::make_shared<asio::steady_timer>(socket_.get_executor(), delay);
+    timer->async_wait(
+        [timer, weak = weak_from_this(), read = requests_read_](error_code) {
+          const auto self = weak.lock();
+          if (self && self->requests_read_ == read) {
+            self->Close();
+          }
+        });
+  }
+
   void SendFirst() {
     asio::async_write(socket_, asio::buffer(outgoing_.front().bytes),
                       [self = shared_from_this()](error_code error, size_t) {
@@ -226,6 +250,7 @@
   std::deque<outgoing_message> outgoing_;
   // The connection's last response; empty before the first.
   std::string previous_;
+  std::uint64_t requests_read_ = 0;
   bool keep_alive_ = true;
   bool is_head_ = false;
   // Nothing follows a truncated response: it would become a part of it.
@@ -234,10 +259,12 @@
 
 void Admit(const std::shared_ptr<http_server::state>& server,
            tcp::socket socket) {
-  if (server->sessions.size() >= server->options.max_connections) {
+  error_code ignored;
+  if (server->sessions.size() >= server->max_connections()) {
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
     return;
   }
-  error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   const auto added = std::make_shared<session>(std::move(socket), server);
   server->sessions.insert(added);
@@ -300,6 +327,10 @@
   state_->choose_fault = std::move(choose);
 }
 
+void http_server::SetConnectionLimit(std::function<std::size_t()> limit) {
+  state_->max_connections = std::move(limit);
+}
+
 void http_server::Stop() {
   state_->stopped = true;
   error_code ignored;
--- a/testing/http_server.h
+++ b/testing/http_server.h
@@ -31,7 +31,7 @@
 
 struct http_server_options {
   address listen;
-  // Further connections are closed at once.
+  // Further connections are reset.
   std::uint32_t max_connections = 4096;
   // How long accepting one connection takes; the next one waits for it.
   milliseconds accept_time{0};
@@ -49,6 +49,8 @@
 
   // `choose` is asked before each response. Call it before the first request.
   void SetResponseFaults(std::function<response_fault()> choose);
+  // `limit` is asked at each new connection and replaces max_connections.
+  void SetConnectionLimit(std::function<std::size_t()> limit);
 
   // Closes the listening socket and resets all connections.
   void Stop();
--- a/testing/response_fault.h
+++ b/testing/response_fault.h
@@ -72,13 +72,29 @@
   friend bool operator==(const append_copy&, const append_copy&) = default;
 };
 
+// The response says that the connection ends, and it does.
+struct announce_close {
+  friend bool operator==(const announce_close&,
+                         const announce_close&) = default;
+};
+
+// The connection closes without notice once it has been idle for the delay.
+struct close_when_idle {
+  milliseconds delay{0};
+
+  friend bool operator==(const close_when_idle&,
+                         const close_when_idle&) = default;
+};
+
 using response_fault = std::variant<send_unchanged,
                                     repeat_previous,
                                     truncate_response,
                                     send_unframed,
                                     replace_response,
                                     append_bytes,
-                                    append_copy>;
+                                    append_copy,
+                                    announce_close,
+                                    close_when_idle>;
 
 }  // namespace bluebell
 
