Take no two responses that were read as one for a response

In the same way a failure could be relayed as a success.

Cause: an endpoint sent a part of a rejection after a complete response. The part ended within a line of its head, and the next response on the connection continued that line. Both parsed as one response: the status and the statement "not executed" of the part, the attempt id of the request that ran. The rule that only a rejection which names the attempt is proof doesn't help, since the id is there.

Change: HasEmbeddedStatusLine finds a status line in the reason phrase or in the value of a field. Such a response counts as lost: a non-idempotent request ends with 502, and the connection is closed. A part that ends elsewhere in a head doesn't parse together with what follows.

--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -22,6 +22,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
+#include "bluebell/http/embedded_status_line.h"
 #include "bluebell/http/read_limits.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
@@ -258,6 +259,12 @@
     }
     const bool ends_with_connection = parser.need_eof();
     http_response response = parser.release();
+    if (HasEmbeddedStatusLine(response)) {
+      co_return exchange_lost{
+          error(errc::kMalformedMessage, step::kReadReply, peer,
+                "a status line within the head of a response"),
+          BootNow() - started};
+    }
     platform::endpoint_reply reply_info = platform::ReadEndpointReply(response);
     if (response.result_int() < kFirstFinalStatus) {
       continue;
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -426,6 +426,30 @@
   CHECK(caller.connection_pool.opened_count() == 1);
 }
 
+// Guards against two responses that are read as one: the end of a head that an
+// endpoint sent after a complete response was cut off, so that the next
+// response continued one of its lines. A non-idempotent request that ran then
+// counted as rejected under its own id, or a failure as a success.
+TEST_CASE("a part of a response doesn't merge with the next response") {
+  const std::string rejection =
+      "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+      "X-Instance-Id: i-1\r\n\r\n";
+  const std::string success =
+      "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nDate: today\r\n\r\n";
+  const std::string part_of = GENERATE_COPY(rejection, success);
+  std::string failed = SampleResponse("2", "two");
+  failed.replace(failed.find("200 OK"), 6, "500 Failed");
+  for (std::size_t size = 1; size < part_of.size(); ++size) {
+    scripted_server server({SampleResponse("1", "one"), failed});
+    server.PrecedeLaterResponses(part_of.substr(0, size));
+    client caller;
+    CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
+    const exchange_result merged = caller.Send(server.entry(), "2");
+    CAPTURE(size);
+    CHECK(ResultOf(merged, false) == attempt_result::kLost);
+  }
+}
+
 TEST_CASE("bytes that name another attempt don't answer the next request") {
   scripted_server server(
       {SampleResponse("1", "one"), SampleResponse("2", "two")});
