--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -29,6 +29,8 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using platform::SampleFailure;
+using platform::SampleRejection;
 using platform::SampleResponse;
 
 // A test endpoint that answers each request with the next script and counts
@@ -381,17 +383,11 @@
 
 // A response by which an endpoint states that it didn't run the request;
 // without an id if `attempt` is empty.
-std::string Rejection(const std::string& attempt) {
-  return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" +
-         (attempt.empty() ? "" : "X-Attempt-Id: " + attempt + "\r\n") +
-         "Content-Length: 0\r\n\r\n";
-}
-
 // Guards against callers that are told "not run" for a request that runs: a
 // late copy of the first rejection was taken for the response to the next
 // attempt of the same request on the same connection.
 TEST_CASE("a copy of a rejection doesn't answer its request's next attempt") {
-  scripted_server server({Rejection("1"), SampleResponse("1", "one")});
+  scripted_server server({SampleRejection("1"), SampleResponse("1", "one")});
   server.RepeatResponses();
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
@@ -402,7 +398,7 @@
 // naming the attempt.
 TEST_CASE(
     "a copy of a rejection without an id doesn't answer another request") {
-  scripted_server server({Rejection(""), SampleResponse("2", "two")});
+  scripted_server server({SampleRejection(""), SampleResponse("2", "two")});
   server.RepeatResponses();
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
@@ -418,7 +414,8 @@
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
   scripted_server server(
       {SampleResponse("1", "one"), SampleResponse("2", "two")});
-  server.PrecedeLaterResponses(GENERATE_COPY(Rejection(""), bare_refusal));
+  server.PrecedeLaterResponses(
+      GENERATE_COPY(SampleRejection(""), bare_refusal));
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
   CHECK(ResultOf(caller.Send(server.entry(), "2"), false) ==
@@ -431,14 +428,11 @@
 // response continued one of its lines. A non-idempotent request that ran then
 // counted as rejected under its own id, or a failure as a success.
 TEST_CASE("a part of a response doesn't merge with the next response") {
-  const std::string rejection =
-      "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
-      "X-Instance-Id: i-1\r\n\r\n";
+  const std::string rejection = SampleRejection("");
   const std::string success =
-      "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nDate: today\r\n\r\n";
+      "HTTP/1.1 200 OK\r\nServer: s\r\nDate: today\r\n\r\n";
   const std::string part_of = GENERATE_COPY(rejection, success);
-  std::string failed = SampleResponse("2", "two");
-  failed.replace(failed.find("200 OK"), 6, "500 Failed");
+  const std::string failed = SampleFailure("2", "two");
   for (std::size_t size = 1; size < part_of.size(); ++size) {
     scripted_server server({SampleResponse("1", "one"), failed});
     server.PrecedeLaterResponses(part_of.substr(0, size));
@@ -453,7 +447,7 @@
 TEST_CASE("bytes that name another attempt don't answer the next request") {
   scripted_server server(
       {SampleResponse("1", "one"), SampleResponse("2", "two")});
-  server.PrecedeLaterResponses(Rejection("1"));
+  server.PrecedeLaterResponses(SampleRejection("1"));
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")) == "one");
   CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
@@ -472,7 +466,7 @@
 }
 
 TEST_CASE("a connection with a rejection carries other requests") {
-  scripted_server server({Rejection("1"), SampleResponse("2", "two")});
+  scripted_server server({SampleRejection("1"), SampleResponse("2", "two")});
   client caller;
   CHECK(BodyOf(caller.Send(server.entry(), "1")).empty());
   CHECK(BodyOf(caller.Send(server.entry(), "2")) == "two");
