Refuse requests whose body has no clear end

Cause: the parser takes a request whose last transfer coding isn't "chunked" as one without a body, and nothing checked Transfer-Encoding. What followed the header was read as the next request and passed on.

Change: message_framing says whether a body's end has one reading: no body, one length, or "chunked" once and alone. Anything else is refused with 400, a further coding before "chunked" with 501. The connection closes, and nothing behind the header is read.

Obsolete line folding is still taken, as one line, which is how it is passed on.

--- /dev/null
+++ b/bluebell/http/message_framing.cc
@@ -0,0 +1,66 @@
+#include "bluebell/http/message_framing.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
+namespace bluebell {
+
+namespace {
+
+namespace bhttp = boost::beast::http;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::string_view kBlanks = " \t";
+
+std::string_view Trimmed(std::string_view text) {
+  const std::size_t begin = text.find_first_not_of(kBlanks);
+  return begin == std::string_view::npos
+             ? std::string_view()
+             : text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+bool IsChunked(std::string_view coding) {
+  return boost::beast::iequals({coding.data(), coding.size()}, "chunked");
+}
+
+// The codings of all lines in their order, with empty ones.
+std::vector<std::string_view> TransferCodings(const bhttp::fields& fields) {
+  std::vector<std::string_view> codings;
+  const auto lines = fields.equal_range(bhttp::field::transfer_encoding);
+  for (auto line = lines.first; line != lines.second; ++line) {
+    std::string_view rest(line->value().data(), line->value().size());
+    std::size_t comma = rest.find(',');
+    while (comma != std::string_view::npos) {
+      codings.push_back(Trimmed(rest.substr(0, comma)));
+      rest.remove_prefix(comma + 1);
+      comma = rest.find(',');
+    }
+    codings.push_back(Trimmed(rest));
+  }
+  return codings;
+}
+
+}  // namespace
+
+message_framing FramingOf(const bhttp::fields& fields, unsigned version) {
+  const std::size_t lengths = fields.count(bhttp::field::content_length);
+  const std::vector<std::string_view> codings = TransferCodings(fields);
+  if (codings.empty()) {
+    return lengths <= 1 ? message_framing::kClear : message_framing::kAmbiguous;
+  }
+  const bool chunked_last_only =
+      IsChunked(codings.back()) &&
+      std::count_if(codings.begin(), codings.end(), IsChunked) == 1;
+  if (version < kHttp11 || lengths > 0 || !chunked_last_only) {
+    return message_framing::kAmbiguous;
+  }
+  return codings.size() == 1 ? message_framing::kClear
+                             : message_framing::kUnknownCoding;
+}
+
+}  // namespace bluebell
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -23,6 +23,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
+#include "bluebell/http/message_framing.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
@@ -42,6 +43,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kNotImplemented = 501;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 // The time from the end of a request's header to the end of its body.
@@ -201,6 +203,15 @@
   if (header_error) {
     co_return header_error;
   }
+  switch (FramingOf(parser.get(), parser.get().version())) {
+    case message_framing::kClear:
+      break;
+    case message_framing::kUnknownCoding:
+      co_return boost::system::errc::make_error_code(
+          boost::system::errc::not_supported);
+    case message_framing::kAmbiguous:
+      co_return bhttp::error::bad_transfer_encoding;
+  }
   // The parser allocates the stated length of a body at once.
   const std::size_t length =
       static_cast<std::size_t>(parser.content_length().value_or(0));
@@ -267,7 +278,8 @@
         kMemoryRetryAfter));
     return;
   }
-  if (!IsMalformed(failure)) {
+  const bool unknown_coding = failure == boost::system::errc::not_supported;
+  if (!IsMalformed(failure) && !unknown_coding) {
     // The caller has closed the connection, or it failed.
     Abort();
     return;
@@ -278,6 +290,8 @@
   } else if (failure == bhttp::error::header_limit ||
              failure == bhttp::error::buffer_overflow) {
     status = kHeaderTooLarge;
+  } else if (unknown_coding) {
+    status = kNotImplemented;
   }
   log_event(log_level::kWarn, "malformed request refused")
       .With("status", status)
--- a/bluebell/proxy/caller_connection_test.cc
+++ b/bluebell/proxy/caller_connection_test.cc
@@ -267,6 +267,22 @@
   CHECK(caller.handler.started.empty());
 }
 
+// Guards against a body that is passed on as a request of its own.
+TEST_CASE("a body without a clear end is refused and not read") {
+  connected_caller caller;
+  const std::string inner = "GET /safe/inner HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string codings = GENERATE("identity", "gzip", "chunked, identity",
+                                       "chunked\r\nTransfer-Encoding: identity",
+                                       "gzip, chunked", "chunked, chunked");
+  const std::string status = codings == "gzip, chunked" ? "501 " : "400 ";
+  caller.SendRequest("/safe/outer", "Transfer-Encoding: " + codings + "\r\n");
+  caller.Send(inner);
+  CAPTURE(codings);
+  CHECK(caller.RunUntil([&] { return caller.closed; }));
+  CHECK(caller.received.find("HTTP/1.1 " + status) == 0);
+  CHECK(caller.handler.started.empty());
+}
+
 TEST_CASE("trailers and chunk extensions without end are refused") {
   connected_caller caller;
   caller.state->bounds.max_body_bytes = 100'000;
