Pass no trailers of requests on as headers

Callers: none saw it. The parser adds the trailers of a chunked body to the header, so that a caller could add a further attempt id or key behind the body, and the endpoint got it as a header.

Change: after the body, the header is again what it was before. The copy is made for chunked bodies only.

caller_connection_test, "trailers are not passed on": failed before, passes now.

--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -232,7 +233,18 @@
     co_await asio::async_write(
         stream_, asio::buffer(kContinue.data(), kContinue.size()), kAwait);
   }
-  co_return co_await ReadBody(parser, memory, header_bytes);
+  // The parser adds trailers to the header. They come too late to say where a
+  // request goes, and aren't passed on.
+  std::optional<bhttp::fields> header;
+  if (parser.chunked()) {
+    header = parser.get();
+  }
+  const boost::system::error_code failure =
+      co_await ReadBody(parser, memory, header_bytes);
+  if (header) {
+    static_cast<bhttp::fields&>(parser.get()) = std::move(*header);
+  }
+  co_return failure;
 }
 
 asio::awaitable<boost::system::error_code> caller_connection::ReadBody(
--- a/bluebell/proxy/caller_connection_test.cc
+++ b/bluebell/proxy/caller_connection_test.cc
@@ -43,6 +43,8 @@
 
   std::map<std::string, milliseconds> delays;
   std::vector<std::string> started;
+  // The header of the last request.
+  boost::beast::http::fields fields;
   std::size_t running = 0;
   std::size_t max_running = 0;
   std::size_t cancelled = 0;
@@ -52,6 +54,7 @@
     co_await asio::this_coro::throw_if_cancelled(false);
     const std::string path(request.target().data(), request.target().size());
     started.push_back(path);
+    fields = request;
     max_running = std::max(max_running, ++running);
     asio::steady_timer timer(io_, delays[path]);
     co_await timer.async_wait(kAwait);
@@ -283,6 +286,16 @@
   CHECK(caller.handler.started.empty());
 }
 
+// Guards against an attempt id or a key that a caller sets in a trailer.
+TEST_CASE("trailers are not passed on") {
+  connected_caller caller;
+  caller.SendRequest("/safe/1", "Transfer-Encoding: chunked\r\n");
+  caller.Send("1\r\nx\r\n0\r\nLate: 1\r\n\r\n");
+  CHECK(caller.RunUntil([&] { return !caller.handler.started.empty(); }));
+  CHECK(caller.handler.fields.count("Late") == 0);
+  CHECK(caller.handler.fields.count("Host") == 1);
+}
+
 TEST_CASE("trailers and chunk extensions without end are refused") {
   connected_caller caller;
   caller.state->bounds.max_body_bytes = 100'000;
