Take only responses whose body has a clear end, and ignore their trailers

Callers: a response whose last transfer coding wasn't "chunked" was relayed with whatever came until the connection ended, and one with a further coding was relayed coded.

Change: the connection pool uses message_framing as callers' connections do; such a response counts as lost. The header is restored after a chunked body.

--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -23,6 +23,7 @@
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
 #include "bluebell/http/embedded_status_line.h"
+#include "bluebell/http/message_framing.h"
 #include "bluebell/http/read_limits.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
@@ -164,6 +165,15 @@
   if (header_error) {
     co_return header_error;
   }
+  if (FramingOf(parser.get(), parser.get().version()) !=
+      message_framing::kClear) {
+    co_return bhttp::error::bad_transfer_encoding;
+  }
+  // The parser adds trailers to the header.
+  std::optional<bhttp::fields> header;
+  if (parser.chunked()) {
+    header = parser.get();
+  }
   // The parser allocates the stated length of a body at once.
   std::size_t received = header_bytes;
   if (const auto length = parser.content_length()) {
@@ -186,6 +196,9 @@
       co_return bhttp::error::body_limit;
     }
   }
+  if (header) {
+    static_cast<bhttp::fields&>(parser.get()) = std::move(*header);
+  }
   co_return boost::system::error_code();
 }
 
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -29,6 +29,7 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using platform::SampleCodedResponse;
 using platform::SampleFailure;
 using platform::SampleRejection;
 using platform::SampleResponse;
@@ -272,6 +273,30 @@
   }
 }
 
+// Guards against a body that is cut short or has a coding which callers haven't
+// asked for.
+TEST_CASE("a response whose body has no clear end is not an answer") {
+  const std::string coding = GENERATE("gzip", "identity", "chunked, identity",
+                                      "gzip, chunked", "chunked, chunked");
+  scripted_server server(
+      {SampleCodedResponse("1", coding, "3\r\none\r\n0\r\n\r\n")});
+  client caller;
+  const exchange_result end = caller.Send(server.entry(), "1");
+  CAPTURE(coding);
+  CHECK(std::holds_alternative<exchange_lost>(end));
+}
+
+// Guards against an id or a statement "not executed" in a trailer, which the
+// endpoint's own headers don't have.
+TEST_CASE("trailers of a response are ignored") {
+  scripted_server server({SampleCodedResponse(
+      "1", "chunked", "3\r\none\r\n0\r\nLate: 1\r\n\r\n")});
+  client caller;
+  const exchange_result end = caller.Send(server.entry(), "1");
+  REQUIRE(BodyOf(end) == "one");
+  CHECK(std::get<exchange_answered>(end).response.count("Late") == 0);
+}
+
 TEST_CASE("a refused connection proves that nothing was sent") {
   fleet_endpoint entry;
   entry.instance = {endpoint_id("i-1"), incarnation(1)};
