Don't count a request as refused whose caller left after it was sent

Seen in logs and metrics only: "request ended" had status 503, which stands for "not run", for a request that an endpoint was running when its caller left. The caller is gone and gets nothing.

Cause: the status was chosen before the attempt counted as sent.

--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -406,10 +406,6 @@
                {context.service.value(), Describe(result), context.match});
   permits_.Release(release);
   context.reason = std::string(Describe(result));
-  if (caller_left) {
-    context.reason = "the caller left";
-    co_return refuse_with(FinalStatus(progress, ended), std::nullopt);
-  }
   if (result == attempt_result::kUnsent) {
     ++progress.unsent_attempts;
   } else {
@@ -417,6 +413,10 @@
     progress.may_have_run =
         progress.may_have_run || result != attempt_result::kNotRun;
   }
+  if (caller_left) {
+    context.reason = "the caller left";
+    co_return refuse_with(FinalStatus(progress, ended), std::nullopt);
+  }
   attempt_decision next = DecideAfterAttempt(progress, result, ended);
   if (const auto* retry = std::get_if<retry_request>(&next)) {
     const bool allowed = !retry->uses_retry_budget || retry_taken ||
--- a/testing/gateway/traffic_server_test.cc
+++ b/testing/gateway/traffic_server_test.cc
@@ -131,15 +131,16 @@
     traffic_->Publish(View(self, kind));
   }
 
-  // Sends a request from a caller of its own.
-  std::future<unsigned> Send(const std::string& attempt) {
-    return std::async(std::launch::async, [this, attempt] {
+  // Sends a request from a caller of its own, which leaves after `patience`.
+  std::future<unsigned> Send(const std::string& attempt,
+                             milliseconds patience = kCallerLimit) {
+    return std::async(std::launch::async, [this, attempt, patience] {
       http_request request(bhttp::verb::post, "/book/" + attempt, kHttp11);
       request.set("X-Attempt-Id", attempt);
       request.set("X-Deadline-Ms", std::to_string(kCallerLimit.count()));
       request.prepare_payload();
       const auto response =
-          HttpCall(settings_.caller_listen, request, kCallerLimit);
+          HttpCall(settings_.caller_listen, request, patience);
       return response ? response.value().result_int() : 0U;
     });
   }
@@ -151,6 +152,7 @@
   void Exit() { traffic_.reset(); }
 
   slow_endpoint& endpoint() { return endpoint_; }
+  std::string Metrics() const { return metrics_.Expose(); }
 
  private:
   fleet_view View(const daemon_instance& self, request_kind kind) const {
@@ -209,6 +211,20 @@
   CHECK(refused > 0);
 }
 
+// Guards against logs and metrics that show a refusal, which promises "not
+// run", for a request that was sent to an endpoint.
+TEST_CASE("a request whose caller left after it was sent isn't refused") {
+  stopping_daemon daemon(request_kind::kNonIdempotent);
+  // Until the view is in use.
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(daemon.Send("left", kWork / 2).get() == 0);
+  std::this_thread::sleep_for(kWork);
+  CHECK(daemon.endpoint().RunsOf("left") == 1);
+  const std::string metrics = daemon.Metrics();
+  CHECK(metrics.find("outcome=\"503\"") == std::string::npos);
+  CHECK(metrics.find("outcome=\"502\"") != std::string::npos);
+}
+
 // Guards against a request that arrives late in the grace and is sent to an
 // endpoint that can't answer it before the process exits.
 TEST_CASE("a request that arrives late in a planned stop is refused unsent") {
