Divide the attempt of a request into its steps

Its steps are functions now: the permit request, an endpoint that is passed over, the exchange, its record, the decision within the retry budget, and what follows. How an attempt counts in the progress of its request moves to attempt_policy, as a function of values with a test of its own.

--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -31,6 +31,17 @@
 
 }  // namespace
 
+request_progress WithAttempt(request_progress progress, attempt_result result) {
+  if (result == attempt_result::kUnsent) {
+    ++progress.unsent_attempts;
+    return progress;
+  }
+  ++progress.sent_attempts;
+  progress.may_have_run =
+      progress.may_have_run || result != attempt_result::kNotRun;
+  return progress;
+}
+
 bool MayAbandon(const request_progress& progress) {
   return progress.idempotent && !progress.keyed &&
          progress.sent_attempts + 1 < progress.max_attempts;
--- a/bluebell/proxy/attempt_policy.h
+++ b/bluebell/proxy/attempt_policy.h
@@ -58,6 +58,9 @@
 using attempt_decision =
     std::variant<relay_response, retry_request, fail_request>;
 
+// Returns `progress` with one more attempt that ended with `result`.
+request_progress WithAttempt(request_progress progress, attempt_result result);
+
 // True if an attempt that takes unusually long may be abandoned in favour of
 // another one. Always false for a keyed request: it could only be sent to the
 // same owner again, would queue there behind other requests, and the work done
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -110,5 +110,20 @@
         attempt_decision(fail_request{504}));
 }
 
+// Guards against "not run" for a request of which an earlier attempt may have
+// run.
+TEST_CASE("an attempt that may have run counts for good") {
+  request_progress progress;
+  progress = WithAttempt(progress, attempt_result::kUnsent);
+  progress = WithAttempt(progress, attempt_result::kNotRun);
+  CHECK(progress.unsent_attempts == 1);
+  CHECK(progress.sent_attempts == 1);
+  CHECK_FALSE(progress.may_have_run);
+  progress = WithAttempt(progress, attempt_result::kLost);
+  progress = WithAttempt(progress, attempt_result::kNotRun);
+  CHECK(progress.sent_attempts == 3);
+  CHECK(progress.may_have_run);
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -23,6 +23,8 @@
 #include "bluebell/http/http_message.h"
 #include "bluebell/permits/endpoint_pauses.h"
 #include "bluebell/permits/permit_message.h"
+#include "bluebell/proxy/attempt_policy.h"
+#include "bluebell/proxy/attempt_result.h"
 #include "bluebell/proxy/exchange_result.h"
 #include "bluebell/proxy/served_response.h"
 #include "bluebell/proxy/shutdown_window.h"
@@ -34,7 +36,7 @@
 class endpoint_connection_pool;
 class metrics_registry;
 class permit_client;
-struct request_progress;
+struct exchange_options;
 
 class request_server {
  public:
@@ -76,6 +78,46 @@
   // Makes one attempt. Returns nullopt if another one has to follow.
   boost::asio::awaitable<std::optional<served_response>> Attempt(
       request_context& context);
+  permit_request PermitRequestOf(const request_context& context, instant now);
+  // Gives back a permit for an endpoint that the dispatcher doesn't know yet to
+  // be draining, paused or gone. Returns nullopt if another attempt has to
+  // follow.
+  std::optional<served_response> PassOver(request_context& context,
+                                          const permit_granted& granted,
+                                          instant now);
+  // Sends the request with a permit. Returns nullopt if another attempt has to
+  // follow.
+  boost::asio::awaitable<std::optional<served_response>> SendAttempt(
+      request_context& context,
+      const permit_granted& granted,
+      const fleet_endpoint& endpoint,
+      instant sent_at);
+  // `retry_taken` becomes true when the attempt is abandoned: the retry budget
+  // has then allowed the next one. It and `context` must outlive the exchange.
+  exchange_options ExchangeOptionsOf(const request_context& context,
+                                     const permit_granted& granted,
+                                     bool& retry_taken,
+                                     instant now);
+  // Notes the end of an attempt in the context and the metrics, and releases
+  // its permit.
+  void RecordAttempt(request_context& context,
+                     const permit_granted& granted,
+                     const exchange_result& exchange,
+                     attempt_result result,
+                     bool caller_left);
+  // What follows an attempt, as far as the retry budget allows it.
+  attempt_decision DecideWithinBudget(const request_context& context,
+                                      attempt_result result,
+                                      bool retry_taken,
+                                      instant now);
+  static void LogFailure(const request_context& context,
+                         const permit_granted& granted,
+                         const exchange_result& exchange,
+                         const attempt_decision& next);
+  std::optional<served_response> Conclude(request_context& context,
+                                          const permit_granted& granted,
+                                          exchange_result exchange,
+                                          const attempt_decision& next);
   // The Retry-After time of a request that got no permit.
   milliseconds RetryAfterOf(const permit_refused& refused,
                             instant deadline) const;
@@ -99,6 +141,10 @@
                        unsigned status,
                        std::string_view reason,
                        std::optional<milliseconds> retry_after);
+  // The same for the reason in the context; only 503 has a Retry-After time.
+  served_response RefuseAttempt(const request_context& context,
+                                unsigned status,
+                                std::optional<milliseconds> retry_after);
   // This daemon's part of the configured retry budget, which all daemons
   // together must not exceed.
   std::uint32_t RetryPercent() const;
