--- a/bluebell/proxy/stray_bytes_test.cc
+++ b/bluebell/proxy/stray_bytes_test.cc
@@ -118,11 +118,14 @@
 
   asio::awaitable<void> Serve(tcp::socket socket) {
     std::string input;
+    bool is_first = true;
     std::vector<std::string> sources{
         platform::SampleRejection(""),
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nServer: s\r\nDate: today\r\n\r\n", "no response"};
+        "HTTP/1.1 200 OK\r\nServer: s\r\nDate: today\r\n\r\n",
+        "no response"};
     while (true) {
       const auto [failure, size] = co_await asio::async_read_until(
           socket, asio::dynamic_buffer(input), "\r\n\r\n", kAwait);
@@ -134,7 +137,10 @@
       received_.push_back(number);
       const planned_exchange& plan = plan_[number];
       const std::string response = ResponseTo(number, plan.how);
-      const std::string first = Join(plan.before, sources) + response;
+      // Stray bytes follow a complete response, so a new connection has none.
+      const std::string before =
+          std::exchange(is_first, false) ? "" : Join(plan.before, sources);
+      const std::string first = before + response;
       co_await asio::async_write(socket, asio::buffer(first), kAwait);
       sources.push_back(response);
       const std::string later = Join(plan.after, sources);
