--- a/bluebell/http/stray_response_test.cc
+++ b/bluebell/http/stray_response_test.cc
@@ -9,14 +9,10 @@
 #include <vector>
 
 #include <rapidcheck.h>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <catch2/catch.hpp>
@@ -29,7 +25,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr int kWholePercent = 100;
 // A part of a response may hold a call until its timeout.
 constexpr milliseconds kTimeout{40};
@@ -64,7 +59,7 @@
   stray_server(asio::io_context& io, std::vector<planned_response> plan)
       : plan_(std::move(plan)),
         acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
-    asio::co_spawn(io, Accept(), asio::detached);
+    Accept();
   }
 
   address where() const {
@@ -75,36 +70,46 @@
   void Expect(std::size_t number) { expected_ = number; }
 
  private:
-  asio::awaitable<void> Accept() {
-    while (true) {
-      auto [failure, socket] = co_await acceptor_.async_accept(kAwait);
-      if (failure) {
-        co_return;
-      }
-      asio::co_spawn(acceptor_.get_executor(), Serve(std::move(socket)),
-                     asio::detached);
-    }
-  }
-
-  asio::awaitable<void> Serve(tcp::socket socket) {
+  struct session {
+    explicit session(tcp::socket accepted) : socket(std::move(accepted)) {}
+    tcp::socket socket;
     std::string input;
     std::vector<std::string> sent;
-    while (true) {
-      const auto [failure, size] = co_await asio::async_read_until(
-          socket, asio::dynamic_buffer(input), "\r\n\r\n", kAwait);
-      if (failure) {
-        co_return;
-      }
-      input.erase(0, size);
-      const planned_response& plan = plan_[expected_];
-      std::string bytes;
-      for (const stray_part& part : plan.before) {
-        bytes += sent.empty() ? "" : PartOf(sent, part);
-      }
-      sent.push_back(ResponseTo(expected_, plan.status));
-      bytes += sent.back();
-      co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+  };
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code failure, tcp::socket socket) {
+          if (!failure) {
+            Serve(std::make_shared<session>(std::move(socket)));
+            Accept();
+          }
+        });
+  }
+
+  void Serve(const std::shared_ptr<session>& served) {
+    asio::async_read_until(
+        served->socket, asio::dynamic_buffer(served->input), "\r\n\r\n",
+        [this, served](boost::system::error_code failure, std::size_t size) {
+          if (failure) {
+            return;
+          }
+          served->input.erase(0, size);
+          asio::write(served->socket, asio::buffer(NextBytes(served->sent)),
+                      failure);
+          Serve(served);
+        });
+  }
+
+  // The response to the expected call, after the parts that precede it.
+  std::string NextBytes(std::vector<std::string>& sent) const {
+    const planned_response& plan = plan_[expected_];
+    std::string bytes;
+    for (const stray_part& part : plan.before) {
+      bytes += sent.empty() ? "" : PartOf(sent, part);
     }
+    sent.push_back(ResponseTo(expected_, plan.status));
+    return bytes + sent.back();
   }
 
   static std::string PartOf(const std::vector<std::string>& sent,
