--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -234,8 +234,7 @@
 // closed the connection.
 TEST_CASE("no prefix of a response is an answer") {
   const std::string chunked =
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+      SampleCodedResponse("1", "chunked", "4\r\nbody\r\n0\r\n\r\n");
   const std::string whole = GENERATE_COPY(SampleResponse("1", "body"),
                                           SampleResponse("1", ""), chunked);
   const bool resets = GENERATE(false, true);
@@ -386,16 +385,14 @@
 // Guards against bodies without a stated length that occupy twice the memory
 // that counts, since their buffer grows by doubling.
 TEST_CASE("a response counts with the memory that its body occupies") {
-  const std::string head =
-      "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Signature: s\r\n";
-  std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string chunked = SampleCodedResponse("a", "chunked", "");
   for (int i = 0; i < 70; ++i) {
     chunked += "3e8\r\n" + std::string(1'000, 'x') + "\r\n";
   }
   chunked += "0\r\n\r\n";
-  const std::string script =
-      GENERATE_COPY(SampleResponse("a", std::string(70'000, 'x')),
-                    head + "\r\n" + std::string(70'000, 'x'), chunked);
+  const std::string script = GENERATE_COPY(
+      SampleResponse("a", std::string(70'000, 'x')),
+      platform::SampleUnframedResponse("a", std::string(70'000, 'x')), chunked);
   scripted_server server({script});
   const auto memory = std::make_shared<byte_budget>(kMemoryLimit);
   client caller(memory);
@@ -406,8 +403,6 @@
   CHECK(memory->used() >= answered->response.body().capacity());
 }
 
-// A response by which an endpoint states that it didn't run the request;
-// without an id if `attempt` is empty.
 // Guards against callers that are told "not run" for a request that runs: a
 // late copy of the first rejection was taken for the response to the next
 // attempt of the same request on the same connection.
