Log each step of an order about keys, and each try that another follows

It had the result of a release only, and of a request its last try only.

Now one line each: a release when it is sent and when it is answered, a grant when it is sent and answered (renewals at the debug level), and each range that a written table reassigns, with the reason, the move's number, the coordinator's term and the ages of the grants. A try that is followed by another has its endpoint and status logged.

For this a move became an aggregate of its own (key_move), a table write carries what it changes, and the grant's times are a value. No decision changed: the rule when a range may be reassigned stands once instead of twice (key_move::ReassignableAt).

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -15,6 +15,7 @@
 #include "bluebell/core/overloaded.h"
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/coordinator_role.h"
+#include "bluebell/gateway/key_order_log.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/http/http_client.h"
 #include "bluebell/kv/async_call.h"
@@ -84,6 +85,7 @@
     co_return;
   }
   const instant sent_at = BootNow();
+  LogGrantSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
       timing_.call_timeout, step::kGrantLease);
@@ -97,20 +99,9 @@
   } else {
     reply.sent = response.error().code() != errc::kUnavailable;
   }
-  if (!reply.verdict || *reply.verdict != grant_verdict::kAccepted) {
-    log_event line(log_level::kWarn, "grant failed");
-    line.With("service", service)
-        .With("endpoint", order.endpoint.endpoint)
-        .With("first", order.grant.range.first)
-        .With("last", order.grant.range.last)
-        .With("fence", order.grant.fence);
-    if (response) {
-      line.With("status", response.value().result_int()).Write();
-    } else {
-      line.With(response.error()).Write();
-    }
-  }
-  coordinated->keys.OnGrantReply(order, sent_at, reply, BootNow());
+  const instant now = BootNow();
+  LogGrantReply(service, term, order, reply, response, sent_at, now);
+  coordinated->keys.OnGrantReply(order, sent_at, reply, now);
   ReportUnservedRanges(service, *coordinated);
 }
 
@@ -129,6 +120,8 @@
   if (!client) {
     co_return;
   }
+  const instant sent_at = BootNow();
+  LogReleaseSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client.value(),
       platform::EncodeRelease(order.endpoint.endpoint, order.release),
@@ -145,14 +138,8 @@
       handover = decoded.value();
     }
   }
-  log_event(log_level::kInfo, "keys released")
-      .With("service", service)
-      .With("endpoint", order.endpoint.endpoint)
-      .With("first", order.release.range.first)
-      .With("last", order.release.range.last)
-      .With("confirmed", handover.has_value())
-      .Write();
   const instant now = BootNow();
+  LogReleaseReply(service, term, order, handover.has_value(), sent_at, now);
   coordinated->keys.OnReleaseReply(order, std::move(handover), now);
   TickAsCoordinator(now);
 }
@@ -184,6 +171,7 @@
   std::visit(
       overloaded{[&](const kv_written& done) {
                    coordinated->keys.OnWritten(done.revision, now);
+                   LogReassignments(service, term, order, now);
                    log_event(log_level::kInfo, "keys assigned")
                        .With("service", service)
                        .With("ranges", order.table.assignments().size())
@@ -224,6 +212,7 @@
   if (current == order.table && revision != order.expected) {
     // An earlier attempt whose response was lost has written this table.
     coordinated.keys.OnWritten(revision, now);
+    LogReassignments(service, term_, order, now);
     return;
   }
   log_event(log_level::kWarn, "keys not assigned")
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -149,10 +149,10 @@
                                           service_name service,
                                           write_key_table order);
   // The store holds another revision of the table than the write expected.
-  static void OnTableConflict(const service_name& service,
-                              coordinated_service& coordinated,
-                              const write_key_table& order,
-                              const kv_conflict& conflict);
+  void OnTableConflict(const service_name& service,
+                       coordinated_service& coordinated,
+                       const write_key_table& order,
+                       const kv_conflict& conflict);
   // Null if the address can't be used.
   http_client* ClientOf(const address& where);
   // Null if the service isn't coordinated.
--- a/bluebell/keyspace/coordinator_action.h
+++ b/bluebell/keyspace/coordinator_action.h
@@ -10,11 +10,15 @@
 #define BLUEBELL_KEYSPACE_COORDINATOR_ACTION_H_
 
 #include <variant>
+#include <vector>
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/ids.h"
+#include "bluebell/keyspace/grant_times.h"
 #include "bluebell/keyspace/key_grant.h"
+#include "bluebell/keyspace/key_reassignment.h"
 #include "bluebell/keyspace/key_table.h"
+#include "bluebell/keyspace/move_number.h"
 
 namespace bluebell {
 
@@ -24,6 +28,8 @@
   endpoint_instance endpoint;
   address where;
   key_grant grant;
+  // The grants of the range before this one.
+  grant_times earlier_grants;
 
   friend bool operator==(const send_grant&, const send_grant&) = default;
 };
@@ -34,6 +40,10 @@
   endpoint_instance endpoint;
   address where;
   key_release release;
+  // The move that the release belongs to; zero for a probe.
+  move_number move;
+  // The grants of the range before the release.
+  grant_times earlier_grants;
 
   friend bool operator==(const send_release&, const send_release&) = default;
 };
@@ -44,6 +54,8 @@
 struct write_key_table {
   key_table table;
   store_version expected;
+  // What `table` changes.
+  std::vector<key_reassignment> reassignments;
 
   friend bool operator==(const write_key_table&,
                          const write_key_table&) = default;
--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -33,23 +33,27 @@
                                   const grant_record& b) {
   grant_record merged = a;
   // An optional without a value is less than any time.
-  merged.last_sent_ = std::max(a.last_sent_, b.last_sent_);
+  merged.times_.last_sent = std::max(a.times_.last_sent, b.times_.last_sent);
   merged.previous_sent_ = std::max(a.previous_sent_, b.previous_sent_);
-  merged.last_unanswered_ = std::max(a.last_unanswered_, b.last_unanswered_);
+  merged.times_.last_answered =
+      std::max(a.times_.last_answered, b.times_.last_answered);
+  merged.times_.last_unanswered =
+      std::max(a.times_.last_unanswered, b.times_.last_unanswered);
   merged.next_renewal_ = std::min(a.next_renewal_, b.next_renewal_);
   return merged;
 }
 
 void grant_record::OnSent(instant now) {
   in_flight_ = true;
-  previous_sent_ = last_sent_;
-  last_sent_ = now;
+  previous_sent_ = times_.last_sent;
+  times_.last_sent = now;
 }
 
 void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
   in_flight_ = false;
   // On a busy host a grant can be sent later than OnSent() was called.
-  last_sent_ = std::max(last_sent_.value_or(sent_at), sent_at);
+  times_.last_sent = std::max(times_.last_sent.value_or(sent_at), sent_at);
+  times_.last_answered = sent_at;
   accepted_ = true;
   handover_.clear();
   next_renewal_ = sent_at + timing.renewal_interval;
@@ -61,10 +65,10 @@
                                 instant now) {
   in_flight_ = false;
   if (may_have_arrived) {
-    last_unanswered_ = sent_at;
-    last_sent_ = std::max(last_sent_.value_or(sent_at), sent_at);
+    times_.last_unanswered = sent_at;
+    times_.last_sent = std::max(times_.last_sent.value_or(sent_at), sent_at);
   } else {
-    last_sent_ = previous_sent_;
+    times_.last_sent = previous_sent_;
   }
   next_renewal_ = now + timing.renewal_retry_delay;
 }
@@ -84,8 +88,8 @@
   if (former_stopped_by_) {
     latest = *former_stopped_by_ + timing.MaxGrantLifetime();
   }
-  if (last_sent_) {
-    latest = std::max(latest, *last_sent_ + timing.MaxGrantLifetime());
+  if (times_.last_sent) {
+    latest = std::max(latest, *times_.last_sent + timing.MaxGrantLifetime());
   }
   return latest;
 }
@@ -99,11 +103,12 @@
   if (former_stopped_by_) {
     latest = *former_stopped_by_ + timing.MaxGrantLifetime();
   }
-  if (last_unanswered_) {
-    latest = std::max(latest, *last_unanswered_ + timing.MaxGrantLifetime());
+  if (times_.last_unanswered) {
+    latest =
+        std::max(latest, *times_.last_unanswered + timing.MaxGrantLifetime());
   }
-  if (in_flight_ && last_sent_) {
-    latest = std::max(latest, *last_sent_ + timing.MaxGrantLifetime());
+  if (in_flight_ && times_.last_sent) {
+    latest = std::max(latest, *times_.last_sent + timing.MaxGrantLifetime());
   }
   return latest;
 }
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "bluebell/core/time.h"
+#include "bluebell/keyspace/grant_times.h"
 #include "bluebell/keyspace/key_timing.h"
 
 namespace bluebell {
@@ -64,6 +65,8 @@
   bool in_flight() const { return in_flight_; }
   // True if a grant is to be sent at `now`.
   bool IsDue(instant now) const { return !in_flight_ && next_renewal_ <= now; }
+  // When this coordinator's grants were sent.
+  const grant_times& times() const { return times_; }
   // Token for the next grant; empty if there is none.
   const std::string& handover() const { return handover_; }
 
@@ -83,10 +86,10 @@
   bool accepted_ = false;
   std::optional<instant> former_stopped_by_;
   std::string handover_;
-  std::optional<instant> last_sent_;
-  // Replaces `last_sent_` if the latest grant turns out not to have been sent.
+  grant_times times_;
+  // Replaces `times_.last_sent` if the latest grant turns out not to have been
+  // sent.
   std::optional<instant> previous_sent_;
-  std::optional<instant> last_unanswered_;
   bool in_flight_ = false;
   instant next_renewal_;
 };
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -17,7 +17,6 @@
 // nothing follows from half of so few owners not answering.
 constexpr std::size_t kMinOwnersToResign = 4;
 constexpr milliseconds kProbeInterval{1'000};
-constexpr milliseconds kReleaseRetryDelay{300};
 constexpr milliseconds kRebalanceInterval{300};
 // The usual time from the start of a move to the answer to its release.
 constexpr milliseconds kExpectedReleaseTime{300};
@@ -31,9 +30,8 @@
   table_ = std::move(table);
   revision_ = revision;
   former_stopped_by_ = former_stopped_by;
-  table_being_written_.reset();
+  pending_write_.reset();
   must_repeat_write_ = false;
-  moves_being_written_.clear();
   moves_.clear();
   granted_ranges_.clear();
   reachability_.clear();
@@ -54,7 +52,7 @@
     granted.grants.OnFormerStopped(stopped_by);
   }
   for (key_move& move : moves_) {
-    move.grants.OnFormerStopped(stopped_by);
+    move.grants().OnFormerStopped(stopped_by);
   }
 }
 
@@ -145,8 +143,9 @@
     }
   };
   for (key_move& move : moves_) {
-    if (move.from == sent.endpoint && sent.grant.range.Contains(move.range)) {
-      record_reply(move.grants);
+    if (move.from() == sent.endpoint &&
+        sent.grant.range.Contains(move.range())) {
+      record_reply(move.grants());
     }
   }
   std::vector<granted_range> superseded;
@@ -171,46 +170,37 @@
                                      instant now) {
   RecordOrderOutcome(sent.endpoint, handover.has_value());
   for (key_move& move : moves_) {
-    if (move.range != sent.release.range || move.from != sent.endpoint) {
-      continue;
-    }
-    move.release_in_flight = false;
-    move.next_release = now + kReleaseRetryDelay;
-    if (handover) {
-      move.released = true;
-      move.handover = *handover;
+    if (move.range() == sent.release.range && move.from() == sent.endpoint) {
+      move.OnReleaseReply(handover, now);
     }
   }
 }
 
 void key_coordinator::OnWritten(store_version revision, instant now) {
-  if (!table_being_written_) {
+  if (!pending_write_) {
     return;
   }
-  table_ = std::move(*table_being_written_);
-  table_being_written_.reset();
+  const write_key_table written = *std::exchange(pending_write_, std::nullopt);
+  table_ = written.table;
   revision_ = revision;
-  for (const completed_move& completed : moves_being_written_) {
+  for (const key_reassignment& reassigned : written.reassignments) {
     std::erase_if(moves_, [&](const key_move& move) {
-      return move.range.Contains(completed.range);
+      return move.range().Contains(reassigned.range);
     });
-    const key_assignment* assignment = table_.Find(completed.range.first);
-    granted_ranges_.push_back({completed.range, assignment->fence,
-                               assignment->owner,
-                               grant_record::New(completed.handover, now)});
+    granted_ranges_.push_back({reassigned.range, reassigned.fence,
+                               reassigned.to,
+                               grant_record::New(reassigned.handover, now)});
   }
-  moves_being_written_.clear();
 }
 
 void key_coordinator::OnWriteUnknown() {
-  must_repeat_write_ = table_being_written_.has_value();
+  must_repeat_write_ = pending_write_.has_value();
 }
 
 void key_coordinator::OnNotWritten(const key_table& current,
                                    store_version revision,
                                    instant now) {
-  table_being_written_.reset();
-  moves_being_written_.clear();
+  pending_write_.reset();
   if (revision != revision_) {
     // Another daemon has written the table: its assignments are in force, and
     // it isn't known until when it sent grants.
@@ -243,8 +233,8 @@
     const key_assignment& assignment) const {
   std::vector<key_range> moving;
   for (const key_move& move : moves_) {
-    if (assignment.range.Contains(move.range)) {
-      moving.push_back(move.range);
+    if (assignment.range.Contains(move.range())) {
+      moving.push_back(move.range());
     }
   }
   return assignment.range.Without(moving);
@@ -295,31 +285,30 @@
                                 const key_range& range,
                                 const std::optional<endpoint_instance>& to,
                                 instant now) {
-  key_move move{range, granted.owner, to, granted.grants, false, {},
-                false, now,           now};
-  moves_.push_back(std::move(move));
+  moves_.push_back(key_move::FromOwner(NextMoveNumber(), range, granted.owner,
+                                       granted.grants, to, now));
 }
 
 void key_coordinator::CancelMoves(instant now) {
-  if (table_being_written_) {
+  if (pending_write_) {
     return;
   }
   const auto cancelled_count = std::erase_if(moves_, [&](key_move& move) {
-    if (move.to || !IsUsable(move.from)) {
+    if (move.to() || !IsUsable(move.from())) {
       return false;
     }
     // The owner didn't answer for some time and is usable again. A range that
     // it has released needs a new fence. It is assigned to the same owner
     // without waiting, because no other endpoint can have a grant of these
     // keys.
-    move.to = move.from;
-    const bool cancel = !move.released && !move.release_in_flight;
+    move.ReturnToOwner();
+    const bool cancel = !move.was_released() && !move.is_release_in_flight();
     if (cancel) {
       // A release without an answer may have ended the grant.
-      move.grants.RenewNow(now);
-      const key_assignment* assignment = table_.Find(move.range.first);
+      move.grants().RenewNow(now);
+      const key_assignment* assignment = table_.Find(move.range().first);
       granted_ranges_.push_back(
-          {move.range, assignment->fence, move.from, move.grants});
+          {move.range(), assignment->fence, move.from(), move.grants()});
     }
     return cancel;
   });
@@ -337,19 +326,11 @@
     }
   }
   for (const key_range& range : table_.Unassigned()) {
-    const bool already_moving =
-        std::any_of(moves_.begin(), moves_.end(),
-                    [&](const key_move& move) { return move.range == range; });
+    const bool already_moving = std::any_of(
+        moves_.begin(), moves_.end(),
+        [&](const key_move& move) { return move.range() == range; });
     if (!already_moving) {
-      moves_.push_back({range,
-                        endpoint_instance(),
-                        std::nullopt,
-                        grant_record::New({}, now),
-                        true,
-                        {},
-                        false,
-                        now,
-                        now});
+      moves_.push_back(key_move::WithoutOwner(NextMoveNumber(), range, now));
     }
   }
   if (moves_.size() != move_count_before) {
@@ -369,13 +350,13 @@
     }
   }
   for (const key_move& move : moves_) {
-    input.moving.push_back(move.range);
+    input.moving.push_back(move.range());
   }
   return input;
 }
 
 void key_coordinator::StartPlannedMoves(instant now) {
-  if (now < next_plan_ || !moves_.empty() || table_being_written_) {
+  if (now < next_plan_ || !moves_.empty() || pending_write_) {
     return;
   }
   next_plan_ = now + kRebalanceInterval;
@@ -402,63 +383,82 @@
   RefreshGrantedRanges();
 }
 
-bool key_coordinator::MayReassign(const key_move& move, instant now) const {
+move_number key_coordinator::NextMoveNumber() {
+  last_move_ = move_number(last_move_.value() + 1);
+  return last_move_;
+}
+
+std::optional<reassignment_reason> key_coordinator::ReasonToReassign(
+    const key_move& move,
+    instant now) const {
+  if (move.from() == endpoint_instance()) {
+    return reassignment_reason::kNoOwner;
+  }
+  if (HasProcessEnded(move.from()) && !GrantHolderAddress(move.from())) {
+    return reassignment_reason::kProcessEnded;
+  }
   // If the former owner isn't usable, the keys go to another endpoint and have
   // to wait for the former owner's grants.
-  const bool returns_to_owner =
-      move.to == move.from && move.released && IsUsable(move.from);
-  const bool no_grant_in_force =
-      HasProcessEnded(move.from) && !GrantHolderAddress(move.from);
-  if (no_grant_in_force || returns_to_owner) {
-    return true;
-  }
-  const std::optional<instant> expiry =
-      move.released ? move.grants.LatestUnconfirmedExpiry(timing_)
-                    : move.grants.LatestExpiry(timing_);
-  return expiry && *expiry <= now;
-}
-
-key_table key_coordinator::BuildTable(
-    const std::vector<const key_move*>& moves) {
-  key_table table = table_;
+  if (move.to() == move.from() && move.was_released() &&
+      IsUsable(move.from())) {
+    return reassignment_reason::kReturnsToOwner;
+  }
+  const std::optional<instant> reassignable_at = move.ReassignableAt(timing_);
+  if (!reassignable_at || now < *reassignable_at) {
+    return std::nullopt;
+  }
+  return move.was_released() ? reassignment_reason::kReleased
+                             : reassignment_reason::kGrantsExpired;
+}
+
+write_key_table key_coordinator::CompleteMoves(
+    const std::vector<reassignable_move>& moves) const {
+  write_key_table write{table_, revision_, {}};
+  const auto reassign = [&](const reassignable_move& source,
+                            const key_range& range,
+                            const endpoint_instance& owner) {
+    const key_move& move = *source.move;
+    write.table = write.table.With(range, owner);
+    write.reassignments.push_back({range, move.number(), move.from(), owner,
+                                   write.table.highest_fence(), source.reason,
+                                   move.handover(), move.grants().times(),
+                                   move.released_at()});
+  };
   std::vector<key_range> ranges_without_owner;
-  for (const key_move* move : moves) {
-    if (move->to && IsUsable(*move->to)) {
-      table = table.With(move->range, *move->to);
-      moves_being_written_.push_back({move->range, move->handover});
+  for (const reassignable_move& each : moves) {
+    const std::optional<endpoint_instance>& to = each.move->to();
+    if (to && IsUsable(*to)) {
+      reassign(each, each.move->range(), *to);
     } else {
-      ranges_without_owner.push_back(move->range);
+      ranges_without_owner.push_back(each.move->range());
     }
   }
   for (const planned_move& planned :
        PlanUnownedRanges(PlanInput(), ranges_without_owner)) {
-    table = table.With(planned.range, planned.to);
-    const auto source_move =
-        std::find_if(moves.begin(), moves.end(), [&](const key_move* move) {
-          return move->range.Contains(planned.range);
+    const auto source = std::find_if(
+        moves.begin(), moves.end(), [&](const reassignable_move& each) {
+          return each.move->range().Contains(planned.range);
         });
-    moves_being_written_.push_back({planned.range, (*source_move)->handover});
+    reassign(*source, planned.range, planned.to);
   }
-  return table;
+  return write;
 }
 
 std::vector<unserved_range> key_coordinator::UnservedRanges() const {
   std::vector<unserved_range> unserved;
   for (const key_move& move : moves_) {
     const bool can_release =
-        IsUsable(move.from) ||
-        (HasProcessEnded(move.from) && GrantHolderAddress(move.from));
-    const bool release_expected = !move.released && can_release;
-    const std::optional<instant> expiry =
-        move.released ? move.grants.LatestUnconfirmedExpiry(timing_)
-                      : move.grants.LatestExpiry(timing_);
+        IsUsable(move.from()) ||
+        (HasProcessEnded(move.from()) && GrantHolderAddress(move.from()));
+    const bool release_expected = !move.was_released() && can_release;
+    const instant reassignable_at =
+        move.ReassignableAt(timing_).value_or(instant::max());
     // An endpoint answers a release when the work on the keys has ended.
-    const instant expected_release = move.started_at + kExpectedReleaseTime;
+    const instant expected_release = move.started_at() + kExpectedReleaseTime;
     unserved.push_back(
-        {move.range,
-         release_expected
-             ? expected_release
-             : std::max(expected_release, expiry.value_or(instant::max()))});
+        {move.range(), release_expected
+                           ? expected_release
+                           : std::max(expected_release, reassignable_at)});
   }
   for (const granted_range& granted : granted_ranges_) {
     if (!granted.grants.was_accepted()) {
@@ -470,49 +470,46 @@
 
 void key_coordinator::AddTableWrite(std::vector<coordinator_action>& actions,
                                     instant now) {
-  if (table_being_written_) {
+  if (pending_write_) {
     if (std::exchange(must_repeat_write_, false)) {
-      actions.emplace_back(write_key_table{*table_being_written_, revision_});
+      actions.emplace_back(*pending_write_);
     }
     return;
   }
-  std::vector<const key_move*> reassignable;
+  std::vector<reassignable_move> reassignable;
   for (const key_move& move : moves_) {
-    if (MayReassign(move, now)) {
-      reassignable.push_back(&move);
+    if (const auto reason = ReasonToReassign(move, now)) {
+      reassignable.push_back({&move, *reason});
     }
   }
   if (reassignable.empty()) {
     return;
   }
-  moves_being_written_.clear();
-  key_table table = BuildTable(reassignable);
-  if (moves_being_written_.empty()) {
+  write_key_table write = CompleteMoves(reassignable);
+  if (write.reassignments.empty()) {
     return;
   }
-  table_being_written_ = table;
-  actions.emplace_back(write_key_table{std::move(table), revision_});
+  pending_write_ = write;
+  actions.emplace_back(std::move(write));
 }
 
 void key_coordinator::AddReleases(std::vector<coordinator_action>& actions,
                                   instant now) {
   for (key_move& move : moves_) {
-    const std::optional<address> where = GrantHolderAddress(move.from);
-    // No release is sent while a grant is in flight: the release could arrive
-    // before the grant, and the endpoint would then serve the keys again after
-    // it has confirmed the release.
-    if (move.grants.in_flight() || move.released || move.release_in_flight ||
-        now < move.next_release || !where) {
+    const std::optional<address> where = GrantHolderAddress(move.from());
+    if (!move.IsReleaseDue(now) || !where) {
       continue;
     }
-    move.release_in_flight = true;
+    move.OnReleaseSent();
     // After a release, endpoints still accept a grant with the old fence. Only
-    // the conditions above and in MayReassign() prevent two endpoints from
-    // serving the same keys.
+    // the conditions in IsReleaseDue() and ReasonToReassign() prevent two
+    // endpoints from serving the same keys.
     actions.emplace_back(
-        send_release{move.from,
+        send_release{move.from(),
                      *where,
-                     {move.range, epoch(table_.highest_fence().value() + 1)}});
+                     {move.range(), epoch(table_.highest_fence().value() + 1)},
+                     move.number(),
+                     move.grants().times()});
   }
 }
 
@@ -539,7 +536,9 @@
     actions.emplace_back(send_release{
         instance,
         entry->where,
-        {table_.assignments().front().range, table_.highest_fence()}});
+        {table_.assignments().front().range, table_.highest_fence()},
+        move_number(),
+        grant_times()});
   }
 }
 
@@ -551,12 +550,14 @@
         !IsUsable(granted.owner)) {
       continue;
     }
+    const grant_times earlier_grants = granted.grants.times();
     granted.grants.OnSent(now);
     actions.emplace_back(
         send_grant{granted.owner,
                    where->second,
                    {granted.range, granted.fence, timing_.grant_duration,
-                    granted.grants.handover()}});
+                    granted.grants.handover()},
+                   earlier_grants});
   }
 }
 
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -28,9 +28,12 @@
 #include "bluebell/keyspace/coordinator_action.h"
 #include "bluebell/keyspace/grant_record.h"
 #include "bluebell/keyspace/key_grant.h"
+#include "bluebell/keyspace/key_move.h"
 #include "bluebell/keyspace/key_planner.h"
+#include "bluebell/keyspace/key_reassignment.h"
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/key_timing.h"
+#include "bluebell/keyspace/move_number.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
 
@@ -101,22 +104,6 @@
   const store_version& revision() const { return revision_; }
 
  private:
-  // A range that is moving from one owner to another.
-  struct key_move {
-    key_range range;
-    endpoint_instance from;
-    // The new owner that the planner chose. Without a value, or if that
-    // endpoint can't own keys any more, another one is chosen when the table is
-    // written.
-    std::optional<endpoint_instance> to;
-    // The former owner's grants; no new ones are sent during the move.
-    grant_record grants;
-    bool released = false;
-    std::string handover;
-    bool release_in_flight = false;
-    instant next_release;
-    instant started_at;
-  };
   // A range that is granted and renewed by one call.
   struct granted_range {
     key_range range;
@@ -124,10 +111,10 @@
     endpoint_instance owner;
     grant_record grants;
   };
-  // A moved range whose new owner is named by the table that is being written.
-  struct completed_move {
-    key_range range;
-    std::string handover;
+  // A move whose range may be assigned to a new owner.
+  struct reassignable_move {
+    const key_move* move = nullptr;
+    reassignment_reason reason = reassignment_reason::kNoOwner;
   };
   // Whether an endpoint answers grants and releases.
   struct endpoint_reachability {
@@ -191,12 +178,15 @@
   void AddTableWrite(std::vector<coordinator_action>& actions, instant now);
   // Grants and renewals that are due.
   void AddGrants(std::vector<coordinator_action>& actions, instant now);
-  // True if the range of `move` may be assigned to a new owner: its former
-  // owner can't serve it any more, or takes it back.
-  bool MayReassign(const key_move& move, instant now) const;
-  // The table in which `moves` are complete; adds them to
-  // `moves_being_written_`.
-  key_table BuildTable(const std::vector<const key_move*>& moves);
+  // Why the range of `move` may be assigned to a new owner: its former owner
+  // can't serve it any more, or takes it back. No value if it may not yet.
+  std::optional<reassignment_reason> ReasonToReassign(const key_move& move,
+                                                      instant now) const;
+  // The write of a table in which `moves` are complete, as far as there are
+  // endpoints for them.
+  write_key_table CompleteMoves(
+      const std::vector<reassignable_move>& moves) const;
+  move_number NextMoveNumber();
   // The subranges of an assignment that aren't moving.
   std::vector<key_range> StationaryRanges(
       const key_assignment& assignment) const;
@@ -208,17 +198,16 @@
   key_timing timing_;
   key_table table_;
   store_version revision_;
-  // The table that is being written, whether the write is to be repeated, and
-  // the moves that it completes.
-  std::optional<key_table> table_being_written_;
+  // The write whose result isn't known, and whether it is to be repeated.
+  std::optional<write_key_table> pending_write_;
   bool must_repeat_write_ = false;
-  std::vector<completed_move> moves_being_written_;
   std::vector<fleet_endpoint> endpoints_;
   std::map<endpoint_instance, address> last_address_;
   std::vector<shard_load> loads_;
   std::map<endpoint_id, double> capacities_;
   std::vector<granted_range> granted_ranges_;
   std::vector<key_move> moves_;
+  move_number last_move_;
   std::map<endpoint_instance, endpoint_reachability> reachability_;
   std::optional<instant> former_stopped_by_;
   instant next_plan_;
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -339,6 +339,23 @@
       .Write();
 }
 
+void request_server::LogRetry(const request_context& context,
+                              const permit_granted& granted) {
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(context.elapsed).count();
+  log_event line(log_level::kInfo, "attempt is followed by another");
+  line.With("id", context.call.attempt)
+      .With("service", context.service)
+      .With("endpoint", granted.endpoint.endpoint)
+      .With("endpoint_status", context.endpoint_status)
+      .With("reason", context.reason)
+      .With("took_ms", took);
+  if (context.call.key) {
+    line.With("key", *context.call.key);
+  }
+  line.Write();
+}
+
 std::optional<served_response> request_server::Conclude(
     request_context& context,
     const permit_granted& granted,
@@ -359,6 +376,7 @@
               context.excluded_endpoints.push_back(granted.endpoint.endpoint);
             }
             metrics_.Add(metric::kRetries, {context.service.value()});
+            LogRetry(context, granted);
             return std::nullopt;
           },
           [&](const fail_request& failed) -> std::optional<served_response> {
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -114,6 +114,8 @@
                          const permit_granted& granted,
                          const exchange_result& exchange,
                          const attempt_decision& next);
+  static void LogRetry(const request_context& context,
+                       const permit_granted& granted);
   std::optional<served_response> Conclude(request_context& context,
                                           const permit_granted& granted,
                                           exchange_result exchange,
