Run no retry at an endpoint that lost the request's key in between

Cause: a request that may be repeated keeps its attempt id over all tries, and a keyed request's next try goes to the owner of its key. If the key has gone to another endpoint and come back since a try failed, the first owner runs the same id again. Nothing tells the two runs apart, so work on the key seems to span the other endpoint's time.

Change: a permit names the fence under which its endpoint owns the key. A try that may have run is kept with its endpoint and fence, and none is sent to that endpoint under another fence; the request ends with 502, or 504 at its time limit. permit_granted has version 2 on the wire.

--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -89,6 +89,9 @@
   endpoint_instance endpoint;
   // The address of the endpoint.
   address where;
+  // The fence under which `endpoint` owns the request's key; zero for a request
+  // without a key.
+  epoch fence;
   // The mean response time of the route at this endpoint.
   std::uint32_t expected_ms = 0;
   // The store revision of the latest endpoint change that the dispatcher knows.
@@ -102,8 +105,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, where, expected_ms, endpoints_revision,
-            lapsing);
+    archive(id, service, endpoint, where, fence, expected_ms,
+            endpoints_revision, lapsing);
   }
 };
 
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -150,8 +150,9 @@
       granted != running_.end()) {
     const auto endpoint_state = endpoints_.find(granted->second.endpoint);
     if (endpoint_state != endpoints_.end()) {
-      replies_.emplace_back(
-          MakePermit(message.id, endpoint_state->second, granted->second.work));
+      replies_.emplace_back(MakePermit(message.id, endpoint_state->second,
+                                       granted->second.fence,
+                                       granted->second.work));
     }
     return;
   }
@@ -461,6 +462,7 @@
 permit_granted slot_scheduler::MakePermit(
     const permit_id& id,
     const scheduled_endpoint& endpoint_state,
+    const epoch& fence,
     duration work) const {
   const std::chrono::duration<double, std::milli> expected =
       work * endpoint_state.slowness();
@@ -469,6 +471,7 @@
   granted.service = service_;
   granted.endpoint = endpoint_state.entry().instance;
   granted.where = endpoint_state.entry().where;
+  granted.fence = fence;
   granted.expected_ms = static_cast<std::uint32_t>(expected.count());
   granted.lapsing = endpoint_state.entry().lapsing;
   return granted;
@@ -618,7 +621,8 @@
     const auto* queued = std::get_if<permit_queued>(&reply);
     return queued != nullptr && queued->id == request.message.id;
   });
-  replies_.emplace_back(MakePermit(request.message.id, target, request.work));
+  replies_.emplace_back(
+      MakePermit(request.message.id, target, request.fence, request.work));
 }
 
 void slot_scheduler::RefuseInfeasible(instant now) {
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -126,6 +126,7 @@
 
   permit_granted MakePermit(const permit_id& id,
                             const scheduled_endpoint& endpoint_state,
+                            const epoch& fence,
                             duration work) const;
   bool IsPaused(const waiting_request& request, instant now) const;
   // The unserved range that contains the key of the request; null if there is
--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -266,6 +266,7 @@
   REQUIRE(granted.size() == 2);
   for (const permit_granted& each : granted) {
     CHECK(each.endpoint == entries[each.id.number == 3 ? 1 : 0].instance);
+    CHECK(each.fence == table.Find(each.id.number == 3 ? 150 : 50)->fence);
   }
   const auto refused = RepliesOfType<permit_refused>(replies);
   REQUIRE(refused.size() == 1);
@@ -286,6 +287,7 @@
       RepliesOfType<permit_granted>(scheduler.TakeReplies(kStart));
   REQUIRE(granted.size() == 1);
   CHECK(granted.front().endpoint == entries[1].instance);
+  CHECK(granted.front().fence == table.highest_fence());
 }
 
 TEST_CASE("an owner that doesn't serve its keys yet is retried shortly") {
--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -1,5 +1,8 @@
 #include "bluebell/proxy/attempt_policy.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace bluebell {
 
 namespace {
@@ -42,6 +45,24 @@
   return progress;
 }
 
+request_progress WithKeyedAttempt(request_progress progress,
+                                  attempt_result result,
+                                  keyed_execution sent) {
+  if (result != attempt_result::kUnsent && result != attempt_result::kNotRun) {
+    progress.executions.push_back(std::move(sent));
+  }
+  return WithAttempt(std::move(progress), result);
+}
+
+bool MayRunAgain(const request_progress& progress,
+                 const keyed_execution& next) {
+  return std::none_of(progress.executions.begin(), progress.executions.end(),
+                      [&](const keyed_execution& earlier) {
+                        return earlier.endpoint == next.endpoint &&
+                               earlier.fence != next.fence;
+                      });
+}
+
 bool MayAbandon(const request_progress& progress) {
   return progress.idempotent && !progress.keyed &&
          progress.sent_attempts + 1 < progress.max_attempts;
--- a/bluebell/proxy/attempt_policy.h
+++ b/bluebell/proxy/attempt_policy.h
@@ -9,9 +9,11 @@
 
 #include <cstdint>
 #include <variant>
+#include <vector>
 
 #include "bluebell/core/time.h"
 #include "bluebell/proxy/attempt_result.h"
+#include "bluebell/proxy/keyed_execution.h"
 
 namespace bluebell {
 
@@ -28,6 +30,8 @@
   std::uint32_t unsent_attempts = 0;
   // True if an endpoint may have run the request.
   bool may_have_run = false;
+  // The attempts of a keyed request that may have run.
+  std::vector<keyed_execution> executions;
   instant deadline;
 
   friend bool operator==(const request_progress&,
@@ -60,6 +64,16 @@
 
 // Returns `progress` with one more attempt that ended with `result`.
 request_progress WithAttempt(request_progress progress, attempt_result result);
+// The same for a keyed request whose attempt was sent as `sent`.
+request_progress WithKeyedAttempt(request_progress progress,
+                                  attempt_result result,
+                                  keyed_execution sent);
+
+// True if the next attempt of a keyed request may be sent as `next`. False if
+// an earlier one may have run at that endpoint under another assignment of the
+// key: all attempts of a request have one id, so an observer can't tell whether
+// the endpoint finished the earlier run before it gave up the key.
+bool MayRunAgain(const request_progress& progress, const keyed_execution& next);
 
 // True if an attempt that takes unusually long may be abandoned in favour of
 // another one. Always false for a keyed request: it could only be sent to the
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -125,5 +125,30 @@
   CHECK(progress.may_have_run);
 }
 
+// Guards against an attempt that runs twice at one endpoint, before and after
+// another endpoint owned its key.
+TEST_CASE("an endpoint runs a keyed request under one assignment only") {
+  const endpoint_instance owner{endpoint_id("i-1"), incarnation(1)};
+  const endpoint_instance other{endpoint_id("i-2"), incarnation(1)};
+  const epoch fence(5);
+  const epoch later_fence(7);
+  const request_progress unsent = WithKeyedAttempt(
+      Progress(true, 0), attempt_result::kUnsent, {owner, fence});
+  CHECK(MayRunAgain(unsent, {owner, later_fence}));
+  const request_progress rejected = WithKeyedAttempt(
+      Progress(true, 0), attempt_result::kNotRun, {owner, fence});
+  CHECK(MayRunAgain(rejected, {owner, later_fence}));
+  for (const attempt_result result :
+       {attempt_result::kFailed, attempt_result::kLost,
+        attempt_result::kUnconfirmed, attempt_result::kUnprovenRefusal}) {
+    const request_progress ran =
+        WithKeyedAttempt(Progress(true, 0), result, {owner, fence});
+    CHECK(ran.may_have_run);
+    CHECK(MayRunAgain(ran, {owner, fence}));
+    CHECK(MayRunAgain(ran, {other, later_fence}));
+    CHECK(!MayRunAgain(ran, {owner, later_fence}));
+  }
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -184,6 +184,12 @@
     co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
                             kShutdownRetryAfter);
   }
+  if (!MayRunAgain(progress, {granted.endpoint, granted.fence})) {
+    permits_.Release(UnusedRelease(context.service, granted));
+    context.reason = "the key has moved since an attempt ran at its owner";
+    co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
+                            std::nullopt);
+  }
   const std::optional<fleet_endpoint> endpoint =
       EndpointOf(granted, replied_at);
   if (!endpoint) {
@@ -261,7 +267,10 @@
   RecordNotices(context.service, endpoint.instance, exchange, ended);
   const attempt_result result = ResultOf(exchange, progress.idempotent);
   RecordAttempt(context, granted, exchange, result, caller_left);
-  progress = WithAttempt(progress, result);
+  progress = progress.keyed
+                 ? WithKeyedAttempt(progress, result,
+                                    {granted.endpoint, granted.fence})
+                 : WithAttempt(progress, result);
   if (caller_left) {
     context.reason = "the caller left";
     co_return RefuseAttempt(context, FinalStatus(progress, ended),
--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -53,7 +53,7 @@
     {"pressure_update", 1, kMaxSmallBodyBytes},
     {"link_probe", 1, kMaxSmallBodyBytes},
     {"permit_ask", 1, kMaxSmallBodyBytes},
-    {"permit_granted", 1, kMaxSmallBodyBytes},
+    {"permit_granted", 2, kMaxSmallBodyBytes},
     {"permit_queued", 1, kMaxSmallBodyBytes},
     {"permit_refused", 1, kMaxSmallBodyBytes},
     {"permit_end", 1, kMaxSmallBodyBytes},
--- a/testing/gateway/traffic_server_test.cc
+++ b/testing/gateway/traffic_server_test.cc
@@ -21,6 +21,8 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/keyspace/key_table.h"
+#include "bluebell/keyspace/unserved_range.h"
 #include "bluebell/settings/gateway_settings.h"
 #include "bluebell/telemetry/metrics_registry.h"
 #include "testing/header_text.h"
@@ -37,6 +39,8 @@
 
 constexpr int kHttp11 = 11;
 constexpr unsigned kOk = 200;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr milliseconds kGrace{2'400};
 // The work of a request at the endpoint, which has one slot.
@@ -84,6 +88,11 @@
     entry.slots = 1;
     return entry;
   }
+  // The next request fails after its work.
+  void FailNext() {
+    const std::lock_guard lock(mutex_);
+    fails_next_ = true;
+  }
   // The number of times that the attempt began to run.
   int RunsOf(const std::string& attempt) {
     const std::lock_guard lock(mutex_);
@@ -93,12 +102,14 @@
  private:
   void Serve(const http_request& request, const http_responder& respond) {
     const std::string attempt = HeaderText(request, "X-Attempt-Id");
+    unsigned status = kOk;
     {
       const std::lock_guard lock(mutex_);
       ++runs_[attempt];
+      status = std::exchange(fails_next_, false) ? kServerError : kOk;
     }
-    RunAfter(io_, kWork, [attempt, respond] {
-      http_response response(bhttp::status::ok, kHttp11);
+    RunAfter(io_, kWork, [attempt, respond, status] {
+      http_response response(bhttp::int_to_status(status), kHttp11);
       response.set("X-Attempt-Id", attempt);
       response.set("X-Server-Signature", "signature");
       respond(response);
@@ -110,25 +121,37 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_guard_;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
+  bool fails_next_ = false;
   std::shared_ptr<http_server> server_;
   std::thread thread_;
 };
 
 // A traffic server in front of one slow endpoint.
-class stopping_daemon {
+class daemon_fixture {
  public:
-  explicit stopping_daemon(request_kind kind) {
-    settings_.id = daemon_id("front-1");
+  explicit daemon_fixture(request_kind kind, bool keyed = false)
+      : kind_(kind), keyed_(keyed) {
+    settings_.id = self_.id;
     settings_.domain = domain_name("zone-a");
     settings_.caller_listen = FreeAddress();
     settings_.ready_listen = FreeAddress();
     settings_.peer_listen = FreeAddress();
     settings_.metrics_listen = FreeAddress();
     settings_.shutdown_grace = kGrace;
-    const daemon_instance self{settings_.id, incarnation(7)};
-    traffic_ =
-        std::move(traffic_server::Start(settings_, self, metrics_, {}).value());
-    traffic_->Publish(View(self, kind));
+    traffic_ = std::move(
+        traffic_server::Start(settings_, self_, metrics_, {}).value());
+    traffic_->Publish(View(key_table()));
+  }
+
+  // Publishes `table` as the key table of the service.
+  void Publish(const key_table& table) { traffic_->Publish(View(table)); }
+  // Whether all keys are on their way to another owner.
+  void SetMoving(bool moving) {
+    std::vector<unserved_range> unserved;
+    if (moving) {
+      unserved.push_back({key_range(), BootNow() + kWork});
+    }
+    traffic_->SetUnservedRanges(service_name("booker"), unserved);
   }
 
   // Sends a request from a caller of its own, which leaves after `patience`.
@@ -138,6 +161,7 @@
       http_request request(bhttp::verb::post, "/book/" + attempt, kHttp11);
       request.set("X-Attempt-Id", attempt);
       request.set("X-Deadline-Ms", std::to_string(kCallerLimit.count()));
+      request.set("X-Shard-Key", "7");
       request.prepare_payload();
       const auto response =
           HttpCall(settings_.caller_listen, request, patience);
@@ -155,12 +179,12 @@
   std::string Metrics() const { return metrics_.Expose(); }
 
  private:
-  fleet_view View(const daemon_instance& self, request_kind kind) const {
+  fleet_view View(const key_table& table) const {
     service_route route;
     route.name = "book";
     route.host = "127.0.0.1";
     route.prefix = "/book/";
-    route.kind = kind;
+    route.kind = kind_;
     route.timeout = kCallerLimit;
     route.target_latency = 3 * kWork;
     route.max_attempts = 2;
@@ -168,14 +192,19 @@
     auto view = std::make_shared<fleet_snapshot>();
     view->config = std::make_shared<const route_config>(
         route_config::Make(config_version(1), {route},
-                           {{service_name("booker"), false, 64}}, {})
+                           {{service_name("booker"), keyed_, 64}}, {})
             .value());
     view->endpoints[endpoint_id("i-1")] = endpoint_.entry();
-    view->members[self.id] = {self, settings_.domain, settings_.peer_listen,
-                              1'000, false};
+    view->members[self_.id] = {self_, settings_.domain, settings_.peer_listen,
+                               1'000, false};
+    view->coordinator = self_;
+    view->tables[service_name("booker")] = table;
     return view;
   }
 
+  request_kind kind_;
+  bool keyed_;
+  daemon_instance self_{daemon_id("front-1"), incarnation(7)};
   slow_endpoint endpoint_;
   gateway_settings settings_;
   metrics_registry metrics_;
@@ -187,7 +216,7 @@
 TEST_CASE("a planned stop answers the requests that wait for a slot") {
   const request_kind kind =
       GENERATE(request_kind::kIdempotent, request_kind::kNonIdempotent);
-  stopping_daemon daemon(kind);
+  daemon_fixture daemon(kind);
   std::vector<std::future<unsigned>> answers;
   for (std::size_t i = 0; i < kRequests; ++i) {
     answers.push_back(daemon.Send("r" + std::to_string(i)));
@@ -214,7 +243,7 @@
 // Guards against logs and metrics that show a refusal, which promises "not
 // run", for a request that was sent to an endpoint.
 TEST_CASE("a request whose caller left after it was sent isn't refused") {
-  stopping_daemon daemon(request_kind::kNonIdempotent);
+  daemon_fixture daemon(request_kind::kNonIdempotent);
   // Until the view is in use.
   std::this_thread::sleep_for(milliseconds(100));
   CHECK(daemon.Send("left", kWork / 2).get() == 0);
@@ -230,7 +259,7 @@
 TEST_CASE("a request that arrives late in a planned stop is refused unsent") {
   const request_kind kind =
       GENERATE(request_kind::kIdempotent, request_kind::kNonIdempotent);
-  stopping_daemon daemon(kind);
+  daemon_fixture daemon(kind);
   // Until the view is in use.
   std::this_thread::sleep_for(milliseconds(100));
   CHECK(daemon.Send("early").get() == kOk);
@@ -244,5 +273,40 @@
   CHECK(daemon.endpoint().RunsOf("late") == 0);
 }
 
+// Guards against an attempt that runs twice at one endpoint, before and after
+// another endpoint owned its key: the endpoint then seems to work on the
+// request throughout the other one's ownership.
+TEST_CASE("no retry runs at an owner that lost its key since the attempt") {
+  daemon_fixture daemon(request_kind::kIdempotent, true);
+  const endpoint_instance owner = daemon.endpoint().entry().instance;
+  const endpoint_instance other{endpoint_id("i-2"), incarnation(1)};
+  const key_table first = key_table().With(key_range(), owner);
+  daemon.Publish(first);
+  // Until the view is in use.
+  std::this_thread::sleep_for(milliseconds(100));
+  daemon.endpoint().FailNext();
+  std::future<unsigned> status = daemon.Send("failed");
+  std::this_thread::sleep_for(kWork / 2);
+  daemon.SetMoving(true);
+  std::this_thread::sleep_for(kWork);
+  daemon.Publish(first.With(key_range(), other).With(key_range(), owner));
+  daemon.SetMoving(false);
+  CHECK(status.get() == kBadGateway);
+  CHECK(daemon.endpoint().RunsOf("failed") == 1);
+}
+
+// Guards against requests that fail although their owner, which has had the key
+// all the time, can run them again.
+TEST_CASE("a retry runs at an owner that has kept its key") {
+  daemon_fixture daemon(request_kind::kIdempotent, true);
+  daemon.Publish(
+      key_table().With(key_range(), daemon.endpoint().entry().instance));
+  // Until the view is in use.
+  std::this_thread::sleep_for(milliseconds(100));
+  daemon.endpoint().FailNext();
+  CHECK(daemon.Send("failed").get() == kOk);
+  CHECK(daemon.endpoint().RunsOf("failed") == 2);
+}
+
 }  // namespace
 }  // namespace bluebell
