Match the answer to a release with its move

What callers could see: keys were given to another endpoint while their owner still worked on them.

Cause: OnReleaseReply() looked for a move with the same range and owner. An answer that came seconds late, after the keys had moved away and back, counted as the answer to the release of the later move. The answer now has to carry the number of the move.

Evidence: a trial on a copy, now the test.

--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -170,7 +170,7 @@
                                      instant now) {
   RecordOrderOutcome(sent.endpoint, handover.has_value());
   for (key_move& move : moves_) {
-    if (move.range() == sent.release.range && move.from() == sent.endpoint) {
+    if (move.number() == sent.move) {
       move.OnReleaseReply(handover, now);
     }
   }
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -46,7 +46,7 @@
   // Begins to coordinate from `table`, which the store has at `revision` (zero
   // if it has none). A former coordinator has sent no grant after
   // `former_stopped_by`; no value while this time isn't known. Drops all
-  // earlier state except endpoints and loads.
+  // earlier state except endpoints and loads; the numbers of moves go on.
   void TakeOver(key_table table,
                 store_version revision,
                 std::optional<instant> former_stopped_by,
@@ -71,7 +71,8 @@
                     instant now);
   // The result of the release `sent`. `handover` is the token that the endpoint
   // returned, possibly empty; no value if the endpoint didn't confirm the
-  // release.
+  // release. If the move that `sent` belongs to is over, the result shows only
+  // whether the endpoint can be reached.
   void OnReleaseReply(const send_release& sent,
                       std::optional<std::string> handover,
                       instant now);
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -324,6 +324,48 @@
   CHECK(ActionsOf<send_release>(test.Advance()).empty());
 }
 
+// Guards against two owners: an endpoint's release gets no answer in time, its
+// keys move away and back, and the late answer is taken for that of the release
+// of a later move.
+TEST_CASE("the answer to the release of an earlier move frees no keys") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  const auto first_releases = ActionsOf<send_release>(test.Advance());
+  REQUIRE(first_releases.size() == 1);
+  const key_range range = first_releases.front().release.range;
+  test.now += kTiming.MaxGrantLifetime();
+  test.AnswerAll();
+  REQUIRE(test.keys.table().Find(range.first)->owner !=
+          test.entries[0].instance);
+  // The keys return to their first owner.
+  test.entries[0].draining = false;
+  test.entries[1].draining = true;
+  test.entries[2].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  test.AnswerAll();
+  REQUIRE(test.keys.table().Find(range.first)->owner ==
+          test.entries[0].instance);
+  test.entries[0].draining = true;
+  test.entries[1].draining = false;
+  test.entries[2].draining = false;
+  test.keys.SetEndpoints(test.entries);
+  const auto later_releases = ActionsOf<send_release>(test.Advance());
+  REQUIRE(!later_releases.empty());
+  for (const send_release& later : later_releases) {
+    // The late answer names the same range and endpoint as the later release.
+    send_release earlier = later;
+    earlier.move = first_releases.front().move;
+    test.keys.OnReleaseReply(earlier, "token", test.now);
+  }
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  for (const send_release& later : later_releases) {
+    test.keys.OnReleaseReply(later, "token", test.now);
+  }
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
 TEST_CASE("a new coordinator moves no keys while the former one may renew") {
   coordinator_fixture former(4);
   former.AnswerAll();
