Keep the record of earlier grants when keys return to their owner

What callers could see: keys were given to another endpoint while a grant that its former owner had received could still be carried out.

Cause: grant_record::New() replaced the record when keys returned to their owner with a new fence. If that owner was gone again before its first grant with that fence, the new record had no grant to wait for, so the keys moved at once, even before the release was sent. The new record now keeps the times of the earlier grants and the origin of the record. The times of answered grants are kept too: a release that follows the return may find nothing at the endpoint, so its answer proves less.

Evidence: a trial on a copy, now the test. It failed before: key_coordinator_test.cc:334: FAILED: CHECK( ActionsOf<write_key_table>(after_lapse).empty() ) with expansion: false After: all 40 other cases of bluebell_keyspace_test pass (the random test wasn't run for this commit).

--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -12,6 +12,16 @@
   return record;
 }
 
+grant_record grant_record::ReturnedToOwner(const grant_record& earlier,
+                                           std::string handover,
+                                           instant now) {
+  grant_record record = earlier;
+  record.accepted_ = false;
+  record.handover_ = std::move(handover);
+  record.next_renewal_ = now;
+  return record;
+}
+
 grant_record grant_record::Inherited(std::optional<instant> former_stopped_by,
                                      instant now) {
   grant_record record;
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -25,6 +25,12 @@
   // due at `now`. `handover` is the token from the former owner's release; it
   // is sent with each grant until the endpoint has answered one.
   static grant_record New(std::string handover, instant now);
+  // The record of an assignment that returns keys to the owner with the record
+  // `earlier`. It keeps the times of the earlier grants, because one without an
+  // answer may still be carried out.
+  static grant_record ReturnedToOwner(const grant_record& earlier,
+                                      std::string handover,
+                                      instant now);
   // The record of an assignment that a former coordinator wrote. That one may
   // have sent grants up to `former_stopped_by`; no value while this time isn't
   // known. The endpoint counts as having accepted a grant, and a renewal is due
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -183,13 +183,23 @@
   const write_key_table written = *std::exchange(pending_write_, std::nullopt);
   table_ = written.table;
   revision_ = revision;
+  for (const key_reassignment& reassigned : written.reassignments) {
+    const auto move = std::find_if(
+        moves_.begin(), moves_.end(), [&](const key_move& candidate) {
+          return candidate.number() == reassigned.move;
+        });
+    const bool returns =
+        move != moves_.end() && reassigned.to == reassigned.from;
+    granted_ranges_.push_back(
+        {reassigned.range, reassigned.fence, reassigned.to,
+         returns ? grant_record::ReturnedToOwner(move->grants(),
+                                                 reassigned.handover, now)
+                 : grant_record::New(reassigned.handover, now)});
+  }
   for (const key_reassignment& reassigned : written.reassignments) {
     std::erase_if(moves_, [&](const key_move& move) {
-      return move.range().Contains(reassigned.range);
+      return move.number() == reassigned.move;
     });
-    granted_ranges_.push_back({reassigned.range, reassigned.fence,
-                               reassigned.to,
-                               grant_record::New(reassigned.handover, now)});
   }
 }
 
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -306,6 +306,42 @@
   CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
 }
 
+// Guards against an early reassignment: the keys return to their owner with a
+// new fence, and the record of the new assignment knows nothing of a grant of
+// the earlier one that may still be carried out.
+TEST_CASE("keys that returned to their owner wait for its earlier grants") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.RenewUntilFirstGrantsExpire();
+  const instant sent = test.LoseRenewalsOfFirstEndpoint();
+  const auto others = test.EntriesWithoutFirstEndpoint();
+  test.keys.SetEndpoints(others);
+  const auto releases = ActionsOf<send_release>(test.Advance());
+  REQUIRE(releases.size() == 1);
+  test.keys.SetEndpoints(test.entries);
+  test.Advance();
+  test.now += milliseconds(10);
+  test.keys.OnReleaseReply(releases.front(), "token", test.now);
+  const auto writes = ActionsOf<write_key_table>(test.Advance());
+  REQUIRE(writes.size() == 1);
+  REQUIRE(writes.front().reassignments.front().reason ==
+          reassignment_reason::kReturnsToOwner);
+  test.now += milliseconds(10);
+  test.keys.OnWritten(store_version(++test.revision), test.now);
+  // The owner is gone again before it gets a grant with the new fence.
+  test.keys.SetEndpoints(others);
+  const auto after_lapse = test.Advance();
+  CHECK(ActionsOf<write_key_table>(after_lapse).empty());
+  for (const send_release& each : ActionsOf<send_release>(after_lapse)) {
+    test.keys.OnReleaseReply(each, "token", test.now);
+  }
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  test.now = sent + kTiming.MaxGrantLifetime() - milliseconds(1);
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  test.now = sent + kTiming.MaxGrantLifetime();
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
 // Guards against a lost record of a grant in flight: the registry entry of an
 // endpoint is missing for a moment while a grant is in flight.
 TEST_CASE("a grant stays recorded as in flight after a cancelled move") {
