End inherited grants after a write that found another table

What callers could see: keys of an endpoint that is gone aren't served for the rest of the coordinator's term.

Cause: OnNotWritten() began anew without a time by which former grants were sent, and waited for OnFormerStopped(). The role calls that only when the last former coordinator is excluded, which had happened before.

A write takes effect only while its daemon is the coordinator. So a table that a further write of this daemon can replace was written by this one or by a former coordinator; if those have stopped, all grants were sent by now. Their own former times wouldn't do: this coordinator's grants since its takeover are dropped with their records. If a later coordinator wrote the table, no write of this daemon takes effect any more.

Evidence: read in the code; the new test failed before: key_coordinator_test.cc:453: FAILED: CHECK( ActionsOf<write_key_table>(test.Advance()).size() == 1 ) with expansion: 0 == 1 After: all 42 other cases of bluebell_keyspace_test pass (the random test wasn't run for this commit). Not seen in a run of the whole program.

--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -212,9 +212,13 @@
                                    instant now) {
   pending_write_.reset();
   if (revision != revision_) {
-    // Another daemon has written the table: its assignments are in force, and
-    // it isn't known until when it sent grants.
-    TakeOver(current, revision, std::nullopt, now);
+    // The assignments in `current` are in force. A write of this daemon takes
+    // effect only while it is the coordinator, so only this daemon or a former
+    // coordinator can have written a table that such a write may replace. If
+    // the former ones have stopped, all grants so far were sent by `now`, this
+    // coordinator's own included.
+    TakeOver(current, revision,
+             former_stopped_by_ ? std::optional(now) : std::nullopt, now);
   }
 }
 
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -83,9 +83,10 @@
   // write again until the result is known.
   void OnWriteUnknown();
   // The write had no effect; the store has the table `current` with `revision`.
-  // If that revision is another than the known one, another daemon has written
-  // the table: the coordinator begins anew from it, without knowing until when
-  // that daemon sent grants.
+  // If that revision is another than the known one, the coordinator begins anew
+  // from `current`. All of its grants then count as a former coordinator's: as
+  // sent by `now` at the latest if the former coordinators have stopped, or
+  // else until OnFormerStopped() is called.
   void OnNotWritten(const key_table& current,
                     store_version revision,
                     instant now);
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -427,6 +427,52 @@
             .size() == 1);
 }
 
+// Guards against keys that no endpoint serves for the rest of a term: after a
+// write that found another revision of the table, all grants count as a former
+// coordinator's, and all former coordinators were excluded before.
+TEST_CASE("keys of a lost owner move after a write that found another table") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  for (const send_release& each : ActionsOf<send_release>(test.Advance())) {
+    test.keys.OnReleaseReply(each, "token", test.now);
+  }
+  REQUIRE(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+  test.revision += 5;
+  const instant found = test.now;
+  test.keys.OnNotWritten(test.keys.table(), store_version(test.revision),
+                         found);
+  test.keys.SetEndpoints(test.EntriesWithoutFirstEndpoint());
+  for (; test.now < found + kTiming.MaxGrantLifetime();
+       test.now += milliseconds(50)) {
+    // This coordinator's own grants may be in force.
+    CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  }
+  test.now = found + kTiming.MaxGrantLifetime();
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
+TEST_CASE(
+    "a write that found another table doesn't end a former coordinator's "
+    "grants") {
+  coordinator_fixture former(3);
+  former.AnswerAll();
+  key_coordinator keys(kTiming);
+  keys.TakeOver(former.keys.table(), store_version(9), std::nullopt, kStart);
+  keys.SetEndpoints(former.EntriesWithoutFirstEndpoint());
+  keys.OnNotWritten(former.keys.table(), store_version(10), kStart);
+  const instant later = kStart + seconds(60);
+  CHECK(ActionsOf<write_key_table>(
+            keys.Advance(later + kTiming.authority_duration, true, later))
+            .empty());
+  keys.OnFormerStopped(later);
+  CHECK(ActionsOf<write_key_table>(
+            keys.Advance(later + kTiming.authority_duration, true,
+                         later + kTiming.MaxGrantLifetime()))
+            .size() == 1);
+}
+
 TEST_CASE("a coordinator sends no orders after its authority has ended") {
   coordinator_fixture test(3);
   test.AnswerAll();
