Count a late confirmation of a release as no proof

What callers could see: keys were given to another endpoint while their former owner still worked on them, 14 to 38 ms after the end of its hold.

The endpoint's clock may run 2% slow, 44 ms for a grant of 2.2 s, so its hold counts for longer than the coordinator may assume it to be in force. This hole was found by reading. It isn't shown to be what users saw.

A release now proves the end only if it is confirmed before the latest accepted grant may have run out at the endpoint. Otherwise the keys wait until all grants have expired, and the reassignment's reason says so. A grant that is refused for a higher fence doesn't extend the former one.

A move that evens out the load no longer starts for a range without a grant accepted within the last two renewal intervals, as after a pause of 2 s: the renewal goes first, because the move would otherwise wait for the expiry. Ordinary moves begin within a renewal interval of an accepted grant and go on as before.

--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -5,6 +5,14 @@
 
 namespace bluebell {
 
+namespace {
+
+// Renewal intervals without an accepted grant after which a renewal counts as
+// overdue: one renewal was missed, and a third of the grant is left.
+constexpr int kIntervalsUntilOverdue = 2;
+
+}  // namespace
+
 grant_record grant_record::New(std::string handover, instant now) {
   grant_record record;
   record.handover_ = std::move(handover);
@@ -49,6 +57,7 @@
       std::max(a.times_.last_answered, b.times_.last_answered);
   merged.times_.last_unanswered =
       std::max(a.times_.last_unanswered, b.times_.last_unanswered);
+  merged.last_accepted_ = std::min(a.last_accepted_, b.last_accepted_);
   merged.next_renewal_ = std::min(a.next_renewal_, b.next_renewal_);
   return merged;
 }
@@ -59,6 +68,15 @@
   times_.last_sent = now;
 }
 
+void grant_record::OnAccepted(instant sent_at, const key_timing& timing) {
+  OnAnswered(sent_at, timing);
+  last_accepted_ = std::max(last_accepted_.value_or(sent_at), sent_at);
+}
+
+void grant_record::OnSuperseded(instant sent_at, const key_timing& timing) {
+  OnAnswered(sent_at, timing);
+}
+
 void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
   in_flight_ = false;
   // On a busy host a grant can be sent later than OnSent() was called.
@@ -123,4 +141,15 @@
   return latest;
 }
 
+bool grant_record::MayHaveEnded(const key_timing& timing, instant now) const {
+  return !last_accepted_ || *last_accepted_ + timing.grant_duration <= now;
+}
+
+bool grant_record::IsRenewalOverdue(const key_timing& timing,
+                                    instant now) const {
+  return !last_accepted_ ||
+         *last_accepted_ + kIntervalsUntilOverdue * timing.renewal_interval <=
+             now;
+}
+
 }  // namespace bluebell
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -3,7 +3,7 @@
 //
 //   grant_record record = grant_record::New(now);
 //   record.OnSent(now);
-//   record.OnAnswered(now, timing);
+//   record.OnAccepted(now, timing);
 //   instant ended = record.LatestExpiry(timing);
 
 #ifndef BLUEBELL_KEYSPACE_GRANT_RECORD_H_
@@ -39,18 +39,21 @@
                                 instant now);
 
   // Merges the records of two adjacent ranges of one owner, so that one call
-  // renews both. The merged record keeps the later of each pair of send times
-  // and the earlier of the two renewal times. CanMerge() is true if both have
-  // an accepted grant, none in flight, and the same origin; Merged() requires
-  // it.
+  // renews both. The merged record keeps the later of each pair of send times,
+  // but the earlier of the latest accepted grants and of the renewal times.
+  // CanMerge() is true if both have an accepted grant, none in flight, and the
+  // same origin; Merged() requires it.
   static bool CanMerge(const grant_record& a, const grant_record& b);
   static grant_record Merged(const grant_record& a, const grant_record& b);
 
   // A grant was decided at `now` and is in flight.
   void OnSent(instant now);
-  // The endpoint answered the grant that was sent at `sent_at`. The next
+  // The endpoint accepted the grant that was sent at `sent_at`. The next
   // renewal is due one renewal interval after `sent_at`.
-  void OnAnswered(instant sent_at, const key_timing& timing);
+  void OnAccepted(instant sent_at, const key_timing& timing);
+  // The same for a grant that the endpoint refused because it has seen a higher
+  // fence.
+  void OnSuperseded(instant sent_at, const key_timing& timing);
   // The grant that was sent at `sent_at` had no answer or was rejected.
   // `may_have_arrived` is false if it is certain that the grant was not sent;
   // otherwise the endpoint may still carry it out. The next renewal is due at
@@ -86,8 +89,17 @@
   // time. `instant()` if there are none.
   std::optional<instant> LatestUnconfirmedExpiry(
       const key_timing& timing) const;
+  // True if the endpoint may hold no grant at `now` by its own clock. A release
+  // that it confirms then proves nothing: it may have had nothing to release
+  // while work still runs that it began under the grant.
+  bool MayHaveEnded(const key_timing& timing, instant now) const;
+  // True if the latest accepted grant is so old that the keys shouldn't be
+  // released before another is accepted.
+  bool IsRenewalOverdue(const key_timing& timing, instant now) const;
 
  private:
+  void OnAnswered(instant sent_at, const key_timing& timing);
+
   bool inherited_ = false;
   bool accepted_ = false;
   std::optional<instant> former_stopped_by_;
@@ -96,6 +108,8 @@
   // Replaces `times_.last_sent` if the latest grant turns out not to have been
   // sent.
   std::optional<instant> previous_sent_;
+  // When the latest accepted grant was sent.
+  std::optional<instant> last_accepted_;
   bool in_flight_ = false;
   instant next_renewal_;
 };
--- a/bluebell/keyspace/grant_record_test.cc
+++ b/bluebell/keyspace/grant_record_test.cc
@@ -13,7 +13,7 @@
   CHECK(record.IsDue(kStart));
   record.OnSent(kStart);
   CHECK(!record.IsDue(kStart + seconds(5)));
-  record.OnAnswered(kStart, kTiming);
+  record.OnAccepted(kStart, kTiming);
   CHECK(record.handover().empty());
   CHECK(record.IsDue(kStart + kTiming.renewal_interval));
   CHECK(record.LatestExpiry(kTiming) == kStart + kTiming.MaxGrantLifetime());
@@ -29,20 +29,52 @@
         kStart + kTiming.MaxGrantLifetime());
 }
 
+// Guards against a release that counts as proof although the endpoint may have
+// had nothing to release.
+TEST_CASE("a grant may have ended at its endpoint before its latest expiry") {
+  grant_record record = grant_record::New("", kStart);
+  CHECK(record.MayHaveEnded(kTiming, kStart));
+  CHECK(record.IsRenewalOverdue(kTiming, kStart));
+  record.OnSent(kStart);
+  record.OnAccepted(kStart, kTiming);
+  const instant end = kStart + kTiming.grant_duration;
+  CHECK(!record.MayHaveEnded(kTiming, end - milliseconds(1)));
+  CHECK(record.MayHaveEnded(kTiming, end));
+  CHECK(!record.IsRenewalOverdue(kTiming, kStart + kTiming.renewal_interval));
+  CHECK(record.IsRenewalOverdue(kTiming, end));
+  // A renewal that the endpoint refuses doesn't extend the grant.
+  const instant refused = kStart + kTiming.renewal_interval;
+  record.OnSent(refused);
+  record.OnSuperseded(refused, kTiming);
+  CHECK(record.MayHaveEnded(kTiming, end));
+}
+
+TEST_CASE("a merged grant may have ended as soon as one of its parts") {
+  grant_record early = grant_record::New("", kStart);
+  early.OnSent(kStart);
+  early.OnAccepted(kStart, kTiming);
+  const instant later = kStart + seconds(1);
+  grant_record late = grant_record::New("", later);
+  late.OnSent(later);
+  late.OnAccepted(later, kTiming);
+  const grant_record merged = grant_record::Merged(late, early);
+  CHECK(merged.MayHaveEnded(kTiming, kStart + kTiming.grant_duration));
+}
+
 // Guards against an expiry that is too early: a busy host sends a grant some
 // time after the coordinator decided it.
 TEST_CASE("a grant counts from its sending, not from the decision") {
   grant_record record = grant_record::New("", kStart);
   record.OnSent(kStart);
   const instant sent = kStart + milliseconds(300);
-  record.OnAnswered(sent, kTiming);
+  record.OnAccepted(sent, kTiming);
   CHECK(record.LatestExpiry(kTiming) == sent + kTiming.MaxGrantLifetime());
 }
 
 TEST_CASE("a grant that was never sent doesn't postpone the expiry") {
   grant_record record = grant_record::New("", kStart);
   record.OnSent(kStart);
-  record.OnAnswered(kStart, kTiming);
+  record.OnAccepted(kStart, kTiming);
   const instant second = kStart + kTiming.renewal_interval;
   record.OnSent(second);
   record.OnUnanswered(second, false, kTiming, second);
@@ -56,11 +88,11 @@
   early.OnUnanswered(kStart, true, kTiming, kStart);
   early.OnSent(kStart + seconds(1));
   CHECK(!grant_record::CanMerge(early, early));
-  early.OnAnswered(kStart + seconds(1), kTiming);
+  early.OnAccepted(kStart + seconds(1), kTiming);
   const instant later = kStart + seconds(2);
   grant_record late = grant_record::New("", later);
   late.OnSent(later);
-  late.OnAnswered(later, kTiming);
+  late.OnAccepted(later, kTiming);
   REQUIRE(grant_record::CanMerge(early, late));
   const grant_record merged = grant_record::Merged(early, late);
   CHECK(merged.LatestExpiry(kTiming) == later + kTiming.MaxGrantLifetime());
@@ -73,7 +105,7 @@
     "the expiry of a former coordinator's grants is unknown until it stopped") {
   grant_record record = grant_record::Inherited(std::nullopt, kStart);
   record.OnSent(kStart);
-  record.OnAnswered(kStart, kTiming);
+  record.OnAccepted(kStart, kTiming);
   CHECK(!record.LatestExpiry(kTiming));
   CHECK(!record.LatestUnconfirmedExpiry(kTiming));
   record.OnFormerStopped(kStart + seconds(9));
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -136,8 +136,10 @@
                         reply.verdict == grant_verdict::kSuperseded;
   RecordOrderOutcome(sent.endpoint, answered);
   const auto record_reply = [&](grant_record& grants) {
-    if (answered) {
-      grants.OnAnswered(sent_at, timing_);
+    if (reply.verdict == grant_verdict::kAccepted) {
+      grants.OnAccepted(sent_at, timing_);
+    } else if (answered) {
+      grants.OnSuperseded(sent_at, timing_);
     } else {
       grants.OnUnanswered(sent_at, reply.sent, timing_, now);
     }
@@ -376,11 +378,14 @@
   next_plan_ = now + kRebalanceInterval;
   key_plan_input input = PlanInput();
   // Ranges with an unanswered grant aren't moved: they could get a new owner
-  // only after that grant has expired, and would not be served until then.
+  // only after that grant has expired, and would not be served until then. The
+  // same holds if their grant may run out before the release is confirmed, as
+  // after a pause of this process.
   for (const granted_range& granted : granted_ranges_) {
     const auto unconfirmed_expiry =
         granted.grants.LatestUnconfirmedExpiry(timing_);
-    if (!unconfirmed_expiry || now < *unconfirmed_expiry) {
+    if (!unconfirmed_expiry || now < *unconfirmed_expiry ||
+        granted.grants.IsRenewalOverdue(timing_, now)) {
       input.moving.push_back(granted.range);
     }
   }
@@ -421,8 +426,8 @@
   if (!reassignable_at || now < *reassignable_at) {
     return std::nullopt;
   }
-  return move.was_released() ? reassignment_reason::kReleased
-                             : reassignment_reason::kGrantsExpired;
+  return move.IsEndProved(timing_) ? reassignment_reason::kReleased
+                                   : reassignment_reason::kGrantsExpired;
 }
 
 write_key_table key_coordinator::CompleteMoves(
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -285,6 +285,68 @@
   CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
 }
 
+// Guards against two endpoints at work on one key: no renewal reaches an owner
+// until its grant has run out by its own clock. It has nothing to release then
+// and confirms at once, while a request that it accepted before still runs.
+TEST_CASE(
+    "a release that the owner may confirm after its grant frees no keys") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  // AnswerAll() sends the grants in its second round.
+  const instant sent = kStart + milliseconds(10);
+  const instant may_have_ended = sent + kTiming.grant_duration;
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  test.now = may_have_ended - milliseconds(10);
+  const auto releases = ActionsOf<send_release>(test.Advance());
+  REQUIRE(releases.size() == 1);
+  SECTION("the release is confirmed too late") {
+    test.now = may_have_ended;
+    test.keys.OnReleaseReply(releases.front(), "token", test.now);
+    for (; test.now < sent + kTiming.MaxGrantLifetime();
+         test.now += milliseconds(10)) {
+      CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+    }
+    test.now = sent + kTiming.MaxGrantLifetime();
+    const auto writes = ActionsOf<write_key_table>(test.Advance());
+    REQUIRE(writes.size() == 1);
+    CHECK(writes.front().reassignments.front().reason ==
+          reassignment_reason::kGrantsExpired);
+    CHECK(writes.front().reassignments.front().handover == "token");
+  }
+  SECTION("the grant is in force when the release is confirmed") {
+    test.now = may_have_ended - milliseconds(1);
+    test.keys.OnReleaseReply(releases.front(), "token", test.now);
+    const auto writes = ActionsOf<write_key_table>(test.Advance());
+    REQUIRE(writes.size() == 1);
+    CHECK(writes.front().reassignments.front().reason ==
+          reassignment_reason::kReleased);
+  }
+}
+
+// Guards against keys that aren't served: a coordinator that was paused moves
+// keys to even out the load, and has to wait for the expiry of their grants.
+TEST_CASE("keys with an overdue renewal aren't moved before it is answered") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  std::vector<shard_load> loads;
+  for (shard_key key = 100; key < 200; ++key) {
+    loads.push_back({key, 0.04});
+  }
+  test.keys.SetLoads(loads, {});
+  test.now += seconds(2);
+  const auto after_pause = test.Advance();
+  CHECK(ActionsOf<send_release>(after_pause).empty());
+  const auto renewals = ActionsOf<send_grant>(after_pause);
+  CHECK(renewals.size() == 3);
+  for (const send_grant& each : renewals) {
+    test.keys.OnGrantReply(each, test.now, {grant_verdict::kAccepted, true},
+                           test.now);
+  }
+  test.now += milliseconds(300);
+  CHECK(!ActionsOf<send_release>(test.Advance()).empty());
+}
+
 // Guards against an early reassignment: an owner that has released its keys is
 // usable again, so its keys are to return to it, and it is gone again before
 // the table is written.
--- a/bluebell/keyspace/key_move.cc
+++ b/bluebell/keyspace/key_move.cc
@@ -53,10 +53,14 @@
   }
 }
 
+bool key_move::IsEndProved(const key_timing& timing) const {
+  return released_at_ && !grants_.MayHaveEnded(timing, *released_at_);
+}
+
 std::optional<instant> key_move::ReassignableAt(
     const key_timing& timing) const {
-  return was_released() ? grants_.LatestUnconfirmedExpiry(timing)
-                        : grants_.LatestExpiry(timing);
+  return IsEndProved(timing) ? grants_.LatestUnconfirmedExpiry(timing)
+                             : grants_.LatestExpiry(timing);
 }
 
 }  // namespace bluebell
--- a/bluebell/keyspace/key_move.h
+++ b/bluebell/keyspace/key_move.h
@@ -66,6 +66,9 @@
   // key_coordinator::OnReleaseReply().
   void OnReleaseReply(std::optional<std::string> handover, instant now);
 
+  // True if the former owner confirmed the release while it certainly held the
+  // range: no work that it accepted on these keys runs any more.
+  bool IsEndProved(const key_timing& timing) const;
   // The time from which the former owner can't serve the range any more. No
   // value while that isn't known.
   std::optional<instant> ReassignableAt(const key_timing& timing) const;
--- a/bluebell/keyspace/key_reassignment.h
+++ b/bluebell/keyspace/key_reassignment.h
@@ -20,7 +20,8 @@
 enum class reassignment_reason : std::uint8_t {
   // The range had no owner.
   kNoOwner,
-  // The former owner confirmed a release, and no grant is unanswered.
+  // The former owner confirmed a release while it held the range, and no grant
+  // is unanswered.
   kReleased,
   // All grants of the former owner have expired.
   kGrantsExpired,
