Name the process in the answer to a coordinator's claim

A new coordinator took a yield for that of the former coordinator if it came from the peer address that the members' view gave for that daemon id. Every process that gets a claim answers it, also one that never was the coordinator. A process that has taken over the address or the id therefore excluded a former coordinator that could still grant keys, and the wait for its last grant began too early.

coordinator_yield now names the yielding process by id and run, and excludes exactly that process. A late or repeated yield can't exclude another one: it names the claim's revision, as before, and the run. A later process under the same id doesn't exclude the earlier one by its yield; its entry in the store does.

Before the change (the yield matched by daemon id, without the run) the new test "a yield excludes only the process that sent it" failed: a yield of front-1/5 excluded front-1/1.

The message type has version 2.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -310,16 +310,14 @@
     StopCoordinating("another daemon has claimed the role");
   }
   last_yielded_claim_ = std::max(last_yielded_claim_, claimed);
-  traffic_.SendPeer(from, coordinator_yield{claim.revision});
+  traffic_.SendPeer(from, coordinator_yield{claim.revision, self_});
 }
 
-void coordinator_role::OnYield(const address& from,
-                               const coordinator_yield& yield) {
+void coordinator_role::OnYield(const coordinator_yield& yield) {
   if (!is_coordinator_ || store_version(yield.revision) != lease_.revision()) {
     return;
   }
-  if (const auto exclusion =
-          former_coordinators_.OnYield(from, view_->members)) {
+  if (const auto exclusion = former_coordinators_.OnYield(yield.yielded)) {
     OnExcluded(*exclusion, BootNow());
   }
 }
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -72,9 +72,9 @@
   // The daemon at `from` has claimed the role. Unless this daemon coordinates
   // under the same or a later claim, it stops and answers with a yield.
   void OnClaim(const address& from, const coordinator_claim& claim);
-  // The daemon at `from` has stopped sending orders about keys. Ignored unless
-  // it answers the present claim of this daemon.
-  void OnYield(const address& from, const coordinator_yield& yield);
+  // A daemon has stopped sending orders about keys. Ignored unless it answers
+  // the present claim of this daemon.
+  void OnYield(const coordinator_yield& yield);
 
  private:
   // The state of one keyed service while this daemon coordinates.
--- a/bluebell/gateway/former_coordinators.cc
+++ b/bluebell/gateway/former_coordinators.cc
@@ -50,13 +50,8 @@
 }
 
 std::optional<coordinator_exclusion> former_coordinators::OnYield(
-    const address& from,
-    const member_map& members) {
-  const auto found = std::find_if(
-      pending_.begin(), pending_.end(), [&](const daemon_instance& daemon) {
-        const auto member = members.find(daemon.id);
-        return member != members.end() && member->second.peer == from;
-      });
+    const daemon_instance& yielded) {
+  const auto found = std::find(pending_.begin(), pending_.end(), yielded);
   if (found == pending_.end()) {
     return std::nullopt;
   }
--- a/bluebell/gateway/former_coordinators.h
+++ b/bluebell/gateway/former_coordinators.h
@@ -23,8 +23,6 @@
 
 namespace bluebell {
 
-class address;
-
 // Why a former coordinator can send no more orders.
 enum class exclusion_reason {
   // It has answered the claim with a yield.
@@ -66,10 +64,9 @@
   // of them once their authority has ended. Returns the new exclusions.
   std::vector<coordinator_exclusion> Advance(const member_map& members,
                                              instant now);
-  // The daemon at `from` has yielded. Excludes it and returns the exclusion;
-  // nothing if no pending former coordinator has this peer address.
-  std::optional<coordinator_exclusion> OnYield(const address& from,
-                                               const member_map& members);
+  // The process `yielded` has yielded. Excludes it and returns the exclusion;
+  // nothing if it isn't a pending former coordinator.
+  std::optional<coordinator_exclusion> OnYield(const daemon_instance& yielded);
 
   // True if no former coordinator can send orders any more.
   bool all_excluded() const { return pending_.empty(); }
--- a/bluebell/gateway/former_coordinators_test.cc
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -48,7 +48,7 @@
         coordinator_exclusion{Daemon(2), exclusion_reason::kProcessEnded});
   CHECK(!formers.all_excluded());
   CHECK(formers.pending() == std::vector<daemon_instance>{Daemon(1)});
-  const auto yielded = formers.OnYield(PeerOf(1), members);
+  const auto yielded = formers.OnYield(Daemon(1));
   REQUIRE(yielded);
   CHECK(yielded->daemon == Daemon(1));
   CHECK(formers.all_excluded());
@@ -77,9 +77,23 @@
 // may still send orders.
 TEST_CASE("a yield from a daemon outside the history excludes nobody") {
   former_coordinators formers = FromHistory({Daemon(1)});
-  CHECK(!formers.OnYield(PeerOf(3), Members({{1, 1}, {3, 1}})));
+  CHECK(!formers.OnYield(Daemon(3)));
   CHECK(!formers.all_excluded());
 }
 
+// Failure: every process that gets a claim answers it, also one that never was
+// the coordinator. A process that has taken over the id or the address of a
+// former coordinator excludes it while it may still send orders.
+TEST_CASE("a yield excludes only the process that sent it") {
+  former_coordinators formers = FromHistory({Daemon(1, 1)});
+  CHECK(!formers.OnYield(Daemon(1, 5)));
+  CHECK(formers.pending() == std::vector<daemon_instance>{Daemon(1, 1)});
+  const auto excluded = formers.OnYield(Daemon(1, 1));
+  REQUIRE(excluded);
+  CHECK(*excluded ==
+        coordinator_exclusion{Daemon(1, 1), exclusion_reason::kYielded});
+  CHECK(!formers.OnYield(Daemon(1, 1)));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -90,9 +90,8 @@
         asio::post(self->io_,
                    [self, from, claim] { self->role_->OnClaim(from, claim); });
       },
-      [self](const address& from, const coordinator_yield& yield) {
-        asio::post(self->io_,
-                   [self, from, yield] { self->role_->OnYield(from, yield); });
+      [self](const address& /*from*/, const coordinator_yield& yield) {
+        asio::post(self->io_, [self, yield] { self->role_->OnYield(yield); });
       },
       [self](const endpoint_instance& endpoint) {
         asio::post(self->io_, [self, endpoint] {
--- a/bluebell/keyspace/coordinator_change.h
+++ b/bluebell/keyspace/coordinator_change.h
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 
+#include "bluebell/core/ids.h"
+
 namespace bluebell {
 
 // The sender became the coordinator with the write that gave the store the
@@ -23,17 +25,20 @@
   }
 };
 
-// Answer to a claim: the sender isn't the coordinator and sends no more orders
-// about keys. `revision` is that of the claim.
+// Answer to a claim: the process `yielded` isn't the coordinator and sends no
+// more orders about keys under an earlier claim. `revision` is that of the
+// claim. The answer proves nothing about other processes that have or had the
+// same daemon id or address.
 struct coordinator_yield {
   std::uint64_t revision = 0;
+  daemon_instance yielded;
 
   friend bool operator==(const coordinator_yield&,
                          const coordinator_yield&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(revision);
+    archive(revision, yielded.id, yielded.run);
   }
 };
 
--- a/bluebell/wire/frame.cc
+++ b/bluebell/wire/frame.cc
@@ -60,7 +60,7 @@
     {"permit_report", 1, kMaxDatagramBytes - kFrameHeaderBytes},
     {"permit_report_ack", 1, kMaxSmallBodyBytes},
     {"coordinator_claim", 1, kMaxSmallBodyBytes},
-    {"coordinator_yield", 1, kMaxSmallBodyBytes},
+    {"coordinator_yield", 2, kMaxSmallBodyBytes},
     {"endpoint_leaving", 1, kMaxSmallBodyBytes},
     {"fleet_update_request", 1, kMaxSmallBodyBytes},
     {"fleet_update", 1, kMaxDatagramBytes - kFrameHeaderBytes},
