Exclude a former coordinator only by an entry newer than its claim

A former coordinator counted as ended as soon as the members' view named another run under its daemon id. Runs are random numbers, so that run could as well be an earlier one. The new coordinator then took a live one for ended, and counted the wait for its last grant from too early a time.

A coordinator is announced before it claims the role, and the claim expects the revision of the history. So every process in the history was announced before that revision, and an entry with a higher revision is that of a later process. Advance() now takes the entries with their revisions. An entry that is older than the history excludes nobody; at worst the wait lasts until the authority ends (8 s). That happens if a coordinator and its successor both end within one renewal (350 ms) and the first one is announced again before the second claims.

The order of the views doesn't make the fault possible by itself: one watch delivers members and history in the order of their revisions, pages of a listing come in the order of the keys, and "bluebell/coordinator" is listed before "bluebell/members/". An announcement that the store carries out late can still name an earlier process under a higher revision.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -161,7 +161,8 @@
 
 asio::awaitable<void> coordinator_role::Claim() {
   former_coordinators_ = former_coordinators::FromHistory(
-      watcher_.state().coordinator_history(), self_);
+      watcher_.state().coordinator_history(),
+      watcher_.state().RevisionOf(kCoordinatorHistoryKey), self_);
   const claim_outcome outcome =
       co_await lease_.Claim(former_coordinators_.pending());
   if (outcome != claim_outcome::kClaimed || leaving_) {
@@ -322,6 +323,19 @@
   }
 }
 
+former_coordinators::announced_map coordinator_role::AnnouncedFormers() const {
+  former_coordinators::announced_map announced;
+  for (const daemon_instance& former : former_coordinators_.pending()) {
+    const auto member = view_->members.find(former.id);
+    if (member != view_->members.end()) {
+      announced[former.id] = {
+          member->second.instance.run,
+          watcher_.state().RevisionOf(MemberKey(former.id))};
+    }
+  }
+  return announced;
+}
+
 void coordinator_role::OnExcluded(const coordinator_exclusion& exclusion,
                                   instant now) {
   log_event(log_level::kInfo, "former coordinator is excluded")
@@ -337,7 +351,7 @@
 
 void coordinator_role::ExcludeFormerCoordinators(instant now) {
   for (const coordinator_exclusion& exclusion :
-       former_coordinators_.Advance(view_->members, now)) {
+       former_coordinators_.Advance(AnnouncedFormers(), now)) {
     OnExcluded(exclusion, now);
   }
   if (former_coordinators_.all_excluded() || now < next_claim_message_) {
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -123,6 +123,8 @@
   // Excludes the former coordinators that have ended and sends this daemon's
   // claim to the others.
   void ExcludeFormerCoordinators(instant now);
+  // The entries of the former coordinators' daemon ids in the store.
+  former_coordinators::announced_map AnnouncedFormers() const;
   void OnExcluded(const coordinator_exclusion& exclusion, instant now);
   // Adds new keyed services and updates the endpoints of all.
   void SyncServices(instant now);
--- a/bluebell/gateway/former_coordinators.cc
+++ b/bluebell/gateway/former_coordinators.cc
@@ -18,8 +18,10 @@
 
 former_coordinators former_coordinators::FromHistory(
     const std::vector<daemon_instance>& history,
+    store_version revision,
     const daemon_instance& self) {
   former_coordinators formers;
+  formers.history_revision_ = revision;
   for (const daemon_instance& daemon : history) {
     // An earlier run of this daemon has ended, since this process could bind
     // its address.
@@ -31,12 +33,13 @@
 }
 
 std::vector<coordinator_exclusion> former_coordinators::Advance(
-    const member_map& members,
+    const announced_map& announced,
     instant now) {
   std::vector<coordinator_exclusion> exclusions;
   std::erase_if(pending_, [&](const daemon_instance& daemon) {
-    const auto member = members.find(daemon.id);
-    if (member != members.end() && member->second.instance.run != daemon.run) {
+    const auto entry = announced.find(daemon.id);
+    if (entry != announced.end() && entry->second.run != daemon.run &&
+        entry->second.revision > history_revision_) {
       exclusions.push_back({daemon, exclusion_reason::kProcessEnded});
       return true;
     }
--- a/bluebell/gateway/former_coordinators.h
+++ b/bluebell/gateway/former_coordinators.h
@@ -4,9 +4,9 @@
 //
 // An aggregate without I/O, used on the control thread.
 //
-//   auto formers = former_coordinators::FromHistory(history, self);
+//   auto formers = former_coordinators::FromHistory(history, revision, self);
 //   formers.SetAuthorityUntil(claimed_at + timing.authority_duration);
-//   for (const auto& exclusion : formers.Advance(members, now)) ...
+//   for (const auto& exclusion : formers.Advance(announced, now)) ...
 //   if (formers.all_excluded()) ...
 
 #ifndef BLUEBELL_GATEWAY_FORMER_COORDINATORS_H_
@@ -19,7 +19,6 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
-#include "bluebell/fleet/fleet_member.h"
 
 namespace bluebell {
 
@@ -27,7 +26,7 @@
 enum class exclusion_reason {
   // It has answered the claim with a yield.
   kYielded,
-  // Another process has announced itself under its daemon id.
+  // A later process has announced itself under its daemon id.
   kProcessEnded,
   // The latest end of its authority has passed.
   kAuthorityEnded
@@ -44,25 +43,38 @@
                          const coordinator_exclusion&) = default;
 };
 
+// The process that a daemon's entry in the store names, and the store's
+// revision of that entry.
+struct announced_run {
+  incarnation run;
+  store_version revision;
+
+  friend bool operator==(const announced_run&, const announced_run&) = default;
+};
+
 class former_coordinators {
  public:
-  using member_map = std::map<daemon_id, fleet_member>;
+  using announced_map = std::map<daemon_id, announced_run>;
 
   // Without former coordinators.
   former_coordinators() = default;
   // The coordinators in `history`, the store's value when `self` claimed the
-  // role, except earlier runs of `self`.
+  // role, except earlier runs of `self`. `revision` is the store's revision of
+  // that value; all processes in it were announced earlier.
   static former_coordinators FromHistory(
       const std::vector<daemon_instance>& history,
+      store_version revision,
       const daemon_instance& self);
 
   // The authority of every former coordinator ends at `until` at the latest.
   // Before this call no end is known.
   void SetAuthorityUntil(instant until) { authority_until_ = until; }
 
-  // Excludes the daemons under whose id another process is announced, and all
-  // of them once their authority has ended. Returns the new exclusions.
-  std::vector<coordinator_exclusion> Advance(const member_map& members,
+  // Excludes the daemons under whose id a later process is announced, and all
+  // of them once their authority has ended. Returns the new exclusions. Runs
+  // are random numbers: a process counts as later only if its entry is newer
+  // than the history. An older entry may be that of an earlier process.
+  std::vector<coordinator_exclusion> Advance(const announced_map& announced,
                                              instant now);
   // The process `yielded` has yielded. Excludes it and returns the exclusion;
   // nothing if it isn't a pending former coordinator.
@@ -75,6 +87,7 @@
 
  private:
   std::vector<daemon_instance> pending_;
+  store_version history_revision_;
   instant authority_until_ = instant::max();
 };
 
--- a/bluebell/gateway/former_coordinators_test.cc
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -4,34 +4,22 @@
 
 #include <catch2/catch.hpp>
 
-#include "bluebell/core/address.h"
-
 namespace bluebell {
 namespace {
 
 const instant kStart = instant(seconds(1'000));
 const instant kAuthorityEnds = kStart + seconds(8);
+const store_version kHistoryRevision(100);
+const store_version kBeforeHistory(60);
+const store_version kAfterHistory(110);
 
 daemon_instance Daemon(int number, std::uint64_t run = 1) {
   return {daemon_id("front-" + std::to_string(number)), incarnation(run)};
 }
 
-address PeerOf(int number) {
-  return address::Parse("10.0.0." + std::to_string(number) + ":7200").value();
-}
-
-former_coordinators::member_map Members(
-    const std::vector<std::pair<int, std::uint64_t>>& runs) {
-  former_coordinators::member_map members;
-  for (const auto& [number, run] : runs) {
-    const daemon_instance daemon = Daemon(number, run);
-    members[daemon.id] = {daemon, domain_name("a"), PeerOf(number), 200, false};
-  }
-  return members;
-}
-
 former_coordinators FromHistory(const std::vector<daemon_instance>& history) {
-  auto formers = former_coordinators::FromHistory(history, Daemon(9));
+  auto formers =
+      former_coordinators::FromHistory(history, kHistoryRevision, Daemon(9));
   formers.SetAuthorityUntil(kAuthorityEnds);
   return formers;
 }
@@ -41,8 +29,10 @@
 // grants for several more seconds.
 TEST_CASE("a killed coordinator doesn't end the wait for its predecessor") {
   former_coordinators formers = FromHistory({Daemon(2), Daemon(1)});
-  const auto members = Members({{1, 1}, {2, 5}});
-  const auto exclusions = formers.Advance(members, kStart);
+  const former_coordinators::announced_map announced{
+      {Daemon(1).id, {Daemon(1).run, kBeforeHistory}},
+      {Daemon(2).id, {Daemon(2, 5).run, kAfterHistory}}};
+  const auto exclusions = formers.Advance(announced, kStart);
   REQUIRE(exclusions.size() == 1);
   CHECK(exclusions.front() ==
         coordinator_exclusion{Daemon(2), exclusion_reason::kProcessEnded});
@@ -54,6 +44,23 @@
   CHECK(formers.all_excluded());
 }
 
+// Failure: a view that still shows an earlier process of a coordinator's daemon
+// excludes the coordinator while it may still send orders.
+TEST_CASE("an entry of an earlier process doesn't exclude a coordinator") {
+  former_coordinators formers = FromHistory({Daemon(1, 4)});
+  for (const std::uint64_t earlier_run : {2U, 7U}) {
+    const former_coordinators::announced_map outdated{
+        {Daemon(1).id, {incarnation(earlier_run), kBeforeHistory}}};
+    CHECK(formers.Advance(outdated, kStart).empty());
+  }
+  const former_coordinators::announced_map recent{
+      {Daemon(1).id, {incarnation(2), kAfterHistory}}};
+  const auto exclusions = formers.Advance(recent, kStart);
+  REQUIRE(exclusions.size() == 1);
+  CHECK(exclusions.front() ==
+        coordinator_exclusion{Daemon(1, 4), exclusion_reason::kProcessEnded});
+}
+
 // Failure: a former coordinator that can't be reached counts as excluded while
 // it may still renew grants.
 TEST_CASE("an unreachable coordinator is pending until its authority ends") {
