Check an HTTP call's authority when it is written, and cancel calls

An order about keys checked its authority when its call started. The connection may be open seconds later: a release has 6 s for it, and a suspended host doesn't count the time. The order was then written after the daemon had stopped being the coordinator. A release that was written could also wait for its response for 6 s on an open connection, and after a cut of the network it reached the endpoint when the successor had granted the keys again.

http_client::Call takes a check that is called right before the request is written. CancelCalls() resets the connections of the calls in flight, so that their requests can't arrive later.

Two new tests use a listener that accepts late. Without the check, "a call whose authority ends before it is written sends nothing" failed: the listener received the request. Without the reset, "a canceled call can't be received later" failed: the call had no outcome after one second.

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "bluebell/http/http_client.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,7 +71,8 @@
   void Call(http_request request,
             milliseconds timeout,
             step call_step,
-            response_handler done) {
+            response_handler done,
+            send_check may_send) {
     if (calls_ >= options_.max_calls) {
       asio::post(io_, [done = std::move(done),
                        failure = Failure(errc::kUnavailable, call_step,
@@ -83,9 +85,24 @@
     request.set(bhttp::field::host, where_.ToString());
     request.keep_alive(options_.reuse_connections);
     request.prepare_payload();
+    send_check is_current = [self = shared_from_this(),
+                             cancellations = cancellations_,
+                             may_send = std::move(may_send)] {
+      return cancellations == self->cancellations_ && (!may_send || may_send());
+    };
     SpawnTask(io_.get_executor(), "HTTP call",
               Run(shared_from_this(), std::move(request), timeout, call_step,
-                  std::move(done)));
+                  std::move(done), std::move(is_current)));
+  }
+
+  void CancelCalls() {
+    ++cancellations_;
+    for (const std::weak_ptr<connection>& each : in_flight_) {
+      if (const std::shared_ptr<connection> link = each.lock()) {
+        link->stream.close();
+      }
+    }
+    in_flight_.clear();
   }
 
   void Close() {
@@ -142,13 +159,27 @@
     }
   }
 
+  void AddInFlight(const std::shared_ptr<connection>& link) {
+    std::erase_if(in_flight_, [](const std::weak_ptr<connection>& each) {
+      return each.expired();
+    });
+    in_flight_.push_back(link);
+  }
+
+  void RemoveInFlight(const std::shared_ptr<connection>& link) {
+    std::erase_if(in_flight_, [&](const std::weak_ptr<connection>& each) {
+      return each.lock() == link;
+    });
+  }
+
   static asio::awaitable<void> Run(std::shared_ptr<impl> self,
                                    http_request request,
                                    milliseconds timeout,
                                    step call_step,
-                                   response_handler done) {
-    const result<http_response> outcome =
-        co_await Exchange(self, std::move(request), timeout, call_step);
+                                   response_handler done,
+                                   send_check may_send) {
+    const result<http_response> outcome = co_await Exchange(
+        self, std::move(request), timeout, call_step, std::move(may_send));
     --self->calls_;
     done(outcome);
   }
@@ -157,7 +188,8 @@
       std::shared_ptr<impl> self,
       http_request request,
       milliseconds timeout,
-      step call_step) {
+      step call_step,
+      send_check may_send) {
     const instant deadline = Now() + timeout;
     std::shared_ptr<connection> link = self->TakeIdle();
     if (!link) {
@@ -180,6 +212,11 @@
       co_return self->Failure(errc::kUnavailable, call_step,
                               "no time left before sending");
     }
+    if (!may_send()) {
+      co_return self->Failure(errc::kUnavailable, call_step,
+                              "no longer to be sent");
+    }
+    self->AddInFlight(link);
     link->stream.expires_at(deadline);
     const auto [write_error, bytes_written] =
         co_await bhttp::async_write(link->stream, request, kAwait);
@@ -201,6 +238,7 @@
       co_return self->Failure(errc::kConnectionLost, call_step,
                               "a status line within the head of a response");
     }
+    self->RemoveInFlight(link);
     if (self->options_.reuse_connections && response.keep_alive()) {
       self->KeepForReuse(std::move(link));
     }
@@ -212,6 +250,10 @@
   tcp::endpoint target_;
   http_client_options options_;
   std::vector<std::shared_ptr<connection>> idle_;
+  // The connections on which a request was written and awaits its response.
+  std::vector<std::weak_ptr<connection>> in_flight_;
+  // The number of calls of CancelCalls().
+  std::uint64_t cancellations_ = 0;
   std::size_t calls_ = 0;
   bool closed_ = false;
 };
@@ -238,8 +280,14 @@
 void http_client::Call(http_request request,
                        milliseconds timeout,
                        step call_step,
-                       response_handler done) {
-  impl_->Call(std::move(request), timeout, call_step, std::move(done));
+                       response_handler done,
+                       send_check may_send) {
+  impl_->Call(std::move(request), timeout, call_step, std::move(done),
+              std::move(may_send));
+}
+
+void http_client::CancelCalls() {
+  impl_->CancelCalls();
 }
 
 }  // namespace bluebell
--- a/bluebell/http/http_client.h
+++ b/bluebell/http/http_client.h
@@ -49,6 +49,7 @@
 class http_client {
  public:
   using response_handler = std::function<void(result<http_response>)>;
+  using send_check = std::function<bool()>;
 
   // Fails if `remote_address` holds no IP address.
   static result<std::unique_ptr<http_client>> Make(
@@ -66,10 +67,18 @@
   // names `call_step`. errc::kUnavailable means that nothing was sent; after
   // any other error the request may have been received. No request is sent
   // twice.
+  //
+  // `may_send`, if given, is called once the connection is open, right before
+  // the request is written. If it returns false, nothing is sent.
   void Call(http_request request,
             milliseconds timeout,
             step call_step,
-            response_handler done);
+            response_handler done,
+            send_check may_send = nullptr);
+  // Resets the connections of all calls in flight, so that a request that the
+  // server hasn't received by now can't arrive later. Their handlers get an
+  // error.
+  void CancelCalls();
 
  private:
   class impl;
--- a/bluebell/http/http_client_test.cc
+++ b/bluebell/http/http_client_test.cc
@@ -52,6 +52,80 @@
   CHECK(failure == asio::error::connection_reset);
 }
 
+// Reads what arrives on `socket` until it ends. Returns the bytes and why it
+// ended.
+std::pair<std::string, boost::system::error_code> ReadToEnd(
+    tcp::socket& socket) {
+  std::string received;
+  std::string part(1'000, '\0');
+  boost::system::error_code failure;
+  while (!failure) {
+    received.append(part, 0, socket.read_some(asio::buffer(part), failure));
+  }
+  return {received, failure};
+}
+
+// Failure: a daemon stops being the coordinator while the connection for one of
+// its orders is being opened. The order is written when the connection is open,
+// after the daemon has told its successor that it sends no more.
+TEST_CASE("a call whose authority ends before it is written sends nothing") {
+  asio::io_context server_io;
+  tcp::acceptor acceptor(server_io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  asio::io_context io;
+  const address remote_address =
+      address::Parse("127.0.0.1:" +
+                     std::to_string(acceptor.local_endpoint().port()))
+          .value();
+  auto client =
+      http_client::Make(io, remote_address, http_client_options()).value();
+  bool has_authority = true;
+  std::optional<result<http_response>> outcome;
+  client->Call(
+      http_request(boost::beast::http::verb::post, "/grant", 11), seconds(1),
+      step::kGrantLease,
+      [&](const result<http_response>& response) { outcome = response; },
+      [&] { return has_authority; });
+  // The call has started, and its connection isn't open yet.
+  io.run_one();
+  has_authority = false;
+  io.run();
+  REQUIRE(outcome);
+  REQUIRE(!outcome->has_value());
+  CHECK(outcome->error().code() == errc::kUnavailable);
+  tcp::socket socket = acceptor.accept();
+  CHECK(ReadToEnd(socket).first.empty());
+}
+
+// Failure: the connection of a release stays open for seconds after its sender
+// has stopped being the coordinator, and after a cut of the network the release
+// reaches the endpoint when the successor has already granted the keys again.
+TEST_CASE("a canceled call can't be received later") {
+  asio::io_context server_io;
+  tcp::acceptor acceptor(server_io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  asio::io_context io;
+  const address remote_address =
+      address::Parse("127.0.0.1:" +
+                     std::to_string(acceptor.local_endpoint().port()))
+          .value();
+  auto client =
+      http_client::Make(io, remote_address, http_client_options()).value();
+  std::optional<result<http_response>> outcome;
+  client->Call(
+      http_request(boost::beast::http::verb::post, "/release", 11), seconds(6),
+      step::kGrantLease,
+      [&](const result<http_response>& response) { outcome = response; });
+  io.run_for(milliseconds(50));
+  REQUIRE(!outcome);
+  client->CancelCalls();
+  io.run_for(seconds(1));
+  REQUIRE(outcome);
+  CHECK(outcome->error().code() == errc::kConnectionLost);
+  tcp::socket socket = acceptor.accept();
+  CHECK(ReadToEnd(socket).second == asio::error::connection_reset);
+}
+
 // Answers each request with its number among all requests. Before the second
 // and any later response on a connection, `extra` is sent, or a copy of the one
 // before.
--- a/bluebell/kv/async_call.cc
+++ b/bluebell/kv/async_call.cc
@@ -12,18 +12,23 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<result<http_response>> AsyncCall(http_client& client,
-                                                 http_request request,
-                                                 milliseconds timeout,
-                                                 step call_step) {
-  const auto start = [&client, &request, timeout, call_step](auto handler) {
+asio::awaitable<result<http_response>> AsyncCall(
+    http_client& client,
+    http_request request,
+    milliseconds timeout,
+    step call_step,
+    std::function<bool()> may_send) {
+  const auto start = [&client, &request, timeout, call_step,
+                      &may_send](auto handler) {
     // std::function requires a copyable handler.
     auto shared_handler =
         std::make_shared<decltype(handler)>(std::move(handler));
-    client.Call(std::move(request), timeout, call_step,
-                [shared_handler](result<http_response> response) {
-                  (*shared_handler)(std::move(response));
-                });
+    client.Call(
+        std::move(request), timeout, call_step,
+        [shared_handler](result<http_response> response) {
+          (*shared_handler)(std::move(response));
+        },
+        std::move(may_send));
   };
   co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
                                           void(result<http_response>)>(
--- a/bluebell/kv/async_call.h
+++ b/bluebell/kv/async_call.h
@@ -6,6 +6,8 @@
 #ifndef BLUEBELL_KV_ASYNC_CALL_H_
 #define BLUEBELL_KV_ASYNC_CALL_H_
 
+#include <functional>
+
 #include <boost/asio/awaitable.hpp>
 
 #include "bluebell/core/error.h"
@@ -18,12 +20,14 @@
 class http_client;
 
 // Sends `request` and completes with the response, whatever its status, or with
-// the error of `http_client::Call`. `client` must outlive the call. Runs on the
-// thread of the client's io_context.
-boost::asio::awaitable<result<http_response>> AsyncCall(http_client& client,
-                                                        http_request request,
-                                                        milliseconds timeout,
-                                                        step call_step);
+// the error of `http_client::Call`, which also explains `may_send`. `client`
+// must outlive the call. Runs on the thread of the client's io_context.
+boost::asio::awaitable<result<http_response>> AsyncCall(
+    http_client& client,
+    http_request request,
+    milliseconds timeout,
+    step call_step,
+    std::function<bool()> may_send = nullptr);
 
 }  // namespace bluebell
 
