Decide by the phase of the coordinator's role which orders may be sent

A daemon that ended its lease started releases, moves and writes of key tables until the store had answered, while its successor could have started. Orders that were made within the term checked it once, before their connection was open. A release of the former coordinator could thus arrive up to 6 s after the successor had begun to count its wait, 2.8 s. The endpoint then gives up keys that the successor believes it holds, and may confirm the successor's own release at once while work runs.

The new aggregate order_authority decides what may be written in which phase. While the lease is being ended only grants are sent: the keys stay served, and nothing starts that the successor would have to finish. Each order asks when it is written. When the term or the authority ends, the connections of releases in flight are reset. What a successor has to wait for is then exactly the grants that were written before the yield or the end of the authority, and each arrives within its call timeout, which MaxGrantLifetime() contains.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -43,25 +43,39 @@
   const auto spawn = [this](asio::awaitable<void> coroutine) {
     SpawnTask(io_.get_executor(), "order about keys", std::move(coroutine));
   };
+  const std::uint64_t term = authority_.term();
   for (const coordinator_action& action : actions) {
     std::visit(overloaded{[&](const send_grant& order) {
-                            spawn(Grant(term_, service, order));
+                            spawn(Grant(term, service, order));
                           },
                           [&](const send_release& order) {
-                            spawn(Release(term_, service, order));
+                            spawn(Release(term, service, order));
                           },
                           [&](const write_key_table& order) {
                             services_.at(service)->write_in_flight = true;
-                            spawn(WriteTable(term_, service, order));
+                            spawn(WriteTable(term, service, order));
                           },
                           [&](const resign_coordinator&) { Resign(); }},
                action);
-    if (!is_coordinator_) {
+    if (authority_.term() != term) {
       return;
     }
   }
 }
 
+bool coordinator_role::MaySend(order_kind kind, std::uint64_t term) const {
+  return authority_.MaySend(kind, term, lease_.proven_at(), BootNow());
+}
+
+void coordinator_role::CancelReleases() {
+  for (const std::weak_ptr<http_client>& each :
+       std::exchange(releases_in_flight_, {})) {
+    if (const std::shared_ptr<http_client> client = each.lock()) {
+      client->CancelCalls();
+    }
+  }
+}
+
 http_client* coordinator_role::ClientOf(const address& where) {
   std::unique_ptr<http_client>& client = clients_[where];
   if (!client) {
@@ -80,7 +94,8 @@
 asio::awaitable<void> coordinator_role::Grant(std::uint64_t term,
                                               service_name service,
                                               send_grant order) {
-  http_client* client = term == term_ ? ClientOf(order.where) : nullptr;
+  http_client* client =
+      term == authority_.term() ? ClientOf(order.where) : nullptr;
   if (client == nullptr) {
     co_return;
   }
@@ -88,9 +103,10 @@
   LogGrantSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
-      timing_.call_timeout, step::kGrantLease);
+      timing_.call_timeout, step::kGrantLease,
+      [this, term] { return MaySend(order_kind::kGrant, term); });
   coordinated_service* coordinated = FindService(service);
-  if (coordinated == nullptr || term != term_) {
+  if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
   grant_reply reply;
@@ -108,7 +124,7 @@
 asio::awaitable<void> coordinator_role::Release(std::uint64_t term,
                                                 service_name service,
                                                 send_release order) {
-  if (term != term_) {
+  if (term != authority_.term()) {
     co_return;
   }
   // Orders have no id that a response could name, and the response to a release
@@ -116,18 +132,22 @@
   http_client_options options;
   options.reuse_connections = false;
   options.max_body_bytes = kMaxOrderReplyBytes;
-  const auto client = http_client::Make(io_, order.where, options);
-  if (!client) {
+  auto made = http_client::Make(io_, order.where, options);
+  if (!made) {
     co_return;
   }
+  const std::shared_ptr<http_client> client = std::move(made.value());
+  std::erase_if(releases_in_flight_,
+                [](const auto& each) { return each.expired(); });
+  releases_in_flight_.push_back(client);
   const instant sent_at = BootNow();
   LogReleaseSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
-      *client.value(),
-      platform::EncodeRelease(order.endpoint.endpoint, order.release),
-      timing_.release_timeout, step::kGrantLease);
+      *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
+      timing_.release_timeout, step::kGrantLease,
+      [this, term] { return MaySend(order_kind::kRelease, term); });
   coordinated_service* coordinated = FindService(service);
-  if (coordinated == nullptr || term != term_) {
+  if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
   std::optional<std::string> handover;
@@ -147,7 +167,7 @@
 asio::awaitable<void> coordinator_role::WriteTable(std::uint64_t term,
                                                    service_name service,
                                                    write_key_table order) {
-  if (term != term_) {
+  if (!MaySend(order_kind::kTableWrite, term)) {
     co_return;
   }
   const kv_write write{{{std::string(kCoordinatorKey), lease_.revision()},
@@ -155,7 +175,7 @@
                        {{TableKey(service), order.table.ToJson(), kv_lease()}}};
   const result<kv_write_result> written = co_await store_.Write(write);
   coordinated_service* coordinated = FindService(service);
-  if (coordinated == nullptr || term != term_) {
+  if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
   coordinated->write_in_flight = false;
@@ -212,7 +232,7 @@
   if (current == order.table && revision != order.expected) {
     // An earlier attempt whose response was lost has written this table.
     coordinated.keys.OnWritten(revision, now);
-    LogReassignments(service, term_, order, now);
+    LogReassignments(service, authority_.term(), order, now);
     return;
   }
   log_event(log_level::kWarn, "keys not assigned")
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -55,6 +55,7 @@
       watcher_(watcher),
       traffic_(traffic),
       tick_(io),
+      authority_(timing),
       lease_(self_, store, watcher) {}
 
 coordinator_role::~coordinator_role() = default;
@@ -64,8 +65,8 @@
 }
 
 void coordinator_role::ScheduleTick() {
-  tick_.expires_after(is_coordinator_ ? kCoordinatorTickInterval
-                                      : kCandidateTickInterval);
+  tick_.expires_after(authority_.has_role() ? kCoordinatorTickInterval
+                                            : kCandidateTickInterval);
   tick_.async_wait([this](boost::system::error_code cancelled) {
     if (!cancelled) {
       Tick(BootNow());
@@ -77,11 +78,12 @@
 void coordinator_role::OnView(const fleet_view& view) {
   view_ = view;
   const instant now = BootNow();
-  if (is_coordinator_ && view_->coordinator && *view_->coordinator != self_ &&
+  if (authority_.has_role() && view_->coordinator &&
+      *view_->coordinator != self_ &&
       watcher_.state().RevisionOf(kCoordinatorKey) > lease_.revision()) {
     StopCoordinating("another daemon is the coordinator");
   }
-  if (is_coordinator_) {
+  if (authority_.has_role()) {
     SyncServices(now);
     TickAsCoordinator(now);
   }
@@ -117,7 +119,7 @@
 }
 
 void coordinator_role::Tick(instant now) {
-  if (is_coordinator_) {
+  if (authority_.has_role()) {
     TickAsCoordinator(now);
   } else {
     TickAsCandidate(now);
@@ -177,8 +179,7 @@
     vacant_since_.reset();
     co_return;
   }
-  is_coordinator_ = true;
-  ++term_;
+  authority_.OnClaimed();
   watcher_.SetDuty(watch_duty::kCoordinator);
   log_event(log_level::kInfo, "coordinates keys")
       .With("revision", lease_.revision())
@@ -248,17 +249,17 @@
 }
 
 asio::awaitable<void> coordinator_role::KeepLease() {
-  const std::uint64_t term = term_;
+  const std::uint64_t term = authority_.term();
   asio::steady_timer timer(io_);
-  while (is_coordinator_ && term_ == term) {
+  while (authority_.term() == term) {
     timer.expires_after(kLeaseRenewalInterval);
     co_await timer.async_wait(kAwait);
-    if (!is_coordinator_ || term_ != term || leaving_) {
+    if (authority_.term() != term || leaving_) {
       break;
     }
     const claim_outcome outcome =
         co_await lease_.Renew(former_coordinators_.pending());
-    if (!is_coordinator_ || term_ != term) {
+    if (authority_.term() != term) {
       break;
     }
     if (outcome == claim_outcome::kLost) {
@@ -271,8 +272,8 @@
 }
 
 void coordinator_role::StopCoordinating(const std::string& reason) {
-  is_coordinator_ = false;
-  ++term_;
+  authority_.OnStopped();
+  CancelReleases();
   for (const auto& [service, coordinated] : services_) {
     traffic_.SetUnservedRanges(service, {});
   }
@@ -285,18 +286,19 @@
 
 void coordinator_role::Leave() {
   leaving_ = true;
-  if (is_coordinator_) {
+  authority_.OnLeaving();
+  if (authority_.has_role()) {
     SpawnTask(io_.get_executor(), "coordinator hand-over", HandOver());
   }
 }
 
 asio::awaitable<void> coordinator_role::HandOver() {
   asio::steady_timer timer(io_);
-  while (is_coordinator_ && !co_await lease_.End()) {
+  while (authority_.has_role() && !co_await lease_.End()) {
     timer.expires_after(kHandOverRetryInterval);
     co_await timer.async_wait(kAwait);
   }
-  if (is_coordinator_) {
+  if (authority_.has_role()) {
     StopCoordinating("the daemon is leaving");
   }
 }
@@ -304,10 +306,10 @@
 void coordinator_role::OnClaim(const address& from,
                                const coordinator_claim& claim) {
   const store_version claimed(claim.revision);
-  if (is_coordinator_ && claimed <= lease_.revision()) {
+  if (authority_.has_role() && claimed <= lease_.revision()) {
     return;
   }
-  if (is_coordinator_) {
+  if (authority_.has_role()) {
     StopCoordinating("another daemon has claimed the role");
   }
   last_yielded_claim_ = std::max(last_yielded_claim_, claimed);
@@ -315,7 +317,8 @@
 }
 
 void coordinator_role::OnYield(const coordinator_yield& yield) {
-  if (!is_coordinator_ || store_version(yield.revision) != lease_.revision()) {
+  if (!authority_.has_role() ||
+      store_version(yield.revision) != lease_.revision()) {
     return;
   }
   if (const auto exclusion = former_coordinators_.OnYield(yield.yielded)) {
@@ -369,17 +372,20 @@
 
 void coordinator_role::TickAsCoordinator(instant now) {
   ExcludeFormerCoordinators(now);
-  const instant authority_until =
-      lease_.proven_at() + timing_.authority_duration;
+  const instant authority_until = authority_.EndOf(lease_.proven_at());
+  if (authority_until <= now) {
+    CancelReleases();
+  }
   for (auto& [service, coordinated] : services_) {
     Measure(service, *coordinated, now);
-    const bool may_write = !coordinated->write_in_flight &&
-                           now >= coordinated->next_write &&
-                           watcher_.store_is_available();
+    const bool may_write =
+        MaySend(order_kind::kTableWrite, authority_.term()) &&
+        !coordinated->write_in_flight && now >= coordinated->next_write &&
+        watcher_.store_is_available();
     const auto actions =
         coordinated->keys.Advance(authority_until, may_write, now);
     Execute(service, actions);
-    if (!is_coordinator_) {
+    if (!authority_.has_role()) {
       return;
     }
     ReportUnservedRanges(service, *coordinated);
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -24,6 +24,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/gateway/former_coordinators.h"
+#include "bluebell/gateway/order_authority.h"
 #include "bluebell/gateway/role_lease.h"
 #include "bluebell/keyspace/coordinator_action.h"
 #include "bluebell/keyspace/coordinator_change.h"
@@ -63,11 +64,11 @@
   void OnView(const fleet_view& view);
   // Stops claims and ends the lease if this daemon is the coordinator. Until
   // the store has confirmed that, the attempts are repeated and the daemon
-  // continues to renew grants while its authority lasts. Called once, at
-  // shutdown.
+  // continues to renew grants while its authority lasts; it sends no more
+  // releases and key tables. Called once, at shutdown.
   void Leave();
   // True while this daemon is the coordinator.
-  bool is_coordinator() const { return is_coordinator_; }
+  bool is_coordinator() const { return authority_.has_role(); }
 
   // The daemon at `from` has claimed the role. Unless this daemon coordinates
   // under the same or a later claim, it stops and answers with a yield.
@@ -138,9 +139,14 @@
 
   void Execute(const service_name& service,
                const std::vector<coordinator_action>& actions);
-  // These send one order and process its response. They have no effect if
-  // `term` has ended before they start; a response that arrives after the end
-  // of the term is ignored.
+  // Whether an order may be written now; see order_authority.
+  bool MaySend(order_kind kind, std::uint64_t term) const;
+  // Resets the connections of the releases in flight. A release may wait for
+  // its response for longer than a successor waits, and must not arrive then.
+  void CancelReleases();
+  // These send one order and process its response. The order isn't written if
+  // `term` has ended by then; a response that arrives after the end of the term
+  // is ignored.
   boost::asio::awaitable<void> Grant(std::uint64_t term,
                                      service_name service,
                                      send_grant order);
@@ -170,13 +176,14 @@
   fleet_view view_;
   std::map<service_name, std::unique_ptr<coordinated_service>> services_;
   std::map<address, std::unique_ptr<http_client>> clients_;
-  bool is_coordinator_ = false;
   bool claim_in_flight_ = false;
   bool leaving_ = false;
-  // Increases when this daemon becomes the coordinator and when it stops.
-  // Coroutines of an earlier term end when they see another number.
-  std::uint64_t term_ = 0;
+  // Which orders may be sent. Coroutines of an earlier term end when they see
+  // another number of the term.
+  order_authority authority_;
   role_lease lease_;
+  // The clients of the releases in flight.
+  std::vector<std::weak_ptr<http_client>> releases_in_flight_;
   former_coordinators former_coordinators_;
   // The store revision of the latest claim of another daemon that was answered
   // with a yield.
