Report a result for every order about keys, also after an exception

If an exception ended the coroutine of an order, the order counted as in flight for the rest of the term: a key table wasn't written any more, a range not renewed, a move never finished. The same happened to an order for an endpoint whose address can't be used. The failure handler of the lease's renewal didn't check the term, so a late failure could have ended a later term of the daemon.

Each order now has a failure handler that checks the term: a grant and a release count as unanswered (a grant as sent just then, which only lengthens the wait), and a write as unknown, so that it is repeated. Found by reading; there is no test, because nothing in the program throws there on demand. The other tests of bluebell_gateway_test pass.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -2,6 +2,7 @@
 // endpoints, and key tables to the store.
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,23 +41,42 @@
 
 void coordinator_role::Execute(const service_name& service,
                                const std::vector<coordinator_action>& actions) {
-  const auto spawn = [this](asio::awaitable<void> coroutine) {
-    SpawnTask(io_.get_executor(), "order about keys", std::move(coroutine));
-  };
   const std::uint64_t term = authority_.term();
+  // If an exception leaves the coroutine, the order counts as unanswered.
+  // Without any result it would count as in flight for the rest of the term.
+  const auto spawn =
+      [&](asio::awaitable<void> coroutine,
+          std::function<void(coordinated_service&, instant)> on_failure) {
+        SpawnTask(io_.get_executor(), "order about keys", std::move(coroutine),
+                  [this, term, service, on_failure = std::move(on_failure)] {
+                    coordinated_service* coordinated = FindService(service);
+                    if (coordinated != nullptr && term == authority_.term()) {
+                      on_failure(*coordinated, BootNow());
+                    }
+                  });
+      };
   for (const coordinator_action& action : actions) {
-    std::visit(overloaded{[&](const send_grant& order) {
-                            spawn(Grant(term, service, order));
-                          },
-                          [&](const send_release& order) {
-                            spawn(Release(term, service, order));
-                          },
-                          [&](const write_key_table& order) {
-                            services_.at(service)->write_in_flight = true;
-                            spawn(WriteTable(term, service, order));
-                          },
-                          [&](const resign_coordinator&) { Resign(); }},
-               action);
+    std::visit(
+        overloaded{
+            [&](const send_grant& order) {
+              spawn(Grant(term, service, order),
+                    [order](coordinated_service& coordinated, instant now) {
+                      coordinated.keys.OnGrantReply(order, now, grant_reply(),
+                                                    now);
+                    });
+            },
+            [&](const send_release& order) {
+              spawn(Release(term, service, order),
+                    [order](coordinated_service& coordinated, instant now) {
+                      coordinated.keys.OnReleaseReply(order, std::nullopt, now);
+                    });
+            },
+            [&](const write_key_table& order) {
+              services_.at(service)->write_in_flight = true;
+              spawn(WriteTable(term, service, order), OnWriteWithoutResult);
+            },
+            [&](const resign_coordinator&) { Resign(); }},
+        action);
     if (authority_.term() != term) {
       return;
     }
@@ -94,18 +114,23 @@
 asio::awaitable<void> coordinator_role::Grant(std::uint64_t term,
                                               service_name service,
                                               send_grant order) {
-  http_client* client =
-      term == authority_.term() ? ClientOf(order.where) : nullptr;
-  if (client == nullptr) {
+  coordinated_service* coordinated = FindService(service);
+  if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
   const instant sent_at = BootNow();
+  http_client* client = ClientOf(order.where);
+  if (client == nullptr) {
+    coordinated->keys.OnGrantReply(order, sent_at, {std::nullopt, false},
+                                   sent_at);
+    co_return;
+  }
   LogGrantSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
       timing_.call_timeout, step::kGrantLease,
       [this, term] { return MaySend(order_kind::kGrant, term); });
-  coordinated_service* coordinated = FindService(service);
+  coordinated = FindService(service);
   if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
@@ -124,7 +149,8 @@
 asio::awaitable<void> coordinator_role::Release(std::uint64_t term,
                                                 service_name service,
                                                 send_release order) {
-  if (term != authority_.term()) {
+  coordinated_service* coordinated = FindService(service);
+  if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
   // Orders have no id that a response could name, and the response to a release
@@ -133,20 +159,21 @@
   options.reuse_connections = false;
   options.max_body_bytes = kMaxOrderReplyBytes;
   auto made = http_client::Make(io_, order.where, options);
+  const instant sent_at = BootNow();
   if (!made) {
+    coordinated->keys.OnReleaseReply(order, std::nullopt, sent_at);
     co_return;
   }
   const std::shared_ptr<http_client> client = std::move(made.value());
   std::erase_if(releases_in_flight_,
                 [](const auto& each) { return each.expired(); });
   releases_in_flight_.push_back(client);
-  const instant sent_at = BootNow();
   LogReleaseSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
       timing_.release_timeout, step::kGrantLease,
       [this, term] { return MaySend(order_kind::kRelease, term); });
-  coordinated_service* coordinated = FindService(service);
+  coordinated = FindService(service);
   if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
@@ -178,16 +205,13 @@
   if (coordinated == nullptr || term != authority_.term()) {
     co_return;
   }
-  coordinated->write_in_flight = false;
   const instant now = BootNow();
   if (!written) {
     watcher_.ReportFailure(written.error(), now);
-    coordinated->next_write = now + kWriteRetryInterval;
-    // The write may have taken effect. The key coordinator repeats it, and the
-    // response to the repeat shows whether it had.
-    coordinated->keys.OnWriteUnknown();
+    OnWriteWithoutResult(*coordinated, now);
     co_return;
   }
+  coordinated->write_in_flight = false;
   std::visit(
       overloaded{[&](const kv_written& done) {
                    coordinated->keys.OnWritten(done.revision, now);
@@ -207,6 +231,15 @@
   TickAsCoordinator(now);
 }
 
+void coordinator_role::OnWriteWithoutResult(coordinated_service& coordinated,
+                                            instant now) {
+  coordinated.write_in_flight = false;
+  coordinated.next_write = now + kWriteRetryInterval;
+  // The write may have taken effect. The key coordinator repeats it, and the
+  // response to the repeat shows whether it had.
+  coordinated.keys.OnWriteUnknown();
+}
+
 void coordinator_role::OnTableConflict(const service_name& service,
                                        coordinated_service& coordinated,
                                        const write_key_table& order,
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -186,9 +186,12 @@
       .With("former", FormerCoordinatorIds())
       .Write();
   // Without renewals the lease expires, so the role must end with them.
-  SpawnTask(io_.get_executor(), "coordinator lease", KeepLease(), [this] {
-    StopCoordinating("unexpected error while renewing the lease");
-  });
+  SpawnTask(io_.get_executor(), "coordinator lease", KeepLease(),
+            [this, term = authority_.term()] {
+              if (term == authority_.term()) {
+                StopCoordinating("unexpected error while renewing the lease");
+              }
+            });
 }
 
 std::string coordinator_role::FormerCoordinatorIds() const {
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -156,6 +156,9 @@
   boost::asio::awaitable<void> WriteTable(std::uint64_t term,
                                           service_name service,
                                           write_key_table order);
+  // It isn't known whether a write of the key table has taken effect.
+  static void OnWriteWithoutResult(coordinated_service& coordinated,
+                                   instant now);
   // The store holds another revision of the table than the write expected.
   void OnTableConflict(const service_name& service,
                        coordinated_service& coordinated,
