Call the handler of a refused HTTP call only after Call() has returned

Callers rely on http_client::Call never calling the handler before it returns. Found by a reviewer who read the code; no test brings it about.

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -213,6 +213,9 @@
                               "no time left before sending");
     }
     if (!may_send()) {
+      // Without this, the handler would run within Call() if the connection was
+      // idle.
+      co_await asio::post(self->io_, kAwait);
       co_return self->Failure(errc::kUnavailable, call_step,
                               "no longer to be sent");
     }
