Take no confirmation of a repeated release as a proof

What callers could see: keys were given on while their former owner still worked.

The first one has ended the grant, so an endpoint may confirm the second at once, while work runs that the first waits for.

Now a release counts only if no earlier one of the move can have reached the endpoint; otherwise the keys wait until all grants have expired. So that a failed connection costs nothing, a release that was certainly not sent is told apart (OnReleaseUnsent), and one that this daemon has withdrawn no longer counts as an endpoint that doesn't answer. The lines "grant sent" and "release sent" are written when the order is.

Before: the new test fails (the table is written at once instead of after the expiry); after: bluebell_keyspace_test passes. Found by reading, not shown to be what users saw.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -125,11 +125,15 @@
                                    sent_at);
     co_return;
   }
-  LogGrantSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeGrant(order.endpoint.endpoint, order.grant),
-      timing_.call_timeout, step::kGrantLease,
-      [this, term] { return MaySend(order_kind::kGrant, term); });
+      timing_.call_timeout, step::kGrantLease, [&] {
+        const bool may_send = MaySend(order_kind::kGrant, term);
+        if (may_send) {
+          LogGrantSent(service, term, order, BootNow());
+        }
+        return may_send;
+      });
   coordinated = FindService(service);
   if (coordinated == nullptr || term != authority_.term()) {
     co_return;
@@ -168,11 +172,15 @@
   std::erase_if(releases_in_flight_,
                 [](const auto& each) { return each.expired(); });
   releases_in_flight_.push_back(client);
-  LogReleaseSent(service, term, order, sent_at);
   const result<http_response> response = co_await AsyncCall(
       *client, platform::EncodeRelease(order.endpoint.endpoint, order.release),
-      timing_.release_timeout, step::kGrantLease,
-      [this, term] { return MaySend(order_kind::kRelease, term); });
+      timing_.release_timeout, step::kGrantLease, [&] {
+        const bool may_send = MaySend(order_kind::kRelease, term);
+        if (may_send) {
+          LogReleaseSent(service, term, order, BootNow());
+        }
+        return may_send;
+      });
   coordinated = FindService(service);
   if (coordinated == nullptr || term != authority_.term()) {
     co_return;
@@ -187,7 +195,15 @@
   }
   const instant now = BootNow();
   LogReleaseReply(service, term, order, handover.has_value(), sent_at, now);
-  coordinated->keys.OnReleaseReply(order, std::move(handover), now);
+  const bool is_unsent =
+      !response && response.error().code() == errc::kUnavailable;
+  if (!response && !MaySend(order_kind::kRelease, term)) {
+    coordinated->keys.OnReleaseWithdrawn(order, now);
+  } else if (is_unsent) {
+    coordinated->keys.OnReleaseUnsent(order, now);
+  } else {
+    coordinated->keys.OnReleaseReply(order, std::move(handover), now);
+  }
   TickAsCoordinator(now);
 }
 
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -69,6 +69,13 @@
   capacities_ = std::move(capacities);
 }
 
+key_move* key_coordinator::FindMove(move_number number) {
+  const auto found = std::find_if(
+      moves_.begin(), moves_.end(),
+      [&](const key_move& move) { return move.number() == number; });
+  return found == moves_.end() ? nullptr : &*found;
+}
+
 const fleet_endpoint* key_coordinator::FindEndpoint(
     const endpoint_id& id) const {
   const auto found = std::find_if(endpoints_.begin(), endpoints_.end(),
@@ -171,10 +178,22 @@
                                      std::optional<std::string> handover,
                                      instant now) {
   RecordOrderOutcome(sent.endpoint, handover.has_value());
-  for (key_move& move : moves_) {
-    if (move.number() == sent.move) {
-      move.OnReleaseReply(handover, now);
-    }
+  if (key_move* move = FindMove(sent.move)) {
+    move->OnReleaseReply(std::move(handover), now);
+  }
+}
+
+void key_coordinator::OnReleaseUnsent(const send_release& sent, instant now) {
+  RecordOrderOutcome(sent.endpoint, false);
+  if (key_move* move = FindMove(sent.move)) {
+    move->OnReleaseUnsent(now);
+  }
+}
+
+void key_coordinator::OnReleaseWithdrawn(const send_release& sent,
+                                         instant now) {
+  if (key_move* move = FindMove(sent.move)) {
+    move->OnReleaseReply(std::nullopt, now);
   }
 }
 
@@ -186,12 +205,8 @@
   table_ = written.table;
   revision_ = revision;
   for (const key_reassignment& reassigned : written.reassignments) {
-    const auto move = std::find_if(
-        moves_.begin(), moves_.end(), [&](const key_move& candidate) {
-          return candidate.number() == reassigned.move;
-        });
-    const bool returns =
-        move != moves_.end() && reassigned.to == reassigned.from;
+    const key_move* move = FindMove(reassigned.move);
+    const bool returns = move != nullptr && reassigned.to == reassigned.from;
     granted_ranges_.push_back(
         {reassigned.range, reassigned.fence, reassigned.to,
          returns ? grant_record::ReturnedToOwner(move->grants(),
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -77,6 +77,13 @@
                       std::optional<std::string> handover,
                       instant now);
 
+  // The release `sent` was certainly not sent, for example because the
+  // connection failed.
+  void OnReleaseUnsent(const send_release& sent, instant now);
+  // This daemon has withdrawn the release `sent`, which may have been sent.
+  // Says nothing about the endpoint.
+  void OnReleaseWithdrawn(const send_release& sent, instant now);
+
   // The table that was to be written is in the store, with `revision`.
   void OnWritten(store_version revision, instant now);
   // It isn't known whether the write took effect. Advance() returns the same
@@ -126,6 +133,8 @@
     instant next_probe;
   };
 
+  // Null if the move is over.
+  key_move* FindMove(move_number number);
   // Null if the registry doesn't list `id`.
   const fleet_endpoint* FindEndpoint(const endpoint_id& id) const;
   // True if `instance` may own keys: listed, not draining and not lost.
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -464,6 +464,45 @@
   CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
 }
 
+// Guards against two owners after a lost answer to a release: the first release
+// has ended the grant, so the endpoint may confirm the second one at once,
+// while work still runs that the first one waits for.
+TEST_CASE("a release confirmed after an unanswered one frees no keys early") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.RenewUntilFirstGrantsExpire();
+  const instant granted = test.now;
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  const auto first = ActionsOf<send_release>(test.Advance());
+  REQUIRE(first.size() == 1);
+  test.keys.OnReleaseReply(first.front(), std::nullopt, test.now);
+  test.now += milliseconds(300);
+  const auto second = ActionsOf<send_release>(test.Advance());
+  REQUIRE(second.size() == 1);
+  test.keys.OnReleaseReply(second.front(), "token", test.now);
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  test.now = granted + kTiming.MaxGrantLifetime();
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
+// Guards against keys without an owner for seconds: the connection for the
+// first release failed, so nothing can have reached the endpoint.
+TEST_CASE("a release confirmed after one that wasn't sent frees keys at once") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  const auto first = ActionsOf<send_release>(test.Advance());
+  REQUIRE(first.size() == 1);
+  test.keys.OnReleaseUnsent(first.front(), test.now);
+  test.now += milliseconds(300);
+  const auto second = ActionsOf<send_release>(test.Advance());
+  REQUIRE(second.size() == 1);
+  test.keys.OnReleaseReply(second.front(), "token", test.now);
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
 TEST_CASE("a new coordinator moves no keys while the former one may renew") {
   coordinator_fixture former(4);
   former.AnswerAll();
--- a/bluebell/keyspace/key_move.h
+++ b/bluebell/keyspace/key_move.h
@@ -65,9 +65,13 @@
   // The result of the release that is in flight. `handover`: as for
   // key_coordinator::OnReleaseReply().
   void OnReleaseReply(std::optional<std::string> handover, instant now);
+  // The release that was to be sent was certainly not sent.
+  void OnReleaseUnsent(instant now);
 
-  // True if the former owner confirmed the release while it certainly held the
-  // range: no work that it accepted on these keys runs any more.
+  // True if the former owner confirmed the first release that can have reached
+  // it, while it certainly held the range: no work that it accepted on these
+  // keys runs any more. After an earlier release it may have had nothing to
+  // release, and may have confirmed at once.
   bool IsEndProved(const key_timing& timing) const;
   // The time from which the former owner can't serve the range any more. No
   // value while that isn't known.
@@ -82,6 +86,8 @@
   std::optional<endpoint_instance> to_;
   grant_record grants_;
   std::optional<instant> released_at_;
+  // A release without an answer may have reached the former owner.
+  bool has_unanswered_release_ = false;
   std::string handover_;
   bool release_in_flight_ = false;
   instant next_release_;
