Send no releases while the coordinator's role is handed over

What callers could see: owners that lose all their keys when a coordinator stops while the store doesn't answer.

Cause: the daemon refuses to write releases in that phase, the key coordinator went on returning them, and each refusal counted as an owner that doesn't answer. After three an owner is lost and gets no renewals, although the hand-over is to keep the keys served.

Advance() now returns no releases and probes after OnHandingOver().

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -291,6 +291,9 @@
   leaving_ = true;
   authority_.OnLeaving();
   if (authority_.has_role()) {
+    for (const auto& [service, coordinated] : services_) {
+      coordinated->keys.OnHandingOver();
+    }
     SpawnTask(io_.get_executor(), "coordinator hand-over", HandOver());
   }
 }
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -250,8 +250,10 @@
     AddTableWrite(actions, now);
   }
   if (now < authority_until) {
-    AddReleases(actions, now);
-    AddProbes(actions, now);
+    if (!handing_over_) {
+      AddReleases(actions, now);
+      AddProbes(actions, now);
+    }
     AddGrants(actions, now);
   }
   if (ReachesTooFewOwners()) {
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -83,6 +83,8 @@
   // This daemon has withdrawn the release `sent`, which may have been sent.
   // Says nothing about the endpoint.
   void OnReleaseWithdrawn(const send_release& sent, instant now);
+  // This daemon is handing the role over: Advance() returns no more releases.
+  void OnHandingOver() { handing_over_ = true; }
 
   // The table that was to be written is in the store, with `revision`.
   void OnWritten(store_version revision, instant now);
@@ -221,6 +223,7 @@
   move_number last_move_;
   std::map<endpoint_instance, endpoint_reachability> reachability_;
   std::optional<instant> former_stopped_by_;
+  bool handing_over_ = false;
   instant next_plan_;
 };
 
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -503,6 +503,35 @@
   CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
 }
 
+// Guards against owners that lose their keys at a hand-over of the role: the
+// daemon refuses to send releases then, and each counted as an owner that
+// doesn't answer.
+TEST_CASE("a coordinator that hands over renews grants and releases nothing") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  const auto releases = ActionsOf<send_release>(test.Advance());
+  REQUIRE(releases.size() == 1);
+  test.keys.OnHandingOver();
+  for (int round = 0; round < 3; ++round) {
+    test.keys.OnReleaseWithdrawn(releases.front(), test.now);
+    test.now += kTiming.renewal_interval;
+    const auto actions = test.Advance();
+    CHECK(ActionsOf<send_release>(actions).empty());
+    const auto renewals = ActionsOf<send_grant>(actions);
+    CHECK(renewals.size() == 2);
+    for (const send_grant& each : renewals) {
+      test.keys.OnGrantReply(each, test.now, {grant_verdict::kAccepted, true},
+                             test.now);
+    }
+  }
+  // The owner isn't lost: it gets its keys back when it drains no more.
+  test.entries[0].draining = false;
+  test.keys.SetEndpoints(test.entries);
+  CHECK(ActionsOf<send_grant>(test.Advance()).size() == 1);
+}
+
 TEST_CASE("a new coordinator moves no keys while the former one may renew") {
   coordinator_fixture former(4);
   former.AnswerAll();
