Don't claim the role again while its lease is being ended

A daemon that left or resigned ended its lease while a renewal could be on its way. The store answered the renewal that the lease had ended, and the daemon took this for an expiry and claimed the role again. It then had the role for the 1.2 s of the new lease without acting as the coordinator, and no successor could claim it. A daemon that began to leave while it read the key tables after its claim became the coordinator, didn't renew the lease, and never ended it.

After End(), Renew() doesn't claim the role again, and ends a claim that was already on its way. A daemon that leaves while it reads the tables ends its lease.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -167,13 +167,17 @@
       watcher_.state().RevisionOf(kCoordinatorHistoryKey), self_);
   const claim_outcome outcome =
       co_await lease_.Claim(former_coordinators_.pending());
-  if (outcome != claim_outcome::kClaimed || leaving_) {
+  if (outcome != claim_outcome::kClaimed) {
     vacant_since_.reset();
     co_return;
   }
   former_coordinators_.SetAuthorityUntil(BootNow() +
                                          timing_.authority_duration);
   const bool tables_loaded = co_await TakeOver();
+  if (leaving_) {
+    co_await lease_.End();
+    co_return;
+  }
   // This daemon may have yielded to a later claim in the meantime.
   if (!tables_loaded || lease_.revision() <= last_yielded_claim_) {
     vacant_since_.reset();
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -36,6 +36,7 @@
 
 asio::awaitable<claim_outcome> role_lease::Claim(
     std::vector<daemon_instance> former_instances) {
+  ended_ = false;
   const fleet_state& state = watcher_.state();
   return WriteClaim(claim_kind::kFirst,
                     {state.RevisionOf(kCoordinatorKey),
@@ -56,9 +57,17 @@
     proven_at_ = sent_at;
     co_return claim_outcome::kClaimed;
   }
+  if (ended_) {
+    co_return claim_outcome::kLost;
+  }
   const role_versions vacant{store_version(), claim_.versions.history};
   const claim_outcome outcome = co_await WriteClaim(
       claim_kind::kReclaim, vacant, std::move(former_instances));
+  if (outcome == claim_outcome::kClaimed && ended_) {
+    // End() was called meanwhile and has ended the earlier lease only.
+    co_await End();
+    co_return claim_outcome::kLost;
+  }
   if (outcome == claim_outcome::kClaimed) {
     log_event(log_level::kInfo, "coordinates keys again")
         .With("revision", revision())
@@ -156,6 +165,7 @@
 }
 
 asio::awaitable<bool> role_lease::End() {
+  ended_ = true;
   const result<bool> ended = co_await store_.EndLease(claim_.lease);
   if (!ended) {
     log_event(log_level::kWarn,
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -46,14 +46,15 @@
   boost::asio::awaitable<claim_outcome> Claim(
       std::vector<daemon_instance> former_instances);
   // Renews the lease. If it has expired, claims the role again, which succeeds
-  // only if no other daemon has coordinated since.
+  // only if no other daemon has coordinated since. After End() it doesn't claim
+  // the role again.
   boost::asio::awaitable<claim_outcome> Renew(
       std::vector<daemon_instance> former_instances);
   // Removes the former coordinators from the history in the store, when all of
   // them are excluded. Has no effect if the history names none.
   boost::asio::awaitable<void> TrimHistory();
   // Ends the lease. False if the store hasn't confirmed it; the lease then
-  // expires.
+  // expires, unless the call is repeated.
   boost::asio::awaitable<bool> End();
 
   // When the last call was sent whose response proved that this daemon has the
@@ -82,6 +83,8 @@
   store_watcher& watcher_;
   role_claim claim_;
   instant proven_at_;
+  // End() has been called since the last first claim.
+  bool ended_ = false;
   // The history in the store names other daemons than this one.
   bool history_has_former_coordinators_ = false;
   // The highest revision of the history that a claim has conflicted with.
