Take a refused end of a lease for a failure

kv_client::EndLease returned success for any response, also for 429 and 503, by which the store says that nothing was done. A coordinator that left stopped as if the role were vacant, although its lease was still running for up to 1.2 s, and didn't repeat the call.

DecodeLeaseEnd() accepts a successful status, and 404 for a lease that has ended. Before the change the new test "a refused end of the lease doesn't count as confirmed" failed: End() returned true after 429.

--- a/bluebell/gateway/role_lease_test.cc
+++ b/bluebell/gateway/role_lease_test.cc
@@ -34,6 +34,7 @@
 const std::string kClaimWritten = Response("200 OK", R"({"Revision":5})");
 const std::string kDone = Response("200 OK", "{}");
 const std::string kNoSuchLease = Response("404 Not Found", "");
+const std::string kTooManyCalls = Response("429 Too Many Requests", "");
 
 // A lease at a store that answers its calls with the given responses, in order,
 // and then with the last of them.
@@ -102,5 +103,22 @@
   CHECK(role.calls() == 5);
 }
 
+// Failure: the store refuses the call that ends the lease, and the daemon stops
+// as if the role were vacant.
+TEST_CASE("a refused end of the lease doesn't count as confirmed") {
+  leased_role role({kLeaseStarted, kClaimWritten, kTooManyCalls, kDone});
+  REQUIRE(role.Claim() == claim_outcome::kClaimed);
+  CHECK(!role.End());
+  CHECK(role.End());
+}
+
+// Failure: the lease has expired before the call that ends it, and the daemon
+// repeats the call until its shutdown time is over.
+TEST_CASE("the end of a lease that has expired counts as confirmed") {
+  leased_role role({kLeaseStarted, kClaimWritten, kNoSuchLease});
+  REQUIRE(role.Claim() == claim_outcome::kClaimed);
+  CHECK(role.End());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/kv/kv_client.cc
+++ b/bluebell/kv/kv_client.cc
@@ -122,7 +122,7 @@
   if (!response) {
     co_return response.error();
   }
-  co_return true;
+  co_return platform::DecodeLeaseEnd(response.value());
 }
 
 }  // namespace bluebell
