Announce a daemon on condition of its present entry

A daemon wrote its entry without a condition. The store may execute a call that got no response seconds later, so the announcement of an ended process could replace that of a later process under the same daemon id, under a higher revision. The other daemons then took the live process for ended; if it was a former coordinator, the present one counted the wait for its grants from too early a time.

The announcement now expects the revision of the entry that it replaces, and is repeated once at once with the revision that a conflict shows. A late write of another process then conflicts with the later entry.

--- a/bluebell/gateway/member_lease.cc
+++ b/bluebell/gateway/member_lease.cc
@@ -1,5 +1,6 @@
 #include "bluebell/gateway/member_lease.h"
 
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -29,9 +30,19 @@
 // The renewals also detect outages of the store.
 constexpr milliseconds kRenewalInterval{1'000};
 constexpr milliseconds kRetryInterval{300};
+// The second write expects the entry that the first one has found. It conflicts
+// only if the entry changes in between.
+constexpr int kWritesPerAnnouncement = 2;
 
 }  // namespace
 
+kv_write AnnouncementWrite(const fleet_member& self,
+                           store_version expected,
+                           kv_lease lease) {
+  const std::string key = MemberKey(self.instance.id);
+  return {{{key, expected}}, {{key, EncodeMember(self), lease}}};
+}
+
 member_lease::member_lease(asio::io_context& io,
                            kv_client& store,
                            store_watcher& watcher,
@@ -68,15 +79,27 @@
     co_return false;
   }
   lease_ = lease.value().lease;
-  const kv_write entry{
-      {}, {{MemberKey(self_.instance.id), EncodeMember(self_), lease_}}};
-  const result<kv_write_result> written = co_await store_.Write(entry);
-  if (!written) {
-    watcher_.ReportFailure(written.error(), BootNow());
-    co_return false;
+  for (int i = 0; i < kWritesPerAnnouncement; ++i) {
+    const result<kv_write_result> written = co_await store_.Write(
+        AnnouncementWrite(self_, entry_revision_, lease_));
+    if (!written) {
+      watcher_.ReportFailure(written.error(), BootNow());
+      co_return false;
+    }
+    watcher_.ReportSuccess(BootNow());
+    if (const auto* done = std::get_if<kv_written>(&written.value())) {
+      entry_revision_ = done->revision;
+      co_return true;
+    }
+    const auto* conflict = std::get_if<kv_conflict>(&written.value());
+    if (conflict == nullptr) {
+      co_return false;
+    }
+    entry_revision_ = conflict->items.empty()
+                          ? store_version()
+                          : conflict->items.front().revision;
   }
-  watcher_.ReportSuccess(BootNow());
-  co_return std::holds_alternative<kv_written>(written.value());
+  co_return false;
 }
 
 asio::awaitable<void> member_lease::Run() {
--- a/bluebell/gateway/member_lease.h
+++ b/bluebell/gateway/member_lease.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "bluebell/core/ids.h"
 #include "bluebell/fleet/fleet_member.h"
 #include "bluebell/kv/kv_types.h"
 
@@ -22,6 +23,15 @@
 class kv_client;
 class store_watcher;
 
+// The write by which `self` announces itself under `lease`, if its daemon id's
+// entry still has the revision `expected`; zero if there is none. A call to the
+// store without a response may be executed seconds later. Without the condition
+// an ended process could replace the entry of a later one under its daemon id,
+// and that one would count as ended.
+kv_write AnnouncementWrite(const fleet_member& self,
+                           store_version expected,
+                           kv_lease lease);
+
 class member_lease {
  public:
   member_lease(boost::asio::io_context& io,
@@ -40,7 +50,8 @@
 
  private:
   boost::asio::awaitable<void> Run();
-  // Starts a lease and writes the entry under it. False if either failed.
+  // Starts a lease and writes the entry under it, whatever entry the daemon id
+  // has. False if either failed.
   boost::asio::awaitable<bool> Announce();
   boost::asio::awaitable<void> RemoveEntry();
 
@@ -49,6 +60,8 @@
   store_watcher& watcher_;
   fleet_member self_;
   kv_lease lease_;
+  // The revision of the daemon id's entry, as far as it is known.
+  store_version entry_revision_;
   bool announced_ = false;
   bool leaving_ = false;
 };
--- /dev/null
+++ b/bluebell/gateway/member_lease_test.cc
@@ -0,0 +1,77 @@
+#include "bluebell/gateway/member_lease.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "bluebell/core/boot_clock.h"
+#include "bluebell/fleet/store_keys.h"
+#include "bluebell/gateway/store_watcher.h"
+#include "bluebell/http/internal/response_script.h"
+#include "bluebell/kv/kv_client.h"
+
+namespace bluebell {
+namespace {
+
+namespace asio = boost::asio;
+
+const daemon_id kDaemon("front-1");
+const fleet_member kMember{{kDaemon, incarnation(5)},
+                           domain_name("a"),
+                           address::Parse("10.0.0.1:7200").value(),
+                           200,
+                           false};
+
+std::string Response(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Failure: the store executes the announcement of an ended process late, after
+// that of a later process under the same daemon id. The other daemons take the
+// live process for ended, although it may be the coordinator.
+TEST_CASE("a late announcement doesn't replace that of a later process") {
+  const kv_write write =
+      AnnouncementWrite(kMember, store_version(3), kv_lease(7));
+  CHECK(write.conditions ==
+        std::vector<kv_condition>{{MemberKey(kDaemon), store_version(3)}});
+  REQUIRE(write.puts.size() == 1);
+  CHECK(write.puts.front().key == MemberKey(kDaemon));
+  CHECK(write.puts.front().lease == kv_lease(7));
+}
+
+// Failure: a daemon that is started again while the entry of its former process
+// exists isn't announced until that entry has expired.
+TEST_CASE("a daemon replaces the entry of its former process at once") {
+  const std::vector<std::string> responses{
+      Response("200 OK", R"({"Lease":7,"TtlS_time":6})"),
+      Response("412 Precondition Failed",
+               R"({"items":[{"Key":"bluebell/members/front-1",)"
+               R"("Value":"e30=","Revision":3,"CreatedRev":3,"Lease":2}]})"),
+      Response("200 OK", R"({"Revision":9})")};
+  asio::io_context io;
+  std::vector<instant> call_times;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    call_times.push_back(BootNow());
+    return responses[std::min(call_times.size(), responses.size()) - 1];
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(
+      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      watcher_handlers{});
+  member_lease lease(io, *store, watcher, kMember);
+  lease.Start();
+  while (call_times.size() < 3 && io.run_one_for(seconds(5)) > 0) {
+  }
+  REQUIRE(call_times.size() == 3);
+  // Shorter than the pause after a failed announcement.
+  CHECK(call_times[2] - call_times[1] < milliseconds(300));
+}
+
+}  // namespace
+}  // namespace bluebell
