Log when and from where a daemon learned that endpoints left service

The log named neither the endpoints that left service in a daemon's view, nor the source of the change, nor the state on which a permit was granted. Change: "endpoints left service" names the endpoints with the cause (draining, lapsing, removed), the source (listing, watch, relay, lapse, response, another daemon), the position in the endpoints' changes, the revision of their latest change and the age of the last contact with the store. "store read" gives the revision of a listing. "request ended" gains endpoints_revision of the view and permit_revision of the dispatcher. The first two are written at changes only. The cost of the lines was not measured.

--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -112,7 +112,7 @@
         if (now < entry.second) {
           return false;
         }
-        current_.endpoints.erase(entry.first);
+        EraseEndpoint(entry.first);
         return true;
       });
   return removed_count > 0;
@@ -135,6 +135,16 @@
   return std::exchange(errors_, {});
 }
 
+std::vector<endpoint_departure> fleet_state::TakeDepartures() {
+  return std::exchange(departures_, {});
+}
+
+void fleet_state::EraseEndpoint(const endpoint_id& id) {
+  if (current_.endpoints.erase(id) > 0) {
+    departures_.push_back({id, departure_cause::kRemoved});
+  }
+}
+
 void fleet_state::Put(const kv_item& item) {
   revisions_.insert_or_assign(item.key, item.revision);
   RecordChange(item.key, item.revision);
@@ -167,13 +177,19 @@
   if (!entry) {
     errors_.push_back(entry.error());
     // An earlier valid entry is no longer in force.
-    current_.endpoints.erase(id);
+    EraseEndpoint(id);
     return;
   }
+  const auto known = current_.endpoints.find(id);
+  const bool was_draining =
+      known != current_.endpoints.end() && known->second.draining;
   fleet_endpoint& endpoint =
       current_.endpoints.insert_or_assign(id, std::move(entry).value())
           .first->second;
   endpoint.draining = endpoint.draining || leaving_.contains(endpoint.instance);
+  if (endpoint.draining && !was_draining) {
+    departures_.push_back({id, departure_cause::kDraining});
+  }
 }
 
 bool fleet_state::RecordLeaving(const endpoint_instance& endpoint,
@@ -189,6 +205,7 @@
     return false;
   }
   known->second.draining = true;
+  departures_.push_back({endpoint.endpoint, departure_cause::kDraining});
   return true;
 }
 
@@ -245,8 +262,9 @@
     if (now < removals_delayed_until_ && known != current_.endpoints.end()) {
       known->second.lapsing = true;
       lapse_times_.insert_or_assign(id, removals_delayed_until_);
+      departures_.push_back({id, departure_cause::kLapsing});
     } else {
-      current_.endpoints.erase(id);
+      EraseEndpoint(id);
     }
   } else if (key.starts_with(kMemberPrefix)) {
     current_.members.erase(daemon_id(key.substr(kMemberPrefix.size())));
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -22,6 +22,7 @@
 
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
+#include "bluebell/fleet/endpoint_departure.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/kv/kv_types.h"
 
@@ -95,9 +96,14 @@
   // Returns and clears the errors of values that were rejected since the last
   // call.
   std::vector<error> TakeErrors();
+  // Returns and clears the endpoints that have left service since the last
+  // call, in the order of their changes.
+  std::vector<endpoint_departure> TakeDepartures();
 
  private:
   void Put(const kv_item& item);
+  // Removes the endpoint and notes its departure.
+  void EraseEndpoint(const endpoint_id& id);
   void Remove(const std::string& key, instant now);
   void RecordChange(std::string_view key, const store_version& revision);
   void PutEndpoint(const kv_item& item);
@@ -119,6 +125,7 @@
   // Endpoints whose entry is missing, and when they are removed.
   std::map<endpoint_id, instant> lapse_times_;
   std::vector<error> errors_;
+  std::vector<endpoint_departure> departures_;
 };
 
 }  // namespace bluebell
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -141,6 +141,32 @@
   CHECK(!state.RaiseRevisionTo(store_version(13)));
 }
 
+// Guards against a log that doesn't show when a daemon learned that an endpoint
+// has left.
+TEST_CASE("endpoints that leave service are noted once, with the cause") {
+  const auto departure = [](const char* id, departure_cause cause) {
+    return endpoint_departure{endpoint_id(id), cause};
+  };
+  fleet_state state(TestDecoders());
+  state.ApplyListing({Item("entries/a", "ok", 1), Item("entries/b", "ok", 2),
+                      Item("entries/c", "ok", 3)},
+                     store_version(3), kStart);
+  CHECK(state.TakeDepartures().empty());
+  state.Apply(Item("entries/a", "draining", 4), kStart);
+  state.Apply(Item("entries/a", "draining", 5), kStart);
+  state.Apply(kv_deletion{"entries/b", store_version(6)}, kStart);
+  CHECK(state.TakeDepartures() ==
+        std::vector{departure("a", departure_cause::kDraining),
+                    departure("b", departure_cause::kRemoved)});
+  state.OnStoreRecovered(kStart);
+  state.Apply(kv_deletion{"entries/c", store_version(7)}, kStart);
+  CHECK(state.TakeDepartures() ==
+        std::vector{departure("c", departure_cause::kLapsing)});
+  state.RemoveLapsedEndpoints(*state.NextLapseTime());
+  CHECK(state.TakeDepartures() ==
+        std::vector{departure("c", departure_cause::kRemoved)});
+}
+
 TEST_CASE("members and key tables are read as they were written") {
   fleet_state state(TestDecoders());
   const fleet_member member{{daemon_id("front-1"), incarnation(5)},
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -222,7 +222,12 @@
   } else {
     log_.Append(kAllKeysPrefix, changes, revision);
   }
-  NotifyChanged();
+  log_event(log_level::kInfo, "store read")
+      .With("revision", revision)
+      .With("changes", changes.size())
+      .With("endpoints_revision", state_.snapshot().endpoints_revision)
+      .Write();
+  NotifyChanged("listing");
   co_return revision;
 }
 
@@ -286,7 +291,7 @@
     after = changes.value().revision;
     ApplyChanges(scope.prefix, changes.value().events, after, now);
     if (!changes.value().events.empty()) {
-      NotifyChanged();
+      NotifyChanged("watch");
       co_await Pause(scope.pause_after_change);
     }
   }
@@ -410,13 +415,39 @@
       has_changed = has_changed || !scope.changes.empty();
     }
     if (has_changed) {
-      NotifyChanged();
+      NotifyChanged("relay");
     }
   }
   Follow();
 }
 
-void store_watcher::NotifyChanged() {
+void store_watcher::LogDepartures(std::string_view source) {
+  const std::vector<endpoint_departure> departures = state_.TakeDepartures();
+  if (departures.empty()) {
+    return;
+  }
+  std::string endpoints;
+  for (const endpoint_departure& each : departures) {
+    endpoints += endpoints.empty() ? "" : ", ";
+    endpoints += each.endpoint.value();
+    endpoints += ' ';
+    endpoints += Describe(each.cause);
+  }
+  const instant confirmed_at =
+      following_ ? follower_.confirmed_at() : last_success_at_;
+  log_event(log_level::kInfo, "endpoints left service")
+      .With("endpoints", endpoints)
+      .With("source", source)
+      .With("position", log_.PositionOf(endpoint_prefix_))
+      .With("endpoints_revision", state_.snapshot().endpoints_revision)
+      .With("confirmed_ms_ago",
+            std::chrono::duration_cast<milliseconds>(BootNow() - confirmed_at)
+                .count())
+      .Write();
+}
+
+void store_watcher::NotifyChanged(std::string_view source) {
+  LogDepartures(source);
   for (const error& problem : state_.TakeErrors()) {
     log_event(log_level::kWarn, "malformed value ignored")
         .With(problem)
@@ -435,7 +466,7 @@
       std::max<duration>(*next - BootNow(), milliseconds(1)));
   lapse_timer_.async_wait([this](boost::system::error_code cancelled) {
     if (!cancelled && state_.RemoveLapsedEndpoints(BootNow())) {
-      NotifyChanged();
+      NotifyChanged("lapse");
     }
   });
 }
@@ -445,14 +476,14 @@
     log_event(log_level::kInfo, "endpoint is leaving")
         .With("endpoint", endpoint.endpoint)
         .Write();
-    NotifyChanged();
+    NotifyChanged("response");
   }
 }
 
 void store_watcher::ExpectRevision(std::uint64_t revision) {
   const store_version expected(revision);
   if (state_.RaiseRevisionTo(expected)) {
-    NotifyChanged();
+    NotifyChanged("another daemon");
   }
   const auto earlier_due = expectation_.due();
   expectation_.Expect(
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -136,12 +136,13 @@
                     const std::vector<kv_event>& events,
                     store_version up_to,
                     instant now);
-  // Logs malformed values, calls the change handler and sets the lapse timer.
-  void NotifyChanged();
+  // Logs malformed values and endpoints that have left service, calls the
+  // change handler and sets the lapse timer. `source` says in the log where the
+  // change came from.
+  void NotifyChanged(std::string_view source);
+  void LogDepartures(std::string_view source);
   // Sets the timer for the revision that is expected.
   void ScheduleExpectation();
-  // Sets the timer that drops the endpoints whose entries stayed missing.
-  void ScheduleLapse();
 
   bool MayFollow(instant now) const;
   void StartFollowing(instant now);
--- a/bluebell/proxy/internal/request_context.h
+++ b/bluebell/proxy/internal/request_context.h
@@ -3,6 +3,7 @@
 #ifndef BLUEBELL_PROXY_INTERNAL_REQUEST_CONTEXT_H_
 #define BLUEBELL_PROXY_INTERNAL_REQUEST_CONTEXT_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,8 @@
   std::string_view match;
   std::string reason;
   permit_id permit;
+  // The dispatcher's revision of the endpoints when it granted the permit.
+  std::uint64_t permit_revision = 0;
   std::string dispatcher;
   duration permit_wait{0};
   duration elapsed{0};
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -178,6 +178,7 @@
   }
   const auto& granted = std::get<permit_granted>(acquired.reply);
   context.endpoint = granted.endpoint.endpoint.value();
+  context.permit_revision = granted.endpoints_revision;
   if (IsTooLateToSend(progress, granted, replied_at)) {
     permits_.Release(UnusedRelease(context.service, granted));
     context.reason = std::string(Describe(permit_refusal::kShuttingDown));
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -200,7 +200,9 @@
   }
   if (context.view && context.view->config) {
     event.With("config", context.view->config->version())
-        .With("revision", context.view->revision);
+        .With("revision", context.view->revision)
+        .With("endpoints_revision", context.view->endpoints_revision)
+        .With("permit_revision", context.permit_revision);
   }
   event.With("reason", context.reason).Write();
 }
