Notice a silent watch of the endpoints while other watches go on

Cause: a daemon watches endpoints, configuration and daemons' entries on a connection each. It notices that it is behind by the latest revision that other daemons name, and counted a revision as known once any of the watches had reported a later one. After a cut the entries of the daemons change often, so a watch of the endpoints that is silent stayed unnoticed until its call timed out. Change: the revision of the endpoints that a granted permit names is expected too, and compared with the changes of endpoints alone. Not covered: the configuration's watch, which no message names a revision for.

--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -90,6 +90,10 @@
   return revision <= std::max(current_.revision, listing_revision_);
 }
 
+bool fleet_state::CoversEndpoints(const store_version& revision) const {
+  return revision <= std::max(current_.endpoints_revision, listing_revision_);
+}
+
 bool fleet_state::RaiseRevisionTo(const store_version& revision) {
   const bool is_raised = current_.revision < revision && Covers(revision);
   if (is_raised) {
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -57,6 +57,10 @@
   // True if this state contains every change up to `revision`, for example
   // those that another daemon with this latest change has.
   bool Covers(const store_version& revision) const;
+  // The same for the changes of endpoints alone. A daemon may follow these on a
+  // connection of their own, so that later changes of other values say nothing
+  // about them.
+  bool CoversEndpoints(const store_version& revision) const;
   // Raises the snapshot's revision to `revision`, which is another daemon's
   // latest change, if this state contains that change. A listing doesn't show
   // the revision of deletions, so the snapshot's revision alone may be too low.
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -141,6 +141,23 @@
   CHECK(!state.RaiseRevisionTo(store_version(13)));
 }
 
+// Guards against a watch of the endpoints that has become silent and isn't
+// noticed, because the watch of the daemons' entries goes on: in the seconds
+// after a cut these entries change often.
+TEST_CASE("changes of the members don't hide a missing change of an endpoint") {
+  const daemon_instance first{daemon_id("front-1"), incarnation(5)};
+  fleet_state state(TestDecoders());
+  state.ApplyListing({Item("entries/a", "ok", 5)}, store_version(10), kStart);
+  CHECK(state.CoversEndpoints(store_version(10)));
+  // Another daemon knows that "a" is draining since revision 11.
+  state.Apply(Item(std::string(kCoordinatorKey), EncodeDaemon(first), 12),
+              kStart);
+  CHECK(state.Covers(store_version(12)));
+  CHECK(!state.CoversEndpoints(store_version(11)));
+  state.Apply(Item("entries/a", "draining", 11), kStart);
+  CHECK(state.CoversEndpoints(store_version(11)));
+}
+
 // Guards against a log that doesn't show when a daemon learned that an endpoint
 // has left.
 TEST_CASE("endpoints that leave service are noted once, with the cause") {
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -112,6 +112,11 @@
         asio::post(self->io_, [self, revision] {
           self->watcher_->ExpectRevision(revision);
         });
+      },
+      [self](std::uint64_t revision) {
+        asio::post(self->io_, [self, revision] {
+          self->watcher_->ExpectEndpointsRevision(revision);
+        });
       }};
   auto traffic = traffic_server::Start(daemon->settings_, daemon->self_,
                                        daemon->metrics_, hooks);
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -80,6 +80,7 @@
       log_({endpoint_prefix_, config_key_, std::string(kDaemonStatePrefix)}),
       handlers_(std::move(handlers)),
       expectation_(kExpectationTimeout),
+      endpoints_expectation_(kExpectationTimeout),
       follow_delay_(kMinFollowDelay),
       random_(std::random_device()()),
       follow_timer_(io),
@@ -486,37 +487,63 @@
     NotifyChanged("another daemon");
   }
   const auto earlier_due = expectation_.due();
-  expectation_.Expect(
-      expected,
-      [this](const store_version& asked) { return state_.Covers(asked); },
-      BootNow());
+  expectation_.Expect(expected, Covers(), BootNow());
   if (expectation_.due() != earlier_due) {
     ScheduleExpectation();
   }
 }
 
+void store_watcher::ExpectEndpointsRevision(std::uint64_t revision) {
+  const auto earlier_due = endpoints_expectation_.due();
+  endpoints_expectation_.Expect(store_version(revision), CoversEndpoints(),
+                                BootNow());
+  if (endpoints_expectation_.due() != earlier_due) {
+    ScheduleExpectation();
+  }
+}
+
+revision_expectation::covers_function store_watcher::Covers() const {
+  return [this](const store_version& asked) { return state_.Covers(asked); };
+}
+
+revision_expectation::covers_function store_watcher::CoversEndpoints() const {
+  return [this](const store_version& asked) {
+    return state_.CoversEndpoints(asked);
+  };
+}
+
 void store_watcher::ScheduleExpectation() {
-  const auto due = expectation_.due();
-  if (!due) {
+  std::optional<instant> next = expectation_.due();
+  if (const auto due = endpoints_expectation_.due()) {
+    next = next ? std::min(*next, *due) : *due;
+  }
+  if (!next) {
     return;
   }
   expectation_timer_.expires_after(
-      std::max<duration>(*due - BootNow(), milliseconds(1)));
+      std::max<duration>(*next - BootNow(), milliseconds(1)));
   expectation_timer_.async_wait([this](boost::system::error_code cancelled) {
-    if (cancelled) {
-      return;
-    }
-    const bool is_overdue = expectation_.IsOverdue(
-        [this](const store_version& asked) { return state_.Covers(asked); },
-        BootNow());
-    ScheduleExpectation();
-    if (is_overdue) {
-      log_event(log_level::kWarn, "watch is behind other daemons")
-          .With("revision", state_.snapshot().revision)
-          .Write();
-      Restart();
+    if (!cancelled) {
+      CheckExpectations();
     }
   });
 }
 
+void store_watcher::CheckExpectations() {
+  const instant now = BootNow();
+  const bool is_overdue = expectation_.IsOverdue(Covers(), now);
+  const bool endpoints_are_overdue =
+      endpoints_expectation_.IsOverdue(CoversEndpoints(), now);
+  ScheduleExpectation();
+  if (!is_overdue && !endpoints_are_overdue) {
+    return;
+  }
+  log_event(log_level::kWarn, "watch is behind other daemons")
+      .With("revision", state_.snapshot().revision)
+      .With("endpoints_revision", state_.snapshot().endpoints_revision)
+      .With("endpoints", endpoints_are_overdue)
+      .Write();
+  Restart();
+}
+
 }  // namespace bluebell
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -97,6 +97,9 @@
   // Another daemon has seen the store's `revision`. Reads the whole store again
   // if the watches don't deliver that revision within a bounded time.
   void ExpectRevision(std::uint64_t revision);
+  // The same for the latest change of an endpoint that another daemon has seen.
+  // The watch of the endpoints may be silent while the others go on.
+  void ExpectEndpointsRevision(std::uint64_t revision);
 
   const fleet_state& state() const { return state_; }
 
@@ -141,8 +144,14 @@
   // change came from.
   void NotifyChanged(std::string_view source);
   void LogDepartures(std::string_view source);
-  // Sets the timer for the revision that is expected.
+  // Sets the timer for the revisions that are expected.
   void ScheduleExpectation();
+  // Reads the whole store again if an expected revision is overdue.
+  void CheckExpectations();
+  revision_expectation::covers_function Covers() const;
+  revision_expectation::covers_function CoversEndpoints() const;
+  // Sets the timer that drops the endpoints whose entries stayed missing.
+  void ScheduleLapse();
 
   bool MayFollow(instant now) const;
   void StartFollowing(instant now);
@@ -162,6 +171,7 @@
   watcher_handlers handlers_;
   std::optional<instant> failing_since_;
   revision_expectation expectation_;
+  revision_expectation endpoints_expectation_;
   // Another daemon has received changes of the store during the present outage.
   bool peer_saw_changes_ = false;
   watch_duty duty_ = watch_duty::kNone;
--- a/bluebell/proxy/traffic_server.cc
+++ b/bluebell/proxy/traffic_server.cc
@@ -235,7 +235,13 @@
               callbacks_.on_newer_revision(ack.revision);
             }
           },
-          [&](const permit_granted& reply) { permits_.OnReply(from, reply); },
+          [&](const permit_granted& reply) {
+            if (view_ &&
+                reply.endpoints_revision > view_->endpoints_revision.value()) {
+              callbacks_.on_newer_endpoints(reply.endpoints_revision);
+            }
+            permits_.OnReply(from, reply);
+          },
           [&](const permit_queued& reply) { permits_.OnReply(from, reply); },
           [&](const permit_refused& reply) { permits_.OnReply(from, reply); },
           [&](const coordinator_claim& claim) {
--- a/bluebell/proxy/traffic_server.h
+++ b/bluebell/proxy/traffic_server.h
@@ -69,6 +69,9 @@
       on_update;
   // Another daemon has a newer state of the store, at this revision.
   std::function<void(std::uint64_t revision)> on_newer_revision;
+  // A dispatcher knows a later change of an endpoint than this daemon, at this
+  // revision.
+  std::function<void(std::uint64_t revision)> on_newer_endpoints;
 };
 
 class traffic_server {
