Refuse permits for a former process of an endpoint from an older view

Cause: a permit is compared with the daemon's own view by the revision of the endpoints if the view lacks the endpoint, but not if it has another process under the id. A dispatcher that was cut off names the former process. Change: the decision is a function of view and permit, PermittedEndpoint(), without I/O; a permit for another process than the known one counts only if the dispatcher knows a later state of the endpoints.

--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -11,6 +11,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/permits/permitted_endpoint.h"
 #include "bluebell/proxy/endpoint_connection_pool.h"
 #include "bluebell/proxy/internal/request_context.h"
 #include "bluebell/proxy/permit_client.h"
@@ -109,27 +110,7 @@
   if (pauses_.PausedUntil(granted.service, granted.endpoint, now)) {
     return std::nullopt;
   }
-  const auto entry = view_->endpoints.find(granted.endpoint.endpoint);
-  if (entry == view_->endpoints.end()) {
-    if (granted.lapsing ||
-        granted.endpoints_revision <= view_->endpoints_revision.value()) {
-      // The endpoint is gone, and the dispatcher doesn't know that yet.
-      return std::nullopt;
-    }
-    // The dispatcher learned of the endpoint before this daemon did.
-    fleet_endpoint endpoint;
-    endpoint.instance = granted.endpoint;
-    endpoint.service = granted.service;
-    endpoint.where = granted.where;
-    return endpoint;
-  }
-  if (entry->second.draining) {
-    return std::nullopt;
-  }
-  fleet_endpoint endpoint = entry->second;
-  endpoint.instance = granted.endpoint;
-  endpoint.where = granted.where;
-  return endpoint;
+  return PermittedEndpoint(*view_, granted);
 }
 
 permit_request request_server::PermitRequestOf(const request_context& context,
