Fault soak: find keys that are given on while their last holder works

Each endpoint has a clock of its own (exact or 2% slow); two holders are still judged by the slowest one. FindWorkAcrossHolds finds a request that an endpoint begins before, and the same process again after, another endpoint was granted its key.

Endpoints confirm a release after the work on its keys, or at once if they hold none of them; every second one each way. They may take work for ended when its caller closes the connection and go on for up to 300 ms; http_server reports such closes.

--- a/testing/gateway/gateway_world.cc
+++ b/testing/gateway/gateway_world.cc
@@ -27,6 +27,7 @@
 // The moved route goes to one of them.
 constexpr std::array<const char*, 2> kPlainServices{"booker", "manifest"};
 constexpr milliseconds kHeartbeat{500};
+constexpr double kSlowestClock = 1.02;
 // After three heartbeats of silence an entry is removed.
 constexpr milliseconds kEntryLife{1'500};
 // A link that was cut may deliver what waited on it.
@@ -163,6 +164,10 @@
     endpoint.domain = DomainName(i);
     endpoint.listen = NextAddress();
     endpoint.keyed = keyed;
+    endpoint.releases = i % 2 == 0 ? release_rule::kWaitsForWork
+                                   : release_rule::kWaitsWhileHeld;
+    endpoint.closes = options_.closes;
+    endpoint.clock = i / 2 % 2 == 0 ? 1 : kSlowestClock;
     const auto shown =
         OpenLink("endpoint-" + std::to_string(i), endpoint.listen);
     if (!shown) {
@@ -312,6 +317,14 @@
   }
 }
 
+void gateway_world::CancelDrain(std::size_t index) {
+  soak_endpoint& endpoint = *endpoints_[index];
+  if (endpoint.running() && endpoint.draining()) {
+    endpoint.CancelDrain();
+    store_->Put(endpoint.EntryKey(), endpoint.Entry());
+  }
+}
+
 void gateway_world::Heartbeats() {
   for (const auto& endpoint : endpoints_) {
     if (endpoint->running()) {
--- a/testing/gateway/gateway_world.h
+++ b/testing/gateway/gateway_world.h
@@ -42,6 +42,7 @@
   std::size_t keyed_endpoints = 6;
   std::size_t plain_endpoints = 6;
   std::size_t callers = 24;
+  close_rule closes = close_rule::kFinishesWork;
 };
 
 class gateway_world {
@@ -88,6 +89,8 @@
   bool StartEndpoint(std::size_t index);
   void KillEndpoint(std::size_t index);
   void DrainEndpoint(std::size_t index);
+  // The endpoint stays and is ready again.
+  void CancelDrain(std::size_t index);
   // The operator moves the route to the other service.
   void ChangeConfig();
 
--- a/testing/gateway/key_holders.h
+++ b/testing/gateway/key_holders.h
@@ -1,8 +1,10 @@
-// Who holds which keys, as the endpoints see it. Reports keys with two holders
-// and fences that don't rise.
+// Who holds which keys and works on them, as the endpoints see it. Reports keys
+// with two holders, keys that are given on while their last holder works on
+// them, and fences that don't rise.
 //
 //   key_holders holders;
-//   holders.Grant("e-1/1", {0, 99}, 5, until, now);
+//   holders.Grant("e-1/1", {{0, 99}, 5, until, latest, timing}, now);
+//   holders.BeginWork("e-1/1", 7, 42);
 //   for (const std::string& each : holders.violations()) ...
 
 #ifndef TESTING_GATEWAY_KEY_HOLDERS_H_
@@ -26,29 +28,43 @@
   kHeldUp,
 };
 
+// A grant as its endpoint carries it out.
+struct taken_grant {
+  key_range range;
+  std::uint64_t fence = 0;
+  // When the hold ends by the endpoint's own clock.
+  instant until;
+  // When it ends by the slowest clock that an endpoint may have.
+  instant latest;
+  grant_timing timing = grant_timing::kPrompt;
+
+  friend bool operator==(const taken_grant&, const taken_grant&) = default;
+};
+
 // Holders are named ENDPOINT/PROCESS.
 class key_holders {
  public:
   // False if `holder` knows a higher fence on one of the keys.
-  bool Grant(const std::string& holder,
-             const key_range& range,
-             std::uint64_t fence,
-             instant until,
-             grant_timing timing,
-             instant now);
+  bool Grant(const std::string& holder, const taken_grant& grant, instant now);
   void Release(const std::string& holder, const key_range& range, instant now);
+  // `work` is the holder's number of what it does.
+  void BeginWork(const std::string& holder, std::uint64_t work, shard_key key);
+  void EndWork(const std::string& holder, std::uint64_t work);
   // The process has ended.
   void Forget(const std::string& holder);
 
+  // By the holder's own clock.
   bool Holds(const std::string& holder, shard_key key, instant now) const;
+  bool HoldsAnyOf(const std::string& holder,
+                  const key_range& range,
+                  instant now) const;
 
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
   struct holding {
-    key_range range;
-    std::uint64_t fence = 0;
-    instant until;
+    taken_grant grant;
+    bool released = false;
   };
   struct known_grant {
     key_range range;
@@ -57,16 +73,24 @@
   struct holder_state {
     std::vector<holding> held;
     std::vector<known_grant> seen;
+    std::map<std::uint64_t, shard_key> running;
   };
 
   void CheckOthers(const std::string& holder,
-                   const key_range& range,
-                   std::uint64_t fence,
-                   grant_timing timing,
+                   const taken_grant& grant,
                    instant now);
-  static void Remove(std::vector<holding>& held,
-                     const key_range& range,
-                     instant now);
+  // `other` holds keys of `grant`, or works on keys that it held.
+  void CheckHolds(const std::string& holder,
+                  const taken_grant& grant,
+                  const std::string& other,
+                  instant now);
+  void CheckFences(const std::string& holder,
+                   const taken_grant& grant,
+                   const std::string& other);
+  // Takes `range` out of the holds and returns what it took out.
+  static std::vector<holding> TakeOut(std::vector<holding>& held,
+                                      const key_range& range,
+                                      instant now);
 
   std::map<std::string, holder_state> holders_;
   std::vector<std::string> violations_;
--- a/testing/gateway/promise_check.cc
+++ b/testing/gateway/promise_check.cc
@@ -1,7 +1,9 @@
 #include "testing/gateway/promise_check.h"
 
 #include <algorithm>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -67,6 +69,62 @@
   return found;
 }
 
+namespace {
+
+// The endpoint that was granted the key of the two executions between them.
+std::optional<std::string> HolderBetween(const soak_record& record,
+                                         const request_execution& first,
+                                         const request_execution& second) {
+  const bool same = first.endpoint == second.endpoint &&
+                    first.life == second.life && first.key == second.key;
+  if (!same || !first.key) {
+    return std::nullopt;
+  }
+  const auto found = std::find_if(
+      record.handovers.begin(), record.handovers.end(),
+      [&](const key_handover& each) {
+        return each.endpoint != first.endpoint &&
+               each.range.Contains(*first.key) && first.begun < each.taken &&
+               each.taken < second.begun;
+      });
+  return found == record.handovers.end() ? std::nullopt
+                                         : std::optional(found->endpoint);
+}
+
+// The first such pair of executions of one request; empty if there is none.
+std::string DescribeWorkAcrossHold(
+    const soak_record& record,
+    const std::vector<const request_execution*>& runs) {
+  for (std::size_t i = 0; i < runs.size(); ++i) {
+    for (std::size_t j = i + 1; j < runs.size(); ++j) {
+      if (const auto other = HolderBetween(record, *runs[i], *runs[j])) {
+        const auto apart = std::chrono::duration_cast<milliseconds>(
+            runs[j]->begun - runs[i]->begun);
+        return "request " + runs[i]->id + " with key " +
+               std::to_string(*runs[i]->key) + " began at " +
+               runs[i]->endpoint + ", ended with " +
+               std::to_string(runs[i]->status) + " and began there again " +
+               std::to_string(apart.count()) + " ms later; " + *other +
+               " was granted its key in between";
+      }
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+std::vector<std::string> FindWorkAcrossHolds(const soak_record& record) {
+  std::vector<std::string> found;
+  for (const auto& [id, runs] : RunsById(record)) {
+    const std::string text = DescribeWorkAcrossHold(record, runs);
+    if (!text.empty()) {
+      found.push_back(text);
+    }
+  }
+  return found;
+}
+
 std::vector<std::string> FindFalseRefusals(const soak_record& record) {
   const runs_by_id runs = RunsById(record);
   std::vector<std::string> found;
@@ -243,8 +301,9 @@
 std::vector<std::string> FindBrokenPromises(const soak_record& record) {
   std::vector<std::string> found = record.violations;
   for (const auto find :
-       {FindRepeats, FindFalseRefusals, FindForeignAnswers, FindLateArrivals,
-        FindOldConfigurations, FindPlannedCuts, FindMissingRecovery}) {
+       {FindRepeats, FindWorkAcrossHolds, FindFalseRefusals, FindForeignAnswers,
+        FindLateArrivals, FindOldConfigurations, FindPlannedCuts,
+        FindMissingRecovery}) {
     const std::vector<std::string> more = find(record);
     found.insert(found.end(), more.begin(), more.end());
   }
--- a/testing/gateway/promise_check.h
+++ b/testing/gateway/promise_check.h
@@ -15,6 +15,9 @@
 
 // Non-idempotent requests that ran more than once.
 std::vector<std::string> FindRepeats(const soak_record& record);
+// Requests that an endpoint began before, and again after, another one was
+// granted their key. Seen from outside, it works on them all the while.
+std::vector<std::string> FindWorkAcrossHolds(const soak_record& record);
 // Refusals, which promise that a non-idempotent request hasn't run, of requests
 // that ran.
 std::vector<std::string> FindFalseRefusals(const soak_record& record);
--- a/testing/gateway/promise_check_test.cc
+++ b/testing/gateway/promise_check_test.cc
@@ -28,7 +28,9 @@
           kStart + milliseconds(40),
           200,
           "s-" + id,
-          "b-" + id};
+          "b-" + id,
+          std::nullopt,
+          0};
 }
 
 soak_record Record() {
@@ -53,6 +55,43 @@
   CHECK(FindRepeats(record).size() == 1);
 }
 
+// An endpoint that runs a request again after its key was elsewhere seems to
+// have worked on it all the while.
+TEST_CASE("a request doesn't run again where its key was before") {
+  soak_record record = Record();
+  record.requests = {Request("a", true)};
+  record.executions = {Execution("a"), Execution("a")};
+  record.executions[1].begun = kStart + milliseconds(300);
+  for (request_execution& each : record.executions) {
+    each.key = 50;
+  }
+  record.handovers = {{"i-2", {0, 99}, kStart + milliseconds(200)}};
+  CHECK(FindWorkAcrossHolds(record).size() == 1);
+
+  SECTION("unless only other keys moved") {
+    record.handovers[0].range = {51, 99};
+    CHECK(FindWorkAcrossHolds(record).empty());
+  }
+  SECTION("unless the endpoint itself got its grant again") {
+    record.handovers[0].endpoint = "i-1";
+    CHECK(FindWorkAcrossHolds(record).empty());
+  }
+  SECTION("unless the key moved before or after both") {
+    record.handovers[0].taken = kStart;
+    CHECK(FindWorkAcrossHolds(record).empty());
+    record.handovers[0].taken = kStart + seconds(1);
+    CHECK(FindWorkAcrossHolds(record).empty());
+  }
+  SECTION("unless it runs at the other endpoint") {
+    record.executions[1].endpoint = "i-2";
+    CHECK(FindWorkAcrossHolds(record).empty());
+  }
+  SECTION("unless the first process has ended") {
+    record.executions[1].life = 1;
+    CHECK(FindWorkAcrossHolds(record).empty());
+  }
+}
+
 TEST_CASE("a refusal of a request that ran is found, also if it ran later") {
   soak_record record = Record();
   record.requests = {Request("a")};
--- a/testing/gateway/soak_endpoint.cc
+++ b/testing/gateway/soak_endpoint.cc
@@ -29,11 +29,12 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 constexpr double kMillisPerSecond = 1'000;
-// The term of a grant runs from its arrival, by a clock that is 2% slow.
-constexpr double kSlowClock = 1.02;
+// The term of a grant runs from its arrival, by a clock that is up to 2% slow.
+constexpr double kSlowestClock = 1.02;
 // After its announcement an endpoint may be sent requests for this long.
 constexpr milliseconds kDrainTime{2'000};
 constexpr double kLateShare = 0.5;
+constexpr int kMostWorkAfterCloseMs = 300;
 constexpr double kRepeatedShare = 0.3;
 
 }  // namespace
@@ -69,6 +70,14 @@
     const auto* limited = FaultInForce<limit_connections>();
     return limited != nullptr ? limited->most : most;
   });
+  if (options_.closes == close_rule::kEndsWorkLate) {
+    server_->SetCloseHandler(
+        [weak = weak_from_this()](const http_request& request) {
+          if (const auto self = weak.lock()) {
+            self->OnCallerClosed(request);
+          }
+        });
+  }
   ++life_;
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   const auto now = static_cast<std::uint64_t>(
@@ -193,6 +202,7 @@
 void soak_endpoint::TakeOrder(const http_request& request,
                               const http_responder& respond) {
   const instant arrived = BootNow();
+  on_order_();
   if (arrived < late_until_ &&
       std::bernoulli_distribution(kLateShare)(random_)) {
     const milliseconds delay(
@@ -219,29 +229,46 @@
   const key_range range{body.at("From").to_number<shard_key>(),
                         body.at("Target").to_number<shard_key>()};
   if (request.target() == "/release") {
+    const bool held = holders_.HoldsAnyOf(ProcessName(), range, now);
     holders_.Release(ProcessName(), range, now);
+    if (!held && options_.releases == release_rule::kWaitsWhileHeld) {
+      Confirm(respond);
+      return;
+    }
     releases_.push_back({range, respond});
     AnswerReleases();
     return;
   }
   const std::chrono::duration<double, std::milli> hold(
-      body.at("HoldS").to_number<double>() * kMillisPerSecond * kSlowClock);
-  const bool taken = holders_.Grant(
-      ProcessName(), range, body.at("fence").to_number<std::uint64_t>(),
-      arrived + std::chrono::duration_cast<duration>(hold), timing, now);
+      body.at("HoldS").to_number<double>() * kMillisPerSecond);
+  const taken_grant grant{
+      range, body.at("fence").to_number<std::uint64_t>(),
+      arrived + std::chrono::duration_cast<duration>(hold * options_.clock),
+      arrived + std::chrono::duration_cast<duration>(hold * kSlowestClock),
+      timing};
+  const bool taken = holders_.Grant(ProcessName(), grant, now);
+  if (taken && timing == grant_timing::kPrompt) {
+    record_.handovers.push_back({options_.id, range, now});
+  }
   respond(JsonResponse(taken ? kOk : kConflict, "{}"));
 }
 
+void soak_endpoint::Confirm(const http_responder& respond) {
+  http_response response(bhttp::status::ok, kHttp11);
+  response.set("X-Handover", "h" + std::to_string(random_()));
+  respond(response);
+}
+
 void soak_endpoint::AnswerReleases() {
   std::erase_if(releases_, [this](const waiting_release& each) {
     const bool busy =
         std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
-          return entry.second.key && each.range.Contains(*entry.second.key);
+          const running_work& running = entry.second;
+          return running.task.key && !running.caller_closed &&
+                 each.range.Contains(*running.task.key);
         });
     if (!busy) {
-      http_response response(bhttp::status::ok, kHttp11);
-      response.set("X-Handover", "h" + std::to_string(random_()));
-      each.respond(response);
+      Confirm(each.respond);
     }
     return !busy;
   });
@@ -285,25 +312,46 @@
   const instant now = BootNow();
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(started.limit - now);
-  running_[number] = {started.key, record_.executions.size(),
-                      time_left < length};
+  running_[number] = {started, record_.executions.size(), time_left < length};
+  if (started.key) {
+    holders_.BeginWork(ProcessName(), number, *started.key);
+  }
   record_.executions.push_back({id, options_.id, options_.service, now,
                                 std::nullopt, 0, signature,
-                                "body of " + signature});
-  After(std::min(length, time_left),
-        [this, number, started] { FinishWork(number, started); });
+                                "body of " + signature, started.key, life_});
+  After(std::min(length, time_left), [this, number] {
+    const auto found = running_.find(number);
+    if (found != running_.end() && !found->second.caller_closed) {
+      FinishWork(number);
+    }
+  });
+}
+
+void soak_endpoint::OnCallerClosed(const http_request& request) {
+  const std::string id = HeaderText(request, "X-Attempt-Id");
+  for (auto& [number, running] : running_) {
+    if (!running.caller_closed &&
+        HeaderText(running.task.request, "X-Attempt-Id") == id) {
+      running.caller_closed = true;
+      const milliseconds goes_on(std::uniform_int_distribution<int>(
+          0, kMostWorkAfterCloseMs)(random_));
+      After(goes_on, [this, number = number] { FinishWork(number); });
+    }
+  }
+  AnswerReleases();
 }
 
-void soak_endpoint::FinishWork(std::uint64_t number, const work& done) {
+void soak_endpoint::FinishWork(std::uint64_t number) {
   const running_work ended = running_.at(number);
+  const std::optional<shard_key>& key = ended.task.key;
   running_.erase(number);
+  holders_.EndWork(ProcessName(), number);
   request_execution& row = record_.executions[ended.row];
   const instant now = BootNow();
-  const bool held = !ended.key ||
-                    holders_.Holds(ProcessName(), *ended.key, now) ||
+  const bool held = !key || holders_.Holds(ProcessName(), *key, now) ||
                     std::any_of(releases_.begin(), releases_.end(),
                                 [&](const waiting_release& each) {
-                                  return each.range.Contains(*ended.key);
+                                  return each.range.Contains(*key);
                                 });
   row.status = !held                 ? kServerError
                : ended.ends_at_limit ? kGatewayTimeout
@@ -320,7 +368,7 @@
                                     std::to_string(waiting_.size()) + "," +
                                     std::to_string(options_.slots));
   response.body() = row.body;
-  done.respond(response);
+  ended.task.respond(response);
   AnswerReleases();
   StartWaiting(now);
 }
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -36,6 +36,22 @@
 
 namespace bluebell {
 
+// When an endpoint confirms a release.
+enum class release_rule : std::uint8_t {
+  // After the work on its keys, also if the hold has run out.
+  kWaitsForWork,
+  // At once if it holds none of the keys, though work may go on.
+  kWaitsWhileHeld,
+};
+
+// What an endpoint does with work whose caller has closed the connection.
+enum class close_rule : std::uint8_t {
+  // It goes on to its end.
+  kFinishesWork,
+  // It counts as ended for releases, and goes on for a while.
+  kEndsWorkLate,
+};
+
 struct soak_endpoint_options {
   std::string id;
   std::string service;
@@ -45,6 +61,10 @@
   address shown;
   bool keyed = false;
   std::uint32_t slots = 2;
+  release_rule releases = release_rule::kWaitsForWork;
+  close_rule closes = close_rule::kFinishesWork;
+  // How much longer a second is by the endpoint's clock; at most 1.02.
+  double clock = 1;
 
   friend bool operator==(const soak_endpoint_options&,
                          const soak_endpoint_options&) = default;
@@ -68,6 +88,11 @@
   void Kill();
   // The process announces that it leaves and goes on to serve.
   void Drain() { draining_ = true; }
+  // It stays.
+  void CancelDrain() {
+    draining_ = false;
+    announced_.reset();
+  }
   // When the store took the announcement.
   void SetAnnounced(std::optional<instant> when) { announced_ = when; }
 
@@ -86,6 +111,10 @@
     std::swap(options_.listen, other.options_.listen);
     std::swap(options_.shown, other.options_.shown);
   }
+  // `on_order` is called at the arrival of each order about keys.
+  void SetOrderHandler(std::function<void()> on_order) {
+    on_order_ = std::move(on_order);
+  }
   // Grants that arrive until then were held up on their way.
   void ExcuseGrants(instant until) { excused_until_ = until; }
 
@@ -105,10 +134,12 @@
     instant limit;
   };
   struct running_work {
-    std::optional<shard_key> key;
+    work task;
     std::size_t row = 0;
     // The endpoint ends the work at its limit.
     bool ends_at_limit = false;
+    // The endpoint ends the work late and counts it as ended.
+    bool caller_closed = false;
   };
   struct waiting_release {
     key_range range;
@@ -124,8 +155,10 @@
                 instant arrived);
   void TakeWork(work taken);
   void StartWork(const work& started);
-  void FinishWork(std::uint64_t number, const work& done);
+  void FinishWork(std::uint64_t number);
+  void OnCallerClosed(const http_request& request);
   void StartWaiting(instant now);
+  void Confirm(const http_responder& respond);
   void AnswerReleases();
   void After(milliseconds delay, std::function<void()> what);
   http_response NotRun(unsigned status) const;
@@ -159,6 +192,7 @@
   std::map<std::uint64_t, running_work> running_;
   std::deque<work> waiting_;
   std::vector<waiting_release> releases_;
+  std::function<void()> on_order_ = [] {};
 };
 
 }  // namespace bluebell
--- a/testing/gateway/soak_record.h
+++ b/testing/gateway/soak_record.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bluebell/core/time.h"
+#include "bluebell/keyspace/key_range.h"
 
 namespace bluebell {
 
@@ -43,6 +44,16 @@
   unsigned status = 0;
   std::string signature;
   std::string body;
+  std::optional<shard_key> key;
+  // Which process of the endpoint.
+  std::uint64_t life = 0;
+};
+
+// A grant that an endpoint took without delay.
+struct key_handover {
+  std::string endpoint;
+  key_range range;
+  instant taken;
 };
 
 // A configuration that the operator wrote: the service of the moved route.
@@ -73,11 +84,12 @@
 struct soak_record {
   std::vector<sent_request> requests;
   std::vector<request_execution> executions;
+  std::vector<key_handover> handovers;
   std::vector<written_config> configs;
   std::vector<late_arrival> late_arrivals;
   // When something unplanned disturbed the daemons, the store or the network.
   std::vector<time_span> disturbances;
-  // Found while the run went on: keys with two holders.
+  // Found while the run went on: keys with two holders, or given on too soon.
   std::vector<std::string> violations;
   instant healed;
   instant ended;
--- a/testing/http_server.cc
+++ b/testing/http_server.cc
@@ -57,6 +57,8 @@
     return response_fault(send_unchanged());
   };
   std::function<std::size_t()> max_connections;
+  // Empty if nobody asks for closed connections.
+  std::function<void(const http_request&)> on_closed;
   std::set<std::shared_ptr<session>> sessions;
   std::size_t peak = 0;
   bool stopped = false;
@@ -96,11 +98,36 @@
     const http_request request = parser_->release();
     keep_alive_ = request.keep_alive();
     is_head_ = request.method() == bhttp::verb::head;
+    is_answered_ = false;
+    if (server->on_closed) {
+      WatchForClose(request);
+    }
     server->handler(request, [self = shared_from_this()](http_response reply) {
       self->Write(std::move(reply));
     });
   }
 
+  // Reports `request` if the peer ends the connection before its response.
+  void WatchForClose(http_request request) {
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), request = std::move(request),
+                        read = requests_read_](error_code error) {
+                         const auto server = self->server_.lock();
+                         if (error || !server || self->is_answered_ ||
+                             self->requests_read_ != read) {
+                           return;
+                         }
+                         char next = 0;
+                         error_code closed;
+                         self->socket_.receive(asio::buffer(&next, 1),
+                                               asio::socket_base::message_peek,
+                                               closed);
+                         if (closed) {
+                           server->on_closed(request);
+                         }
+                       });
+  }
+
   // What follows the last byte of a message.
   enum class next_step : std::uint8_t { kNone, kRead, kClose, kReset };
 
@@ -110,6 +137,7 @@
   };
 
   void Write(http_response reply) {
+    is_answered_ = true;
     reply.keep_alive(keep_alive_);
     reply.prepare_payload();
     if (is_head_) {
@@ -253,6 +281,7 @@
   std::uint64_t requests_read_ = 0;
   bool keep_alive_ = true;
   bool is_head_ = false;
+  bool is_answered_ = false;
   // Nothing follows a truncated response: it would become a part of it.
   bool truncated_ = false;
 };
@@ -327,6 +356,11 @@
   state_->choose_fault = std::move(choose);
 }
 
+void http_server::SetCloseHandler(
+    std::function<void(const http_request&)> on_closed) {
+  state_->on_closed = std::move(on_closed);
+}
+
 void http_server::SetConnectionLimit(std::function<std::size_t()> limit) {
   state_->max_connections = std::move(limit);
 }
--- a/testing/http_server.h
+++ b/testing/http_server.h
@@ -49,6 +49,9 @@
 
   // `choose` is asked before each response. Call it before the first request.
   void SetResponseFaults(std::function<response_fault()> choose);
+  // `on_closed` gets each request whose caller closes the connection before the
+  // response is sent. Call it before the first request.
+  void SetCloseHandler(std::function<void(const http_request&)> on_closed);
   // `limit` is asked at each new connection and replaces max_connections.
   void SetConnectionLimit(std::function<std::size_t()> limit);
 
