Wait for the result of a grant in flight, and count it until then

What callers could see: two endpoints hold the same keys after the coordinator was paused.

A process that is paused between the decision and the sending sends it later; if its endpoint is gone by then, the grant had expired by the record, and the keys moved while it was in flight. Keys now don't move before the result of a grant in flight is known. The result then bounds the arrival too: no later than when it is handled, which matters if the pause came after the time of sending was taken. A result that is handled within the timeout of a call counts as before.

Not shown to be what users saw.

--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -11,6 +11,13 @@
 // overdue: one renewal was missed, and a third of the grant is left.
 constexpr int kIntervalsUntilOverdue = 2;
 
+// A time from which the grant that was sent at `sent_at` and had its result at
+// `now` arrived within the timeout of a call. It is later than `sent_at` if the
+// process was paused before it sent the grant or handled the timeout.
+instant LatestSending(instant sent_at, const key_timing& timing, instant now) {
+  return std::max(sent_at, now - timing.call_timeout);
+}
+
 }  // namespace
 
 grant_record grant_record::New(std::string handover, instant now) {
@@ -68,19 +75,25 @@
   times_.last_sent = now;
 }
 
-void grant_record::OnAccepted(instant sent_at, const key_timing& timing) {
-  OnAnswered(sent_at, timing);
+void grant_record::OnAccepted(instant sent_at,
+                              const key_timing& timing,
+                              instant now) {
+  OnAnswered(sent_at, timing, now);
   last_accepted_ = std::max(last_accepted_.value_or(sent_at), sent_at);
 }
 
-void grant_record::OnSuperseded(instant sent_at, const key_timing& timing) {
-  OnAnswered(sent_at, timing);
+void grant_record::OnSuperseded(instant sent_at,
+                                const key_timing& timing,
+                                instant now) {
+  OnAnswered(sent_at, timing, now);
 }
 
-void grant_record::OnAnswered(instant sent_at, const key_timing& timing) {
+void grant_record::OnAnswered(instant sent_at,
+                              const key_timing& timing,
+                              instant now) {
   in_flight_ = false;
-  // On a busy host a grant can be sent later than OnSent() was called.
-  times_.last_sent = std::max(times_.last_sent.value_or(sent_at), sent_at);
+  const instant latest = LatestSending(sent_at, timing, now);
+  times_.last_sent = std::max(times_.last_sent.value_or(latest), latest);
   times_.last_answered = sent_at;
   accepted_ = true;
   handover_.clear();
@@ -93,8 +106,10 @@
                                 instant now) {
   in_flight_ = false;
   if (may_have_arrived) {
-    times_.last_unanswered = sent_at;
-    times_.last_sent = std::max(times_.last_sent.value_or(sent_at), sent_at);
+    const instant latest = LatestSending(sent_at, timing, now);
+    times_.last_unanswered =
+        std::max(times_.last_unanswered.value_or(latest), latest);
+    times_.last_sent = std::max(times_.last_sent.value_or(latest), latest);
   } else {
     times_.last_sent = previous_sent_;
   }
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -3,7 +3,7 @@
 //
 //   grant_record record = grant_record::New(now);
 //   record.OnSent(now);
-//   record.OnAccepted(now, timing);
+//   record.OnAccepted(now, timing, now);
 //   instant ended = record.LatestExpiry(timing);
 
 #ifndef BLUEBELL_KEYSPACE_GRANT_RECORD_H_
@@ -48,12 +48,13 @@
 
   // A grant was decided at `now` and is in flight.
   void OnSent(instant now);
-  // The endpoint accepted the grant that was sent at `sent_at`. The next
+  // The endpoint accepted the grant that was sent at `sent_at`; the answer was
+  // handled at `now`. The next
   // renewal is due one renewal interval after `sent_at`.
-  void OnAccepted(instant sent_at, const key_timing& timing);
+  void OnAccepted(instant sent_at, const key_timing& timing, instant now);
   // The same for a grant that the endpoint refused because it has seen a higher
   // fence.
-  void OnSuperseded(instant sent_at, const key_timing& timing);
+  void OnSuperseded(instant sent_at, const key_timing& timing, instant now);
   // The grant that was sent at `sent_at` had no answer or was rejected.
   // `may_have_arrived` is false if it is certain that the grant was not sent;
   // otherwise the endpoint may still carry it out. The next renewal is due at
@@ -98,7 +99,7 @@
   bool IsRenewalOverdue(const key_timing& timing, instant now) const;
 
  private:
-  void OnAnswered(instant sent_at, const key_timing& timing);
+  void OnAnswered(instant sent_at, const key_timing& timing, instant now);
 
   bool inherited_ = false;
   bool accepted_ = false;
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -144,9 +144,9 @@
   RecordOrderOutcome(sent.endpoint, answered);
   const auto record_reply = [&](grant_record& grants) {
     if (reply.verdict == grant_verdict::kAccepted) {
-      grants.OnAccepted(sent_at, timing_);
+      grants.OnAccepted(sent_at, timing_, now);
     } else if (answered) {
-      grants.OnSuperseded(sent_at, timing_);
+      grants.OnSuperseded(sent_at, timing_, now);
     } else {
       grants.OnUnanswered(sent_at, reply.sent, timing_, now);
     }
@@ -401,7 +401,8 @@
   for (const granted_range& granted : granted_ranges_) {
     const auto unconfirmed_expiry =
         granted.grants.LatestUnconfirmedExpiry(timing_);
-    if (!unconfirmed_expiry || now < *unconfirmed_expiry ||
+    if (granted.grants.in_flight() || !unconfirmed_expiry ||
+        now < *unconfirmed_expiry ||
         granted.grants.IsRenewalOverdue(timing_, now)) {
       input.moving.push_back(granted.range);
     }
@@ -439,6 +440,11 @@
       IsUsable(move.from())) {
     return reassignment_reason::kReturnsToOwner;
   }
+  // A grant in flight may have been sent later than it was decided, by the
+  // length of a pause of this process. Its result tells by when it arrived.
+  if (move.grants().in_flight()) {
+    return std::nullopt;
+  }
   const std::optional<instant> reassignable_at = move.ReassignableAt(timing_);
   if (!reassignable_at || now < *reassignable_at) {
     return std::nullopt;
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -324,6 +324,32 @@
   }
 }
 
+// Guards against two owners: a coordinator decides a renewal, is paused for
+// longer than the grant, and then sends it. Counted from the decision, the
+// grant would have expired already.
+TEST_CASE("keys don't move while a grant of them is in flight after a pause") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.now += kTiming.renewal_interval;
+  const auto renewals = ActionsOf<send_grant>(test.Advance());
+  REQUIRE(renewals.size() == 3);
+  test.now += seconds(3);
+  const instant sent = test.now;
+  test.keys.SetEndpoints(test.EntriesWithoutFirstEndpoint());
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  for (const send_grant& each : renewals) {
+    const bool first = each.endpoint == test.entries[0].instance;
+    test.keys.OnGrantReply(each, sent,
+                           first ? grant_reply{std::nullopt, true}
+                                 : grant_reply{grant_verdict::kAccepted, true},
+                           test.now);
+  }
+  test.now = sent + kTiming.MaxGrantLifetime() - milliseconds(1);
+  CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  test.now = sent + kTiming.MaxGrantLifetime();
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
 // Guards against keys that aren't served: a coordinator that was paused moves
 // keys to even out the load, and has to wait for the expiry of their grants.
 TEST_CASE("keys with an overdue renewal aren't moved before it is answered") {
