Keep the proof that a release took away when a move is cancelled

What callers could see: keys were given on while their former owner still worked.

Cause: a release without an answer may have ended the grant. That was kept with the move only, so after a cancelled move the next release counted as a proof again, before the endpoint had accepted another grant. The missing proof now stands in the grant's record, until the endpoint accepts a grant.

Not shown to be what users saw.

--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -49,8 +49,8 @@
   // A grant was decided at `now` and is in flight.
   void OnSent(instant now);
   // The endpoint accepted the grant that was sent at `sent_at`; the answer was
-  // handled at `now`. The next
-  // renewal is due one renewal interval after `sent_at`.
+  // handled at `now`. The next renewal is due one renewal interval after
+  // `sent_at`.
   void OnAccepted(instant sent_at, const key_timing& timing, instant now);
   // The same for a grant that the endpoint refused because it has seen a higher
   // fence.
@@ -63,6 +63,9 @@
                     bool may_have_arrived,
                     const key_timing& timing,
                     instant now);
+  // A release had no answer. It may have ended the grant, until the endpoint
+  // accepts another one.
+  void OnReleaseUnanswered() { last_accepted_.reset(); }
   // Makes a renewal due at `now`, because the endpoint may have lost the grant.
   void RenewNow(instant now) { next_renewal_ = std::min(next_renewal_, now); }
   // The former coordinator has sent no grant after `stopped_by`. Has an effect
@@ -90,9 +93,10 @@
   // time. `instant()` if there are none.
   std::optional<instant> LatestUnconfirmedExpiry(
       const key_timing& timing) const;
-  // True if the endpoint may hold no grant at `now` by its own clock. A release
-  // that it confirms then proves nothing: it may have had nothing to release
-  // while work still runs that it began under the grant.
+  // True if the endpoint may hold no grant at `now`: by its own clock the
+  // latest one may have run out, or a release without an answer may have ended
+  // it. A release that it confirms then proves nothing: it may have had nothing
+  // to release while work still runs that it began under the grant.
   bool MayHaveEnded(const key_timing& timing, instant now) const;
   // True if the latest accepted grant is so old that the keys shouldn't be
   // released before another is accepted.
@@ -109,7 +113,8 @@
   // Replaces `times_.last_sent` if the latest grant turns out not to have been
   // sent.
   std::optional<instant> previous_sent_;
-  // When the latest accepted grant was sent.
+  // When the latest accepted grant was sent; no value if a release may have
+  // ended it.
   std::optional<instant> last_accepted_;
   bool in_flight_ = false;
   instant next_renewal_;
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -324,6 +324,30 @@
   }
 }
 
+// Guards against two endpoints at work on one key: the answer to a release is
+// lost. The endpoint has nothing left to release when the next one arrives and
+// confirms at once, while work that it accepted before the first still runs.
+TEST_CASE("a release after an unanswered one frees no keys") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  const auto first = ActionsOf<send_release>(test.Advance());
+  REQUIRE(first.size() == 1);
+  test.keys.OnReleaseReply(first.front(), std::nullopt, test.now);
+  test.now += milliseconds(300);
+  const auto second = ActionsOf<send_release>(test.Advance());
+  REQUIRE(second.size() == 1);
+  test.keys.OnReleaseReply(second.front(), "token", test.now);
+  const instant sent = kStart + milliseconds(10);
+  for (; test.now < sent + kTiming.MaxGrantLifetime();
+       test.now += milliseconds(10)) {
+    CHECK(ActionsOf<write_key_table>(test.Advance()).empty());
+  }
+  test.now = sent + kTiming.MaxGrantLifetime();
+  CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
+}
+
 // Guards against two owners: a coordinator decides a renewal, is paused for
 // longer than the grant, and then sends it. Counted from the decision, the
 // grant would have expired already.
--- a/bluebell/keyspace/key_move.cc
+++ b/bluebell/keyspace/key_move.cc
@@ -51,7 +51,7 @@
     released_at_ = now;
     handover_ = *std::move(handover);
   } else {
-    has_unanswered_release_ = true;
+    grants_.OnReleaseUnanswered();
   }
 }
 
@@ -61,8 +61,7 @@
 }
 
 bool key_move::IsEndProved(const key_timing& timing) const {
-  return released_at_ && !has_unanswered_release_ &&
-         !grants_.MayHaveEnded(timing, *released_at_);
+  return released_at_ && !grants_.MayHaveEnded(timing, *released_at_);
 }
 
 std::optional<instant> key_move::ReassignableAt(
--- a/bluebell/keyspace/key_move.h
+++ b/bluebell/keyspace/key_move.h
@@ -86,8 +86,6 @@
   std::optional<endpoint_instance> to_;
   grant_record grants_;
   std::optional<instant> released_at_;
-  // A release without an answer may have reached the former owner.
-  bool has_unanswered_release_ = false;
   std::string handover_;
   bool release_in_flight_ = false;
   instant next_release_;
