Tell the results of grants from before a takeover within a term apart

What callers could see: two endpoints hold the same keys after a table write that found another revision.

Cause: the records begin anew then, while grants are in flight. The result of such a grant counted as that of the next grant of the range, so that a release could be sent while that one was in flight and arrive before it. Grants now carry how often the table had been taken over. The result of an earlier one only postpones the expiry, since it may still be carried out.

--- a/bluebell/keyspace/coordinator_action.h
+++ b/bluebell/keyspace/coordinator_action.h
@@ -9,6 +9,7 @@
 #ifndef BLUEBELL_KEYSPACE_COORDINATOR_ACTION_H_
 #define BLUEBELL_KEYSPACE_COORDINATOR_ACTION_H_
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -30,6 +31,8 @@
   key_grant grant;
   // The grants of the range before this one.
   grant_times earlier_grants;
+  // How often the table had been taken over when the grant was decided.
+  std::uint64_t takeovers = 0;
 
   friend bool operator==(const send_grant&, const send_grant&) = default;
 };
--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -116,6 +116,15 @@
   next_renewal_ = now + timing.renewal_retry_delay;
 }
 
+void grant_record::OnEarlierResult(instant sent_at,
+                                   const key_timing& timing,
+                                   instant now) {
+  const instant latest = LatestSending(sent_at, timing, now);
+  times_.last_unanswered =
+      std::max(times_.last_unanswered.value_or(latest), latest);
+  times_.last_sent = std::max(times_.last_sent.value_or(latest), latest);
+}
+
 void grant_record::OnFormerStopped(instant stopped_by) {
   if (inherited_ && !former_stopped_by_) {
     former_stopped_by_ = stopped_by;
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -66,6 +66,9 @@
   // A release had no answer. It may have ended the grant, until the endpoint
   // accepts another one.
   void OnReleaseUnanswered() { last_accepted_.reset(); }
+  // The result of a grant from before the record, which was sent at `sent_at`,
+  // was handled at `now`. The endpoint may still carry that grant out.
+  void OnEarlierResult(instant sent_at, const key_timing& timing, instant now);
   // Makes a renewal due at `now`, because the endpoint may have lost the grant.
   void RenewNow(instant now) { next_renewal_ = std::min(next_renewal_, now); }
   // The former coordinator has sent no grant after `stopped_by`. Has an effect
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -27,6 +27,7 @@
                                store_version revision,
                                std::optional<instant> former_stopped_by,
                                instant now) {
+  ++takeovers_;
   table_ = std::move(table);
   revision_ = revision;
   former_stopped_by_ = former_stopped_by;
@@ -143,7 +144,12 @@
                         reply.verdict == grant_verdict::kSuperseded;
   RecordOrderOutcome(sent.endpoint, answered);
   const auto record_reply = [&](grant_record& grants) {
-    if (reply.verdict == grant_verdict::kAccepted) {
+    if (sent.takeovers != takeovers_) {
+      // Another grant of the range may be in flight now.
+      if (reply.sent) {
+        grants.OnEarlierResult(sent_at, timing_, now);
+      }
+    } else if (reply.verdict == grant_verdict::kAccepted) {
       grants.OnAccepted(sent_at, timing_, now);
     } else if (answered) {
       grants.OnSuperseded(sent_at, timing_, now);
@@ -599,7 +605,8 @@
                    where->second,
                    {granted.range, granted.fence, timing_.grant_duration,
                     granted.grants.handover()},
-                   earlier_grants});
+                   earlier_grants,
+                   takeovers_});
   }
 }
 
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -224,6 +224,8 @@
   std::map<endpoint_instance, endpoint_reachability> reachability_;
   std::optional<instant> former_stopped_by_;
   bool handing_over_ = false;
+  // The number of calls of TakeOver().
+  std::uint64_t takeovers_ = 0;
   instant next_plan_;
 };
 
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -374,6 +374,29 @@
   CHECK(ActionsOf<write_key_table>(test.Advance()).size() == 1);
 }
 
+// Guards against two owners: the result of a grant from before a takeover
+// within the term is taken for that of the grant in flight, and the release
+// that follows arrives before that grant.
+TEST_CASE("the result of an earlier grant doesn't end that of a later one") {
+  coordinator_fixture test(3);
+  test.AnswerAll();
+  test.now += kTiming.renewal_interval;
+  const auto earlier = ActionsOf<send_grant>(test.Advance());
+  REQUIRE(earlier.size() == 3);
+  const instant sent = test.now;
+  test.keys.OnNotWritten(test.keys.table(), store_version(++test.revision + 5),
+                         test.now);
+  test.now += milliseconds(100);
+  REQUIRE(ActionsOf<send_grant>(test.Advance()).size() == 3);
+  for (const send_grant& each : earlier) {
+    test.keys.OnGrantReply(each, sent, {grant_verdict::kAccepted, true},
+                           test.now);
+  }
+  test.entries[0].draining = true;
+  test.keys.SetEndpoints(test.entries);
+  CHECK(ActionsOf<send_release>(test.Advance()).empty());
+}
+
 // Guards against keys that aren't served: a coordinator that was paused moves
 // keys to even out the load, and has to wait for the expiry of their grants.
 TEST_CASE("keys with an overdue renewal aren't moved before it is answered") {
