--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -21,6 +21,15 @@
 constexpr int kMostDownMs = 2'500;
 constexpr int kMostExtraDelayMs = 150;
 constexpr std::size_t kMostTruncatedBytes = 200;
+constexpr int kLeastPauseMs = 10;
+constexpr int kMostPauseMs = 500;
+constexpr int kLeastLeaveMs = 30;
+constexpr int kMostLeaveMs = 700;
+// Longer than a grant without a response counts as under way.
+constexpr int kMostLongLeaveMs = 3'000;
+constexpr std::size_t kMostReturns = 6;
+constexpr double kFailedWorkShare = 0.8;
+constexpr int kMostSlowWorkMs = 400;
 
 }  // namespace
 
@@ -52,6 +61,8 @@
     DisturbEndpoints();
   } else if (selection_ == fault_selection::kAllEndpointFaults) {
     DoEndpointFault();
+  } else if (selection_ == fault_selection::kKeyFaults) {
+    DoKeyFault();
   } else {
     DoFault();
   }
@@ -149,6 +160,124 @@
   }
 }
 
+void fault_schedule::DoKeyFault() {
+  switch (Pick(16)) {
+    case 0:
+    case 1:
+      PauseCoordinator();
+      break;
+    case 2:
+    case 3:
+      PauseAfterOrder();
+      break;
+    case 4:
+      FreezeGateway(world_.Coordinator().value_or(Pick(world_.gateways())));
+      break;
+    case 5:
+      KillGateway(world_.Coordinator().value_or(Pick(world_.gateways())));
+      break;
+    case 6:
+    case 7:
+      LeaveWithLateOrders(Pick(KeyedEndpoints()));
+      break;
+    case 8:
+      KillEndpoint(Pick(KeyedEndpoints()));
+      break;
+    case 9:
+      DisturbLink();
+      break;
+    case 10:
+    case 11:
+      DisturbKeyedWork();
+      break;
+    default:
+      DisturbKeyedWork();
+      LeaveForAMoment(Pick(KeyedEndpoints()),
+                      PickTime(kLeastLeaveMs, kMostLeaveMs),
+                      Pick(kMostReturns));
+      break;
+  }
+}
+
+std::size_t fault_schedule::KeyedEndpoints() const {
+  return static_cast<std::size_t>(
+      std::count_if(world_.endpoints().begin(), world_.endpoints().end(),
+                    [](const auto& each) { return each->options().keyed; }));
+}
+
+void fault_schedule::PauseCoordinator() {
+  const auto index = world_.Coordinator();
+  if (!index || freezes_[*index] > 0) {
+    return;
+  }
+  const milliseconds paused = Begin("pause front-" + std::to_string(*index),
+                                    PickTime(kLeastPauseMs, kMostPauseMs));
+  world_.SignalGateway(*index, SIGSTOP);
+  world_.After(paused, [this, number = *index] {
+    if (freezes_[number] == 0) {
+      world_.SignalGateway(number, SIGCONT);
+    }
+  });
+}
+
+void fault_schedule::PauseAfterOrder() {
+  pauses_after_order_ = true;
+  for (const auto& endpoint : world_.endpoints()) {
+    endpoint->SetOrderHandler([this] {
+      if (pauses_after_order_ && !healed_) {
+        pauses_after_order_ = false;
+        PauseCoordinator();
+      }
+    });
+  }
+}
+
+void fault_schedule::LeaveForAMoment(std::size_t index,
+                                     milliseconds length,
+                                     std::size_t further) {
+  const std::size_t keyed = KeyedEndpoints();
+  for (std::size_t i = 0; i < keyed; ++i) {
+    const soak_endpoint& each = *world_.endpoints()[i];
+    if (!each.running() || each.draining()) {
+      return;
+    }
+  }
+  const milliseconds lasts = Begin(
+      "endpoint-" + std::to_string(index) + " leaves for a moment", length);
+  world_.DrainEndpoint(index);
+  world_.After(lasts, [this, index, further, keyed] {
+    world_.CancelDrain(index);
+    if (further > 0 && !healed_) {
+      LeaveForAMoment((index + 1) % keyed,
+                      PickTime(kLeastLeaveMs, kMostLeaveMs), further - 1);
+    }
+  });
+}
+
+void fault_schedule::LeaveWithLateOrders(std::size_t index) {
+  TakeOrdersLate(index);
+  world_.After(PickTime(kLeastLeaveMs, kMostLeaveMs), [this, index] {
+    if (!healed_) {
+      LeaveForAMoment(index, PickTime(kMostLeaveMs, kMostLongLeaveMs), 0);
+    }
+  });
+}
+
+void fault_schedule::DisturbKeyedWork() {
+  const std::vector<named_endpoint_fault> faults{
+      {"fails", fail_work{{500}, kFailedWorkShare}},
+      {"takes long",
+       slow_work{milliseconds(kMostSlowWorkMs), true, kFailedWorkShare}},
+      {"is turned away", turn_work_away{true, kFailedWorkShare}}};
+  for (std::size_t i = 0; i < KeyedEndpoints(); ++i) {
+    const named_endpoint_fault& chosen = faults.at(Pick(faults.size()));
+    const milliseconds lasts =
+        Begin("work of endpoint-" + std::to_string(i) + " " + chosen.name,
+              PickTime(1'000, 5'000));
+    world_.endpoints()[i]->SetFault(chosen.fault, BootNow() + lasts);
+  }
+}
+
 void fault_schedule::StopGateway(std::size_t index) {
   // Callers would find nobody if all were stopped at the same time.
   std::size_t running = 0;
@@ -192,7 +321,9 @@
   const milliseconds frozen =
       Begin("freeze front-" + std::to_string(index), PickTime(100, 5'000));
   world_.SignalGateway(index, SIGSTOP);
+  ++freezes_[index];
   world_.After(frozen, [this, index] {
+    --freezes_[index];
     world_.SignalGateway(index, SIGCONT);
     // What it had sent or decided before may still arrive now.
     constexpr milliseconds kThaw{300};
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <ostream>
 #include <string>
 
@@ -30,6 +31,9 @@
   // These, and endpoints that end, move, take orders late, fill up and close
   // connections.
   kAllEndpointFaults,
+  // Keys that move away and back at once, work that fails or takes long, and
+  // pauses and ends of the coordinator.
+  kKeyFaults,
 };
 
 class fault_schedule {
@@ -54,12 +58,26 @@
   void DoPlanned();
   void DoFault();
   void DoEndpointFault();
+  void DoKeyFault();
 
   void StopGateway(std::size_t index);
   void ReplaceWhenEnded(std::size_t index);
   void DrainEndpoint(std::size_t index);
   void KillGateway(std::size_t index);
   void FreezeGateway(std::size_t index);
+  // A short stop of its process, as on a busy machine. No grant is excused for
+  // it: the waits before keys are given on are longer.
+  void PauseCoordinator();
+  // The same right after the next order about keys.
+  void PauseAfterOrder();
+  // An endpoint announces that it leaves, and stays after all. `further` others
+  // do the same after it, so that keys come back to it.
+  void LeaveForAMoment(std::size_t index,
+                       milliseconds length,
+                       std::size_t further);
+  // Grants of its keys may still be under way when they are to go.
+  void LeaveWithLateOrders(std::size_t index);
+  void DisturbKeyedWork();
   void DisturbStore();
   void DisturbLink();
   void KillEndpoint(std::size_t index);
@@ -69,6 +87,8 @@
   void RepeatResponses();
   void DisturbEndpoints();
 
+  // They come first in the world's list.
+  std::size_t KeyedEndpoints() const;
   std::size_t Pick(std::size_t count);
   milliseconds PickTime(int least, int most);
   // Notes a fault that lasts for `length` and ends before the run's faults do.
@@ -80,6 +100,9 @@
   std::ostream& log_;
   instant ends_;
   bool healed_ = false;
+  bool pauses_after_order_ = false;
+  // How many freezes of each daemon last at the moment.
+  std::map<std::size_t, int> freezes_;
   std::uint64_t faults_ = 0;
 };
 
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -14,6 +14,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,7 +33,7 @@
 Usage:
   fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
              [--seconds=N] [--logs=FOLDER] [--port=N]
-             [--endpoint-faults | --all-endpoint-faults]
+             [--endpoint-faults | --all-endpoint-faults | --key-faults]
 
 Options:
   --program=FILE  The program bluebellgw.
@@ -44,6 +45,7 @@
   --port=N        The first port on loopback [default: 18000].
   --endpoint-faults      Planned changes and faulty responses only.
   --all-endpoint-faults  Those, and all other faults of endpoints.
+  --key-faults           Keys that move away and back, and what disturbs that.
 )";
 
 using bluebell::milliseconds;
@@ -53,6 +55,8 @@
 constexpr milliseconds kHealed{7'000};
 // Every third seed has planned changes only.
 constexpr std::uint64_t kPlannedOnlyEach = 3;
+// Every second seed of key faults has endpoints that end work late.
+constexpr std::uint64_t kEndsWorkLateEach = 2;
 constexpr std::size_t kShownViolations = 5;
 
 struct totals {
@@ -69,20 +73,31 @@
   std::string logs;
   std::size_t gateways = 0;
   milliseconds length{0};
-  bool endpoint_faults = false;
-  bool all_endpoint_faults = false;
+  // No value: planned changes or mixed faults, by the seed.
+  std::optional<bluebell::fault_selection> selection;
 };
 
 bluebell::fault_selection SelectionOf(std::uint64_t seed,
                                       const soak_options& soak) {
-  if (soak.all_endpoint_faults) {
+  if (soak.selection) {
+    return *soak.selection;
+  }
+  return seed % kPlannedOnlyEach == 0 ? bluebell::fault_selection::kPlanned
+                                      : bluebell::fault_selection::kMixed;
+}
+
+std::optional<bluebell::fault_selection> ChosenSelection(
+    const std::map<std::string, docopt::value>& options) {
+  if (options.at("--all-endpoint-faults").asBool()) {
     return bluebell::fault_selection::kAllEndpointFaults;
   }
-  if (soak.endpoint_faults) {
+  if (options.at("--endpoint-faults").asBool()) {
     return bluebell::fault_selection::kEndpoints;
   }
-  return seed % kPlannedOnlyEach == 0 ? bluebell::fault_selection::kPlanned
-                                      : bluebell::fault_selection::kMixed;
+  if (options.at("--key-faults").asBool()) {
+    return bluebell::fault_selection::kKeyFaults;
+  }
+  return std::nullopt;
 }
 
 // Returns the promises that the run broke.
@@ -96,13 +111,21 @@
   options.folder = soak.logs + "/seed-" + std::to_string(seed);
   options.first_port = port;
   options.gateways = soak.gateways;
+  const bluebell::fault_selection selection = SelectionOf(seed, soak);
+  if (selection == bluebell::fault_selection::kKeyFaults) {
+    // All keys move between these two.
+    options.keyed_endpoints = 2;
+    options.closes = seed % kEndsWorkLateEach == 0
+                         ? bluebell::close_rule::kEndsWorkLate
+                         : bluebell::close_rule::kFinishesWork;
+  }
   auto made = bluebell::gateway_world::Make(options);
   if (!made) {
     return {"not run: " + made.error().ToString()};
   }
   bluebell::gateway_world& world = *made.value();
   std::ofstream log(options.folder + "/faults.log");
-  bluebell::fault_schedule faults(world, SelectionOf(seed, soak), log);
+  bluebell::fault_schedule faults(world, selection, log);
   world.RunFor(kStart);
   faults.Start(soak.length);
   world.RunFor(soak.length);
@@ -154,12 +177,10 @@
   const auto seeds = bluebell::seed_range::Parse(options["--seeds"].asString());
   std::atomic<std::uint64_t> next = seeds.first;
   const soak_options soak{
-      options["--program"].asString(),
-      options["--logs"].asString(),
+      options["--program"].asString(), options["--logs"].asString(),
       static_cast<std::size_t>(options["--gateways"].asLong()),
       std::chrono::seconds(options["--seconds"].asLong()),
-      options["--endpoint-faults"].asBool(),
-      options["--all-endpoint-faults"].asBool()};
+      ChosenSelection(options)};
   totals sum;
   std::vector<std::thread> threads;
   const auto jobs = static_cast<std::uint16_t>(options["--jobs"].asLong());
