--- a/bluebell/keyspace/key_coordinator_random_test.cc
+++ b/bluebell/keyspace/key_coordinator_random_test.cc
@@ -47,9 +47,6 @@
   int granted_during_work = 0;
   // Another endpoint has had one of the keys with the same or a higher fence.
   int fence_not_above = 0;
-
-  friend bool operator==(const exclusivity_violations&,
-                         const exclusivity_violations&) = default;
 };
 
 // What a run of the simulation has exercised.
