Keep the time of an earlier grant's result when a later grant wasn't sent

What callers could see: keys given on while a grant to their former owner could still be carried out.

Cause: the result of a grant from before a takeover within a term may come while another grant is in flight. If that one turns out not to have been sent, the record went back to the time before it and forgot the earlier grant's: LatestExpiry() ended too early.

Before: "a grant that wasn't sent doesn't hide the result of an earlier one" fails (1 assertion). After: bluebell_keyspace_test passes, random test included.

--- a/bluebell/keyspace/grant_record.cc
+++ b/bluebell/keyspace/grant_record.cc
@@ -111,7 +111,7 @@
         std::max(times_.last_unanswered.value_or(latest), latest);
     times_.last_sent = std::max(times_.last_sent.value_or(latest), latest);
   } else {
-    times_.last_sent = previous_sent_;
+    times_.last_sent = std::max(previous_sent_, times_.last_unanswered);
   }
   next_renewal_ = now + timing.renewal_retry_delay;
 }
--- a/bluebell/keyspace/grant_record.h
+++ b/bluebell/keyspace/grant_record.h
@@ -113,8 +113,8 @@
   std::optional<instant> former_stopped_by_;
   std::string handover_;
   grant_times times_;
-  // Replaces `times_.last_sent` if the latest grant turns out not to have been
-  // sent.
+  // The time of the grant before the latest one. Counts again if the latest one
+  // turns out not to have been sent.
   std::optional<instant> previous_sent_;
   // When the latest accepted grant was sent; no value if a release may have
   // ended it.
--- a/bluebell/keyspace/grant_record_test.cc
+++ b/bluebell/keyspace/grant_record_test.cc
@@ -131,5 +131,19 @@
         kStart + seconds(9) + kTiming.MaxGrantLifetime());
 }
 
+// Guards against two owners after a takeover within a term: the result of an
+// earlier grant, which may still be carried out, comes while another grant is
+// in flight, and that one turns out not to have been sent.
+TEST_CASE(
+    "a grant that wasn't sent doesn't hide the result of an earlier one") {
+  grant_record record = grant_record::New("", kStart);
+  const instant decided = kStart + milliseconds(100);
+  record.OnSent(decided);
+  const instant earlier = kStart + milliseconds(50);
+  record.OnEarlierResult(earlier, kTiming, earlier);
+  record.OnUnanswered(decided, false, kTiming, decided + milliseconds(10));
+  CHECK(record.LatestExpiry(kTiming) == earlier + kTiming.MaxGrantLifetime());
+}
+
 }  // namespace
 }  // namespace bluebell
