--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -165,7 +165,7 @@
   auto made = http_client::Make(io_, order.where, options);
   const instant sent_at = BootNow();
   if (!made) {
-    coordinated->keys.OnReleaseReply(order, std::nullopt, sent_at);
+    coordinated->keys.OnReleaseUnsent(order, sent_at);
     co_return;
   }
   const std::shared_ptr<http_client> client = std::move(made.value());
--- a/bluebell/http/http_client.h
+++ b/bluebell/http/http_client.h
@@ -75,9 +75,9 @@
             step call_step,
             response_handler done,
             send_check may_send = nullptr);
-  // Resets the connections of all calls in flight, so that a request that the
-  // server hasn't received by now can't arrive later. Their handlers get an
-  // error.
+  // Resets the connections of all calls in flight, so that no more bytes of
+  // their requests are sent, nor sent again. Bytes that have left this host may
+  // still arrive. The handlers get an error.
   void CancelCalls();
 
  private:
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -88,7 +88,7 @@
   void Kill();
   // The process announces that it leaves and goes on to serve.
   void Drain() { draining_ = true; }
-  // It stays.
+  // Takes the announcement back: the endpoint stays in service.
   void CancelDrain() {
     draining_ = false;
     announced_.reset();
