Exclude a former coordinator whose process ended before a later claim

Callers saw: requests for keys got 503 for up to 11 seconds after several coordinators had ended within a few seconds.

Each claim writes the history anew. If a coordinator's process had started again, and the coordinator after it ended before it had shortened the history, its claim made the history newer than the entry of the restarted process. The next coordinator then waited for the authority of a process that no longer existed (8 s) and for inherited grants after that, and moved no keys meanwhile.

Change: each record of the history carries a revision of the store at which its process had announced itself, and keeps it over later claims. The unit test fails if the history's own revision is used (1 of 22 test cases).

--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -249,7 +249,7 @@
     }
     current_.coordinator = daemon.value();
   } else if (item.key == kCoordinatorHistoryKey) {
-    auto history = DecodeDaemons(item.key, item.value);
+    auto history = DecodeHistory(item.key, item.value);
     if (!history) {
       add_problem(history.error());
       return;
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -22,6 +22,7 @@
 
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
+#include "bluebell/fleet/coordinator_record.h"
 #include "bluebell/fleet/endpoint_departure.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/kv/kv_types.h"
@@ -94,7 +95,7 @@
   store_version RevisionOf(std::string_view key) const;
   // The latest coordinator, also after its term, and then the earlier ones that
   // it hadn't excluded yet.
-  const std::vector<daemon_instance>& coordinator_history() const {
+  const std::vector<coordinator_record>& coordinator_history() const {
     return coordinator_history_;
   }
   // Returns and clears the errors of values that were rejected since the last
@@ -117,7 +118,7 @@
 
   fleet_decoders decoders_;
   fleet_snapshot current_;
-  std::vector<daemon_instance> coordinator_history_;
+  std::vector<coordinator_record> coordinator_history_;
   std::map<std::string, store_version, std::less<>> revisions_;
   // Revision of the latest listing.
   store_version listing_revision_;
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -98,12 +98,13 @@
     "former coordinators stay in the history after their leases have ended") {
   fleet_state state(TestDecoders());
   const daemon_instance first{daemon_id("front-1"), incarnation(5)};
-  const std::vector<daemon_instance> history{
-      first, {daemon_id("front-2"), incarnation(9)}};
+  const std::vector<coordinator_record> history{
+      {first, store_version()},
+      {{daemon_id("front-2"), incarnation(9)}, store_version(4)}};
   state.Apply(Item(std::string(kCoordinatorKey), EncodeDaemon(first), 1),
               kStart);
   state.Apply(
-      Item(std::string(kCoordinatorHistoryKey), EncodeDaemons(history), 1),
+      Item(std::string(kCoordinatorHistoryKey), EncodeHistory(history), 1),
       kStart);
   CHECK(state.snapshot().coordinator == first);
   state.Apply(kv_deletion{std::string(kCoordinatorKey), store_version(2)},
--- a/bluebell/fleet/store_keys.cc
+++ b/bluebell/fleet/store_keys.cc
@@ -89,23 +89,33 @@
   }
 }
 
-std::string EncodeDaemons(const std::vector<daemon_instance>& daemons) {
+std::string EncodeHistory(const std::vector<coordinator_record>& history) {
   json::array list;
-  for (const daemon_instance& daemon : daemons) {
-    list.push_back(ToJson(daemon));
+  for (const coordinator_record& record : history) {
+    json::object item = ToJson(record.daemon);
+    if (record.announced_by != store_version()) {
+      item["announced_by"] = record.announced_by.value();
+    }
+    list.push_back(std::move(item));
   }
   return json::serialize(list);
 }
 
-result<std::vector<daemon_instance>> DecodeDaemons(std::string_view key,
-                                                   std::string_view value) {
+result<std::vector<coordinator_record>> DecodeHistory(std::string_view key,
+                                                      std::string_view value) {
   try {
-    std::vector<daemon_instance> daemons;
+    std::vector<coordinator_record> history;
     const json::value root = json::parse({value.data(), value.size()});
-    for (const json::value& daemon : root.as_array()) {
-      daemons.push_back(DaemonFrom(daemon));
+    for (const json::value& item : root.as_array()) {
+      const json::value* announced_by =
+          item.as_object().if_contains("announced_by");
+      history.push_back(
+          {DaemonFrom(item),
+           announced_by == nullptr
+               ? store_version()
+               : store_version(announced_by->to_number<std::uint64_t>())});
     }
-    return daemons;
+    return history;
   } catch (const std::exception& failure) {
     return Malformed(key, failure.what());
   }
--- a/bluebell/fleet/store_keys.h
+++ b/bluebell/fleet/store_keys.h
@@ -21,6 +21,7 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
+#include "bluebell/fleet/coordinator_record.h"
 #include "bluebell/fleet/fleet_member.h"
 
 namespace bluebell {
@@ -48,9 +49,9 @@
 result<daemon_instance> DecodeDaemon(std::string_view key,
                                      std::string_view value);
 
-std::string EncodeDaemons(const std::vector<daemon_instance>& daemons);
-result<std::vector<daemon_instance>> DecodeDaemons(std::string_view key,
-                                                   std::string_view value);
+std::string EncodeHistory(const std::vector<coordinator_record>& history);
+result<std::vector<coordinator_record>> DecodeHistory(std::string_view key,
+                                                      std::string_view value);
 
 }  // namespace bluebell
 
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -200,8 +200,8 @@
 
 std::string coordinator_role::FormerCoordinatorIds() const {
   std::string ids;
-  for (const daemon_instance& former : former_coordinators_.pending()) {
-    ids += (ids.empty() ? "" : ",") + former.id.value();
+  for (const coordinator_record& former : former_coordinators_.pending()) {
+    ids += (ids.empty() ? "" : ",") + former.daemon.id.value();
   }
   return ids;
 }
@@ -338,12 +338,12 @@
 
 former_coordinators::announced_map coordinator_role::AnnouncedFormers() const {
   former_coordinators::announced_map announced;
-  for (const daemon_instance& former : former_coordinators_.pending()) {
-    const auto member = view_->members.find(former.id);
+  for (const coordinator_record& former : former_coordinators_.pending()) {
+    const daemon_id& id = former.daemon.id;
+    const auto member = view_->members.find(id);
     if (member != view_->members.end()) {
-      announced[former.id] = {
-          member->second.instance.run,
-          watcher_.state().RevisionOf(MemberKey(former.id))};
+      announced[id] = {member->second.instance.run,
+                       watcher_.state().RevisionOf(MemberKey(id))};
     }
   }
   return announced;
@@ -371,8 +371,8 @@
     return;
   }
   next_claim_message_ = now + kClaimMessageInterval;
-  for (const daemon_instance& former : former_coordinators_.pending()) {
-    const auto member = view_->members.find(former.id);
+  for (const coordinator_record& former : former_coordinators_.pending()) {
+    const auto member = view_->members.find(former.daemon.id);
     if (member != view_->members.end()) {
       traffic_.SendPeer(member->second.peer,
                         coordinator_claim{lease_.revision().value()});
--- a/bluebell/gateway/former_coordinators.cc
+++ b/bluebell/gateway/former_coordinators.cc
@@ -17,16 +17,18 @@
 }
 
 former_coordinators former_coordinators::FromHistory(
-    const std::vector<daemon_instance>& history,
+    const std::vector<coordinator_record>& history,
     store_version revision,
     const daemon_instance& self) {
   former_coordinators formers;
-  formers.history_revision_ = revision;
-  for (const daemon_instance& daemon : history) {
+  for (const coordinator_record& record : history) {
     // An earlier run of this daemon has ended, since this process could bind
     // its address.
-    if (daemon.id != self.id) {
-      formers.pending_.push_back(daemon);
+    if (record.daemon.id != self.id) {
+      formers.pending_.push_back(
+          {record.daemon, record.announced_by == store_version()
+                              ? revision
+                              : record.announced_by});
     }
   }
   return formers;
@@ -36,10 +38,11 @@
     const announced_map& announced,
     instant now) {
   std::vector<coordinator_exclusion> exclusions;
-  std::erase_if(pending_, [&](const daemon_instance& daemon) {
+  std::erase_if(pending_, [&](const coordinator_record& record) {
+    const daemon_instance& daemon = record.daemon;
     const auto entry = announced.find(daemon.id);
     if (entry != announced.end() && entry->second.run != daemon.run &&
-        entry->second.revision > history_revision_) {
+        entry->second.revision > record.announced_by) {
       exclusions.push_back({daemon, exclusion_reason::kProcessEnded});
       return true;
     }
@@ -54,11 +57,14 @@
 
 std::optional<coordinator_exclusion> former_coordinators::OnYield(
     const daemon_instance& yielded) {
-  const auto found = std::find(pending_.begin(), pending_.end(), yielded);
+  const auto found = std::find_if(pending_.begin(), pending_.end(),
+                                  [&](const coordinator_record& record) {
+                                    return record.daemon == yielded;
+                                  });
   if (found == pending_.end()) {
     return std::nullopt;
   }
-  const coordinator_exclusion exclusion{*found, exclusion_reason::kYielded};
+  const coordinator_exclusion exclusion{yielded, exclusion_reason::kYielded};
   pending_.erase(found);
   return exclusion;
 }
--- a/bluebell/gateway/former_coordinators.h
+++ b/bluebell/gateway/former_coordinators.h
@@ -19,6 +19,7 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
+#include "bluebell/fleet/coordinator_record.h"
 
 namespace bluebell {
 
@@ -60,9 +61,9 @@
   former_coordinators() = default;
   // The coordinators in `history`, the store's value when `self` claimed the
   // role, except earlier runs of `self`. `revision` is the store's revision of
-  // that value; all processes in it were announced earlier.
+  // that value.
   static former_coordinators FromHistory(
-      const std::vector<daemon_instance>& history,
+      const std::vector<coordinator_record>& history,
       store_version revision,
       const daemon_instance& self);
 
@@ -71,9 +72,9 @@
   void SetAuthorityUntil(instant until) { authority_until_ = until; }
 
   // Excludes the daemons under whose id a later process is announced, and all
-  // of them once their authority has ended. Returns the new exclusions. Runs
-  // are random numbers: a process counts as later only if its entry is newer
-  // than the history. An older entry may be that of an earlier process.
+  // of them once their authority has ended. Returns the new exclusions. A
+  // process counts as later only if its entry is newer than the record of the
+  // former coordinator. An older entry may be that of an earlier process.
   std::vector<coordinator_exclusion> Advance(const announced_map& announced,
                                              instant now);
   // The process `yielded` has yielded. Excludes it and returns the exclusion;
@@ -83,11 +84,10 @@
   // True if no former coordinator can send orders any more.
   bool all_excluded() const { return pending_.empty(); }
   // The former coordinators that aren't excluded yet.
-  const std::vector<daemon_instance>& pending() const { return pending_; }
+  const std::vector<coordinator_record>& pending() const { return pending_; }
 
  private:
-  std::vector<daemon_instance> pending_;
-  store_version history_revision_;
+  std::vector<coordinator_record> pending_;
   instant authority_until_ = instant::max();
 };
 
--- a/bluebell/gateway/former_coordinators_test.cc
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -11,15 +11,21 @@
 const instant kAuthorityEnds = kStart + seconds(8);
 const store_version kHistoryRevision(100);
 const store_version kBeforeHistory(60);
+const store_version kBetween(80);
 const store_version kAfterHistory(110);
 
 daemon_instance Daemon(int number, std::uint64_t run = 1) {
   return {daemon_id("front-" + std::to_string(number)), incarnation(run)};
 }
 
+// The history as coordinators wrote it who knew of no earlier ones.
 former_coordinators FromHistory(const std::vector<daemon_instance>& history) {
+  std::vector<coordinator_record> records;
+  for (const daemon_instance& daemon : history) {
+    records.push_back({daemon, store_version()});
+  }
   auto formers =
-      former_coordinators::FromHistory(history, kHistoryRevision, Daemon(9));
+      former_coordinators::FromHistory(records, kHistoryRevision, Daemon(9));
   formers.SetAuthorityUntil(kAuthorityEnds);
   return formers;
 }
@@ -37,7 +43,8 @@
   CHECK(exclusions.front() ==
         coordinator_exclusion{Daemon(2), exclusion_reason::kProcessEnded});
   CHECK(!formers.all_excluded());
-  CHECK(formers.pending() == std::vector<daemon_instance>{Daemon(1)});
+  CHECK(formers.pending() ==
+        std::vector<coordinator_record>{{Daemon(1), kHistoryRevision}});
   const auto yielded = formers.OnYield(Daemon(1));
   REQUIRE(yielded);
   CHECK(yielded->daemon == Daemon(1));
@@ -61,6 +68,26 @@
         coordinator_exclusion{Daemon(1, 4), exclusion_reason::kProcessEnded});
 }
 
+// Failure: a coordinator's process ends and starts again, and the next
+// coordinator ends before it has shortened the history. Its claim makes the
+// history newer than the entry of the restarted process, so the coordinator
+// after it moves no keys until the authority of the ended process is over.
+TEST_CASE("a process that ended before a later claim is excluded") {
+  former_coordinators formers = former_coordinators::FromHistory(
+      {{Daemon(2), store_version()}, {Daemon(1), kBeforeHistory}},
+      kHistoryRevision, Daemon(9));
+  formers.SetAuthorityUntil(kAuthorityEnds);
+  const former_coordinators::announced_map announced{
+      {Daemon(1).id, {incarnation(5), kBetween}},
+      {Daemon(2).id, {Daemon(2).run, kBetween}}};
+  const auto exclusions = formers.Advance(announced, kStart);
+  REQUIRE(exclusions.size() == 1);
+  CHECK(exclusions.front() ==
+        coordinator_exclusion{Daemon(1), exclusion_reason::kProcessEnded});
+  CHECK(formers.pending() ==
+        std::vector<coordinator_record>{{Daemon(2), kHistoryRevision}});
+}
+
 // Failure: a former coordinator that can't be reached counts as excluded while
 // it may still renew grants.
 TEST_CASE("an unreachable coordinator is pending until its authority ends") {
@@ -94,7 +121,8 @@
 TEST_CASE("a yield excludes only the process that sent it") {
   former_coordinators formers = FromHistory({Daemon(1, 1)});
   CHECK(!formers.OnYield(Daemon(1, 5)));
-  CHECK(formers.pending() == std::vector<daemon_instance>{Daemon(1, 1)});
+  CHECK(formers.pending() ==
+        std::vector<coordinator_record>{{Daemon(1, 1), kHistoryRevision}});
   const auto excluded = formers.OnYield(Daemon(1, 1));
   REQUIRE(excluded);
   CHECK(*excluded ==
--- a/bluebell/gateway/role_claim.cc
+++ b/bluebell/gateway/role_claim.cc
@@ -8,23 +8,22 @@
 
 kv_write ClaimWrite(const role_versions& expected,
                     const daemon_instance& self,
-                    const std::vector<daemon_instance>& former_instances,
+                    const std::vector<coordinator_record>& formers,
                     kv_lease lease) {
-  std::vector<daemon_instance> history{self};
-  history.insert(history.end(), former_instances.begin(),
-                 former_instances.end());
+  std::vector<coordinator_record> history{{self, store_version()}};
+  history.insert(history.end(), formers.begin(), formers.end());
   return {{{std::string(kCoordinatorKey), expected.coordinator},
            {std::string(kCoordinatorHistoryKey), expected.history}},
           {{std::string(kCoordinatorKey), EncodeDaemon(self), lease},
-           {std::string(kCoordinatorHistoryKey), EncodeDaemons(history),
+           {std::string(kCoordinatorHistoryKey), EncodeHistory(history),
             kv_lease()}}};
 }
 
 kv_write TrimHistoryWrite(const role_versions& claimed,
                           const daemon_instance& self) {
   return {{{std::string(kCoordinatorKey), claimed.coordinator}},
-          {{std::string(kCoordinatorHistoryKey), EncodeDaemons({self}),
-            kv_lease()}}};
+          {{std::string(kCoordinatorHistoryKey),
+            EncodeHistory({{self, claimed.coordinator}}), kv_lease()}}};
 }
 
 role_versions FindRoleVersions(const std::vector<kv_item>& items) {
--- a/bluebell/gateway/role_claim.h
+++ b/bluebell/gateway/role_claim.h
@@ -4,7 +4,7 @@
 // writes both in one conditional write, so it fails if a daemon that isn't in
 // the history that was read has coordinated since.
 //
-//   kv_write write = ClaimWrite(versions, self, former_instances, lease);
+//   kv_write write = ClaimWrite(versions, self, formers, lease);
 //   std::optional<role_claim> own = FindOwnClaim(listing.items, self);
 
 #ifndef BLUEBELL_GATEWAY_ROLE_CLAIM_H_
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/fleet/coordinator_record.h"
 #include "bluebell/kv/kv_types.h"
 
 namespace bluebell {
@@ -35,11 +36,11 @@
 };
 
 // The write by which `self` claims the role under `lease`, if both values still
-// have the `expected` revisions. `former_instances` are the former coordinators
-// that may still send orders.
+// have the `expected` revisions. `formers` are the former coordinators that
+// may still send orders.
 kv_write ClaimWrite(const role_versions& expected,
                     const daemon_instance& self,
-                    const std::vector<daemon_instance>& former_instances,
+                    const std::vector<coordinator_record>& formers,
                     kv_lease lease);
 
 // The write that reduces the history to `self` once no former coordinator can
--- a/bluebell/gateway/role_claim_test.cc
+++ b/bluebell/gateway/role_claim_test.cc
@@ -14,6 +14,14 @@
   return {daemon_id("front-" + std::to_string(number)), incarnation(1)};
 }
 
+coordinator_record Writer(int number) {
+  return {Daemon(number), store_version()};
+}
+
+coordinator_record Record(int number) {
+  return {Daemon(number), store_version(10)};
+}
+
 // Applies conditional writes by the store's rules.
 class store_model {
  public:
@@ -42,9 +50,9 @@
     return items;
   }
   role_versions Versions() const { return FindRoleVersions(Items()); }
-  std::vector<daemon_instance> History() const {
+  std::vector<coordinator_record> History() const {
     const kv_item& item = items_.at(std::string(kCoordinatorHistoryKey));
-    return DecodeDaemons(item.key, item.value).value();
+    return DecodeHistory(item.key, item.value).value();
   }
 
  private:
@@ -60,13 +68,13 @@
   REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {}, kv_lease(1))));
   store.EndRole();
   const role_versions read = store.Versions();
-  REQUIRE(store.Write(ClaimWrite(read, Daemon(2), {Daemon(1)}, kv_lease(2))));
+  REQUIRE(store.Write(ClaimWrite(read, Daemon(2), {Record(1)}, kv_lease(2))));
   store.EndRole();
-  CHECK(!store.Write(ClaimWrite(read, Daemon(3), {Daemon(1)}, kv_lease(3))));
+  CHECK(!store.Write(ClaimWrite(read, Daemon(3), {Record(1)}, kv_lease(3))));
   CHECK(store.Write(ClaimWrite(store.Versions(), Daemon(3),
-                               {Daemon(2), Daemon(1)}, kv_lease(3))));
+                               {Record(2), Record(1)}, kv_lease(3))));
   CHECK(store.History() ==
-        std::vector<daemon_instance>{Daemon(3), Daemon(2), Daemon(1)});
+        std::vector<coordinator_record>{Writer(3), Record(2), Record(1)});
 }
 
 // Failure: a coordinator's lease expires in an outage. Another daemon then
@@ -78,7 +86,7 @@
   const role_versions claimed = store.Versions();
   store.EndRole();
   const role_versions vacant{store_version(), claimed.history};
-  REQUIRE(store.Write(ClaimWrite(vacant, Daemon(2), {Daemon(1)}, kv_lease(2))));
+  REQUIRE(store.Write(ClaimWrite(vacant, Daemon(2), {Record(1)}, kv_lease(2))));
   store.EndRole();
   CHECK(!store.Write(ClaimWrite(vacant, Daemon(1), {}, kv_lease(3))));
 }
@@ -87,15 +95,16 @@
 // successor doesn't wait for their grants.
 TEST_CASE("only the present coordinator can shorten the history") {
   store_model store;
-  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {Daemon(5)}, kv_lease(1))));
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {Record(5)}, kv_lease(1))));
   const role_versions claimed = store.Versions();
   CHECK(store.Write(TrimHistoryWrite(claimed, Daemon(1))));
-  CHECK(store.History() == std::vector<daemon_instance>{Daemon(1)});
+  CHECK(store.History() ==
+        std::vector<coordinator_record>{{Daemon(1), claimed.coordinator}});
   store.EndRole();
   REQUIRE(store.Write(
-      ClaimWrite(store.Versions(), Daemon(2), {Daemon(1)}, kv_lease(2))));
+      ClaimWrite(store.Versions(), Daemon(2), {Record(1)}, kv_lease(2))));
   CHECK(!store.Write(TrimHistoryWrite(claimed, Daemon(1))));
-  CHECK(store.History().front() == Daemon(2));
+  CHECK(store.History().front() == Writer(2));
 }
 
 // Failure: the response to a claim is lost, and the daemon doesn't recognize
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -35,17 +35,17 @@
 }
 
 asio::awaitable<claim_outcome> role_lease::Claim(
-    std::vector<daemon_instance> former_instances) {
+    std::vector<coordinator_record> formers) {
   ended_ = false;
   const fleet_state& state = watcher_.state();
   return WriteClaim(claim_kind::kFirst,
                     {state.RevisionOf(kCoordinatorKey),
                      state.RevisionOf(kCoordinatorHistoryKey)},
-                    std::move(former_instances));
+                    std::move(formers));
 }
 
 asio::awaitable<claim_outcome> role_lease::Renew(
-    std::vector<daemon_instance> former_instances) {
+    std::vector<coordinator_record> formers) {
   const instant sent_at = BootNow();
   const result<bool> renewed = co_await store_.RenewLease(claim_.lease);
   if (!renewed) {
@@ -61,8 +61,8 @@
     co_return claim_outcome::kLost;
   }
   const role_versions vacant{store_version(), claim_.versions.history};
-  const claim_outcome outcome = co_await WriteClaim(
-      claim_kind::kReclaim, vacant, std::move(former_instances));
+  const claim_outcome outcome =
+      co_await WriteClaim(claim_kind::kReclaim, vacant, std::move(formers));
   if (outcome == claim_outcome::kClaimed && ended_) {
     // End() was called meanwhile and has ended the earlier lease only.
     co_await End();
@@ -79,7 +79,7 @@
 asio::awaitable<claim_outcome> role_lease::WriteClaim(
     claim_kind kind,
     role_versions expected,
-    std::vector<daemon_instance> former_instances) {
+    std::vector<coordinator_record> formers) {
   const instant sent_at = BootNow();
   const result<kv_granted_lease> lease = co_await store_.StartLease(kLeaseTerm);
   if (!lease) {
@@ -87,19 +87,19 @@
     co_return claim_outcome::kUnknown;
   }
   const kv_lease granted = lease.value().lease;
-  const result<kv_write_result> written = co_await store_.Write(
-      ClaimWrite(expected, self_, former_instances, granted));
+  const result<kv_write_result> written =
+      co_await store_.Write(ClaimWrite(expected, self_, formers, granted));
   if (!written) {
     watcher_.ReportFailure(written.error(), BootNow());
     const std::optional<role_claim> found = co_await FindClaim(granted);
     if (!found) {
       co_return claim_outcome::kUnknown;
     }
-    co_return AcceptClaim(*found, !former_instances.empty(), sent_at);
+    co_return AcceptClaim(*found, !formers.empty(), sent_at);
   }
   if (const auto* done = std::get_if<kv_written>(&written.value())) {
     co_return AcceptClaim({{done->revision, done->revision}, granted},
-                          !former_instances.empty(), sent_at);
+                          !formers.empty(), sent_at);
   }
   const auto* conflict = std::get_if<kv_conflict>(&written.value());
   // The conflict may be with an earlier claim of this run whose response was
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -2,8 +2,8 @@
 // renews the lease and ends it. All functions are called on the control thread.
 //
 //   role_lease lease(self, store, watcher);
-//   if (co_await lease.Claim(former_instances) == claim_outcome::kClaimed) ...
-//   co_await lease.Renew(former_instances);
+//   if (co_await lease.Claim(formers) == claim_outcome::kClaimed) ...
+//   co_await lease.Renew(formers);
 
 #ifndef BLUEBELL_GATEWAY_ROLE_LEASE_H_
 #define BLUEBELL_GATEWAY_ROLE_LEASE_H_
@@ -41,15 +41,15 @@
   // its last claim conflicted with.
   bool view_is_recent() const;
   // Claims the vacant role. Expects the revisions of this daemon's view of the
-  // store. `former_instances` are the coordinators before this one that may
+  // store. `formers` are the coordinators before this one that may
   // still send orders.
   boost::asio::awaitable<claim_outcome> Claim(
-      std::vector<daemon_instance> former_instances);
+      std::vector<coordinator_record> formers);
   // Renews the lease. If it has expired, claims the role again, which succeeds
   // only if no other daemon has coordinated since. After End() it doesn't claim
   // the role again.
   boost::asio::awaitable<claim_outcome> Renew(
-      std::vector<daemon_instance> former_instances);
+      std::vector<coordinator_record> formers);
   // Removes the former coordinators from the history in the store, when all of
   // them are excluded. Has no effect if the history names none.
   boost::asio::awaitable<void> TrimHistory();
@@ -69,7 +69,7 @@
   boost::asio::awaitable<claim_outcome> WriteClaim(
       claim_kind kind,
       role_versions expected,
-      std::vector<daemon_instance> former_instances);
+      std::vector<coordinator_record> formers);
   // Reads whether the store holds this daemon's claim under `lease`, after the
   // response to the claim was lost.
   boost::asio::awaitable<std::optional<role_claim>> FindClaim(kv_lease lease);
