Let a coordinator that stops in order leave the coordinators' history

Callers saw: after the stop of a daemon that was the coordinator, keys of endpoints that left or ended got 503 until the stopped process had started again, or for up to 11 s if it didn't.

Cause: a coordinator stayed in the history after it had stopped, and its successor must exclude each daemon there before it moves keys. A stopping daemon removes its entry at the same time, so the successor has no address to ask for a yield.

Change: once the store has confirmed the end of the lease, and with it the last order, the daemon writes the history without itself, unless another daemon has claimed the role meanwhile. The same after a resignation.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -310,6 +310,7 @@
   }
   if (authority_.has_role()) {
     StopCoordinating("the daemon is leaving");
+    co_await lease_.Withdraw(former_coordinators_.pending());
   }
 }
 
@@ -441,12 +442,14 @@
   }
   resigned_until_ = BootNow() + kCandidacyPauseAfterResign;
   StopCoordinating("most owners of keys can't be reached");
-  // If this call fails, the lease expires.
+  // If ending the lease fails, it expires.
   SpawnTask(io_.get_executor(), "coordinator resignation", EndLease());
 }
 
 asio::awaitable<void> coordinator_role::EndLease() {
-  co_await lease_.End();
+  if (co_await lease_.End()) {
+    co_await lease_.Withdraw(former_coordinators_.pending());
+  }
 }
 
 }  // namespace bluebell
--- a/bluebell/gateway/role_claim.cc
+++ b/bluebell/gateway/role_claim.cc
@@ -26,6 +26,14 @@
             EncodeHistory({{self, claimed.coordinator}}), kv_lease()}}};
 }
 
+kv_write WithdrawalWrite(const role_versions& claimed,
+                         const std::vector<coordinator_record>& formers) {
+  return {{{std::string(kCoordinatorKey), store_version()},
+           {std::string(kCoordinatorHistoryKey), claimed.history}},
+          {{std::string(kCoordinatorHistoryKey), EncodeHistory(formers),
+            kv_lease()}}};
+}
+
 role_versions FindRoleVersions(const std::vector<kv_item>& items) {
   role_versions found;
   for (const kv_item& item : items) {
--- a/bluebell/gateway/role_claim.h
+++ b/bluebell/gateway/role_claim.h
@@ -49,6 +49,12 @@
 kv_write TrimHistoryWrite(const role_versions& claimed,
                           const daemon_instance& self);
 
+// The write by which a coordinator whose lease has ended leaves the history, so
+// that it names `formers` only. It takes effect only if no daemon has claimed
+// the role since the claim that the given versions belong to.
+kv_write WithdrawalWrite(const role_versions& claimed,
+                         const std::vector<coordinator_record>& formers);
+
 // The revisions of both values among `items`.
 role_versions FindRoleVersions(const std::vector<kv_item>& items);
 
--- a/bluebell/gateway/role_claim_test.cc
+++ b/bluebell/gateway/role_claim_test.cc
@@ -107,6 +107,34 @@
   CHECK(store.History().front() == Writer(2));
 }
 
+// Failure: a coordinator that has stopped stays in the history. Its successor
+// waits for orders that can't come, and moves no keys for several seconds.
+TEST_CASE("a coordinator that has stopped leaves the history") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {Record(5)}, kv_lease(1))));
+  const role_versions claimed = store.Versions();
+  CHECK(!store.Write(WithdrawalWrite(claimed, {Record(5)})));
+  store.EndRole();
+  CHECK(store.Write(WithdrawalWrite(claimed, {Record(5)})));
+  CHECK(store.History() == std::vector<coordinator_record>{Record(5)});
+}
+
+// Failure: a daemon that leaves the history late removes its successor, and the
+// next coordinator doesn't wait for the successor's grants.
+TEST_CASE("a stopped coordinator doesn't remove its successor") {
+  store_model store;
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {}, kv_lease(1))));
+  const role_versions claimed = store.Versions();
+  store.EndRole();
+  REQUIRE(store.Write(
+      ClaimWrite(store.Versions(), Daemon(2), {Record(1)}, kv_lease(2))));
+  CHECK(!store.Write(WithdrawalWrite(claimed, {})));
+  store.EndRole();
+  CHECK(!store.Write(WithdrawalWrite(claimed, {})));
+  CHECK(store.History() ==
+        std::vector<coordinator_record>{Writer(2), Record(1)});
+}
+
 // Failure: the response to a claim is lost, and the daemon doesn't recognize
 // the stored claim as its own.
 TEST_CASE("a claim whose response was lost is found by its value") {
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -164,6 +164,15 @@
   }
 }
 
+asio::awaitable<void> role_lease::Withdraw(
+    std::vector<coordinator_record> formers) {
+  const result<kv_write_result> written =
+      co_await store_.Write(WithdrawalWrite(claim_.versions, formers));
+  if (!written) {
+    watcher_.ReportFailure(written.error(), BootNow());
+  }
+}
+
 asio::awaitable<bool> role_lease::End() {
   ended_ = true;
   const result<bool> ended = co_await store_.EndLease(claim_.lease);
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -56,6 +56,13 @@
   // Ends the lease. False if the store hasn't confirmed it; the lease then
   // expires, unless the call is repeated.
   boost::asio::awaitable<bool> End();
+  // Removes this daemon from the history in the store, so that its successor
+  // doesn't wait for its orders. Called after End() was confirmed and once this
+  // daemon sends no orders any more. `formers` are the coordinators before this
+  // one that may still send orders. One attempt is made: without it, the
+  // successor waits as it does for a coordinator that was lost.
+  boost::asio::awaitable<void> Withdraw(
+      std::vector<coordinator_record> formers);
 
   // When the last call was sent whose response proved that this daemon has the
   // role.
