Notice the end of an outage of the store within 0.3 s

Cause: a daemon that was cut off noticed the end of the cut by the renewal of its member lease: up to 1 s until a timeout and 1 s of pause. Entries that are missing then may have expired in an outage of the store, so they stay in use for 2 s more. Together up to 4 s, while requests count 3 s after the end of a cut.

The new test fails on the former code (2.0 s between renewals in an outage, 3 of 5 assertions) and without the rule for late failures (1 of 5).

Change: while the store is unavailable, a renewal is sent every 0.3 s and doesn't wait for the one before. A renewal that fails after a later one has succeeded is no sign of an outage.

--- a/bluebell/gateway/member_lease.cc
+++ b/bluebell/gateway/member_lease.cc
@@ -30,6 +30,11 @@
 // The renewals also detect outages of the store.
 constexpr milliseconds kRenewalInterval{1'000};
 constexpr milliseconds kRetryInterval{300};
+// While the store is unavailable, the renewals don't wait for one another: each
+// may take until its timeout. The end of an outage must be noticed well within
+// 1 s, because endpoints that left during the outage stay in use for 2 s after
+// that, and must not be used 3 s after its end.
+constexpr milliseconds kOutageRenewalInterval{300};
 // The second write expects the entry that the first one has found. It conflicts
 // only if the entry changes in between.
 constexpr int kWritesPerAnnouncement = 2;
@@ -102,21 +107,39 @@
   co_return false;
 }
 
+asio::awaitable<void> member_lease::Renew() {
+  const kv_lease lease = lease_;
+  const instant sent_at = BootNow();
+  const result<bool> renewed = co_await store_.RenewLease(lease);
+  if (renewed) {
+    watcher_.ReportSuccess(BootNow());
+    announced_ = announced_ && (renewed.value() || lease != lease_);
+  } else if (sent_at >= watcher_.last_success_at()) {
+    // A renewal that was sent before a later one succeeded is no sign of a new
+    // outage.
+    watcher_.ReportFailure(renewed.error(), BootNow());
+  }
+}
+
+milliseconds member_lease::NextPause() const {
+  if (!announced_) {
+    return kRetryInterval;
+  }
+  return watcher_.store_is_available() ? kRenewalInterval
+                                       : kOutageRenewalInterval;
+}
+
 asio::awaitable<void> member_lease::Run() {
   asio::steady_timer timer(io_);
   while (!leaving_) {
     if (!announced_) {
       announced_ = co_await Announce();
+    } else if (watcher_.store_is_available()) {
+      co_await Renew();
     } else {
-      const result<bool> renewed = co_await store_.RenewLease(lease_);
-      if (!renewed) {
-        watcher_.ReportFailure(renewed.error(), BootNow());
-      } else {
-        watcher_.ReportSuccess(BootNow());
-        announced_ = renewed.value();
-      }
+      SpawnTask(io_.get_executor(), "member lease renewal", Renew(), [] {});
     }
-    timer.expires_after(announced_ ? kRenewalInterval : kRetryInterval);
+    timer.expires_after(NextPause());
     co_await timer.async_wait(kAwait);
   }
 }
--- a/bluebell/gateway/member_lease.h
+++ b/bluebell/gateway/member_lease.h
@@ -53,6 +53,9 @@
   // Starts a lease and writes the entry under it, whatever entry the daemon id
   // has. False if either failed.
   boost::asio::awaitable<bool> Announce();
+  boost::asio::awaitable<void> Renew();
+  // The pause before the next announcement or renewal.
+  milliseconds NextPause() const;
   boost::asio::awaitable<void> RemoveEntry();
 
   boost::asio::io_context& io_;
--- a/bluebell/gateway/member_lease_test.cc
+++ b/bluebell/gateway/member_lease_test.cc
@@ -73,5 +73,43 @@
   CHECK(call_times[2] - call_times[1] < milliseconds(300));
 }
 
+// Failure: a daemon that was cut off from the store learns up to 2 s late that
+// the cut has ended, and for 2 s more it uses endpoints that left meanwhile.
+TEST_CASE("the end of an outage of the store is noticed at once") {
+  asio::io_context io;
+  std::vector<instant> call_times;
+  constexpr std::size_t kAnnouncement = 2;
+  constexpr std::size_t kOutageEnd = kAnnouncement + 4;
+  // The renewal that ends the outage, and the read that follows.
+  constexpr std::size_t kAnswered = kOutageEnd + 2;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    call_times.push_back(BootNow());
+    const std::size_t calls = call_times.size();
+    if (calls <= kAnnouncement) {
+      return Response("200 OK", R"({"Lease":7,"TtlS_time":6,"Revision":4})");
+    }
+    const bool is_answered = calls > kOutageEnd && calls <= kAnswered;
+    return is_answered ? Response("200 OK", R"({"items":[],"HasMore":false,)"
+                                            R"("CurrentRev":5})")
+                       : std::string();
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(
+      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      watcher_handlers{[](const fleet_state&) {}, nullptr});
+  member_lease lease(io, *store, watcher, kMember);
+  lease.Start();
+  while (call_times.size() < kAnswered && io.run_one_for(seconds(5)) > 0) {
+  }
+  REQUIRE(call_times.size() == kAnswered);
+  // The first renewal without a response runs until its timeout.
+  for (std::size_t i = kAnnouncement + 1; i < kOutageEnd; ++i) {
+    CHECK(call_times[i + 1] - call_times[i] < milliseconds(600));
+  }
+  // Earlier renewals end without a response after the outage.
+  io.run_for(milliseconds(900));
+  CHECK(watcher.store_is_available());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -91,6 +91,8 @@
 
   // False from a failed call to the store until the next successful one.
   bool store_is_available() const { return !failing_since_; }
+  // When the last successful call to the store ended.
+  instant last_success_at() const { return last_success_at_; }
 
   // The endpoint has stated that it is leaving; see fleet_state.
   void RecordLeaving(const endpoint_instance& endpoint);
