Don't split the ranges of a replaced owner beyond the limit of the table

What callers would see: over months of replaced endpoints, more and more calls to each endpoint to renew its ranges, in the end slower than the grants run out.

Cause: only the planned moves kept to 6 ranges an owner. The ranges of an owner that drains or ends were split among the others without a limit.

Evidence: 400 endpoints out of 14 replaced in virtual time, with hot keys that change, left 248 ranges and 248 renewals each interval (limit 84) on the code before. Both are within 84 now.

Change: PlanUnownedRanges() gives ranges away whole while the table has as many as the limit allows.

--- /dev/null
+++ b/bluebell/keyspace/key_growth_test.cc
@@ -0,0 +1,146 @@
+// Tests that the state of key_coordinator doesn't grow over months of
+// replaced endpoints.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/keyspace/key_coordinator.h"
+
+namespace bluebell {
+namespace {
+
+const key_timing kTiming;
+constexpr milliseconds kStep{50};
+constexpr std::size_t kEndpointCount = 14;
+// The highest number of ranges that the planner allows for each owner.
+constexpr std::size_t kMaxRangesPerOwner = 6;
+
+// A coordinator whose orders and writes are answered at once, and a registry
+// whose endpoints are replaced by others with new ids and addresses.
+class replaced_endpoints {
+ public:
+  explicit replaced_endpoints(std::uint32_t seed)
+      : random_(seed), keys_(kTiming) {
+    keys_.TakeOver(key_table(), store_version(), now_, now_);
+    for (std::size_t i = 0; i < kEndpointCount; ++i) {
+      entries_.push_back(NewEntry());
+    }
+    ChangeLoads();
+    Run(seconds(5));
+  }
+
+  // An endpoint drains, and another one takes its place.
+  void Replace() {
+    const std::size_t which = RandomBelow(entries_.size());
+    entries_[which].draining = true;
+    Run(seconds(2));
+    entries_[which] = NewEntry();
+    Run(seconds(4));
+  }
+
+  // A few adjacent keys have most of the load.
+  void ChangeLoads() {
+    std::vector<shard_load> loads;
+    const std::size_t hot = RandomBelow(60'000);
+    for (std::size_t key = 0; key < 65'536; key += 64) {
+      const bool is_hot = hot <= key && key < hot + 2'000;
+      loads.push_back({static_cast<shard_key>(key), is_hot ? 0.1 : 8.0 / 1024});
+    }
+    keys_.SetLoads(loads, {});
+  }
+
+  void Run(milliseconds length) {
+    for (const instant end = now_ + length; now_ < end; now_ += kStep) {
+      keys_.SetEndpoints(entries_);
+      for (const coordinator_action& action :
+           keys_.Advance(now_ + kTiming.authority_duration, true, now_)) {
+        Answer(action);
+      }
+      max_ranges_ = std::max(max_ranges_, keys_.table().assignments().size());
+    }
+  }
+
+  // The number of grants sent while nothing changes for one renewal interval.
+  std::size_t GrantsPerRenewalInterval() {
+    Run(seconds(5));
+    const std::size_t before = grants_;
+    Run(kTiming.renewal_interval);
+    return grants_ - before;
+  }
+
+  const key_coordinator& keys() const { return keys_; }
+  std::size_t max_ranges() const { return max_ranges_; }
+
+ private:
+  std::size_t RandomBelow(std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+  }
+
+  fleet_endpoint NewEntry() {
+    ++last_number_;
+    fleet_endpoint entry;
+    entry.instance = {endpoint_id("i-" + std::to_string(last_number_)),
+                      incarnation(last_number_)};
+    entry.service = service_name("tracker");
+    entry.where =
+        address::Parse("10.0.0.1:" + std::to_string(8'000 + last_number_))
+            .value();
+    entry.slots = 2;
+    return entry;
+  }
+
+  void Answer(const coordinator_action& action) {
+    std::visit(overloaded{[&](const send_grant& order) {
+                            ++grants_;
+                            keys_.OnGrantReply(order, now_,
+                                               {grant_verdict::kAccepted, true},
+                                               now_);
+                          },
+                          [&](const send_release& order) {
+                            keys_.OnReleaseReply(order, "token", now_);
+                          },
+                          [&](const write_key_table&) {
+                            keys_.OnWritten(store_version(++revision_), now_);
+                          },
+                          [](const resign_coordinator&) {}},
+               action);
+  }
+
+  std::mt19937 random_;
+  key_coordinator keys_;
+  std::vector<fleet_endpoint> entries_;
+  instant now_ = instant(seconds(1'000));
+  std::uint64_t last_number_ = 0;
+  std::uint64_t revision_ = 0;
+  std::size_t grants_ = 0;
+  std::size_t max_ranges_ = 0;
+};
+
+// Failure: the table got more ranges with each replaced endpoint, 248 at 14
+// owners in this test, because its ranges were split among the others without
+// a limit. Each range is renewed by its own calls.
+TEST_CASE("400 replaced owners leave no ranges behind") {
+  replaced_endpoints world(1);
+  for (int i = 0; i < 400; ++i) {
+    world.Replace();
+    if (i % 4 == 0) {
+      world.ChangeLoads();
+    }
+  }
+  constexpr std::size_t kBound = kEndpointCount * kMaxRangesPerOwner;
+  INFO("ranges " << world.keys().table().assignments().size() << ", at most "
+                 << world.max_ranges());
+  CHECK(world.max_ranges() <= kBound);
+  CHECK(world.GrantsPerRenewalInterval() <= kBound);
+}
+
+}  // namespace
+}  // namespace bluebell
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -24,7 +24,7 @@
 // without requests are divided evenly.
 constexpr double kIdleKeyLoadSlots = 1e-5;
 // Limits the number of ranges in the table, because each range is renewed by
-// its own call.
+// its own call. Only single keys with a dominant load are split off beyond it.
 constexpr std::size_t kMaxRangesPerOwner = 6;
 
 // A key whose load is at least this share of its owner's capacity is placed by
@@ -110,6 +110,13 @@
   return total;
 }
 
+// True if a range of `table` may be split.
+bool MaySplit(const key_plan_input& input, const key_table& table) {
+  return table.assignments().size() <
+         std::max<std::size_t>(1, input.owner_capacities.size()) *
+             kMaxRangesPerOwner;
+}
+
 bool Overlaps(const key_range& range, const std::vector<key_range>& others) {
   return std::any_of(others.begin(), others.end(), [&](const key_range& other) {
     return other.Overlaps(range);
@@ -139,10 +146,7 @@
                                    double max_load) {
   std::optional<key_range> best;
   double best_load = max_load * kMinPieceShare;
-  const bool may_split =
-      input.table.assignments().size() <
-      std::max<std::size_t>(1, input.owner_capacities.size()) *
-          kMaxRangesPerOwner;
+  const bool may_split = MaySplit(input, input.table);
   const auto keep_if_better = [&](const key_range& piece) {
     const double load = LoadOf(input.loads, piece);
     if (load > best_load && load <= max_load) {
@@ -197,6 +201,7 @@
   }
   const double mean =
       (TotalOf(loads) + unowned_load) / std::max(0.01, capacity);
+  key_table planned = input.table;
   for (const key_range& unowned : unowned_ranges) {
     std::uint32_t first = unowned.first;
     while (first <= unowned.last) {
@@ -208,11 +213,13 @@
           CutAfter(input.loads, rest, free_capacity).value_or(rest.first);
       // A remainder with little load doesn't become a range of its own.
       const key_range remainder{last, unowned.last};
-      if (LoadOf(input.loads, remainder) < mean * kMinPieceShare) {
+      if (!MaySplit(input, planned) ||
+          LoadOf(input.loads, remainder) < mean * kMinPieceShare) {
         last = unowned.last;
       }
       const key_range piece{rest.first, last};
       loads[to] += LoadOf(input.loads, piece);
+      planned = planned.With(piece, to);
       moves.push_back({piece, to});
       first = std::uint32_t{last} + 1;
     }
