Let a retry run at its owner after the range of its key was joined

What callers would see, once neighbouring ranges of one owner are joined: a request whose first attempt was lost gets 502 instead of a retry, because its key has another fence although its owner had it all the time.

Cause: MayRunAgain() took any other fence for a move of the key.

Change: a permit also names the highest fence of the dispatcher's table. A later fence of the same owner that is not above it can only come from a joined range: a key that comes back gets one above all of the table.

Evidence: "a joined range is still the same assignment" failed at two of four checks with the former rule and passes now; a key that moved away and came back is still refused.

--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -92,6 +92,8 @@
   // The fence under which `endpoint` owns the request's key; zero for a request
   // without a key.
   epoch fence;
+  // The highest fence of the dispatcher's key table when it issued the permit.
+  epoch table_fence;
   // The mean response time of the route at this endpoint.
   std::uint32_t expected_ms = 0;
   // The store revision of the latest endpoint change that the dispatcher knows.
@@ -105,7 +107,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, service, endpoint, where, fence, expected_ms,
+    archive(id, service, endpoint, where, fence, table_fence, expected_ms,
             endpoints_revision, lapsing);
   }
 };
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -150,9 +150,8 @@
       granted != running_.end()) {
     const auto endpoint_state = endpoints_.find(granted->second.endpoint);
     if (endpoint_state != endpoints_.end()) {
-      replies_.emplace_back(MakePermit(message.id, endpoint_state->second,
-                                       granted->second.fence,
-                                       granted->second.work));
+      replies_.emplace_back(
+          MakePermit(message.id, endpoint_state->second, granted->second));
     }
     return;
   }
@@ -462,16 +461,16 @@
 permit_granted slot_scheduler::MakePermit(
     const permit_id& id,
     const scheduled_endpoint& endpoint_state,
-    const epoch& fence,
-    duration work) const {
+    const running_request& running) const {
   const std::chrono::duration<double, std::milli> expected =
-      work * endpoint_state.slowness();
+      running.work * endpoint_state.slowness();
   permit_granted granted;
   granted.id = id;
   granted.service = service_;
   granted.endpoint = endpoint_state.entry().instance;
   granted.where = endpoint_state.entry().where;
-  granted.fence = fence;
+  granted.fence = running.fence;
+  granted.table_fence = running.table_fence;
   granted.expected_ms = static_cast<std::uint32_t>(expected.count());
   granted.lapsing = endpoint_state.entry().lapsing;
   return granted;
@@ -610,10 +609,10 @@
   running.route = request.message.route;
   running.rank = request.message.rank;
   running.fence = request.fence;
+  running.table_fence = table_.highest_fence();
   running.started = now;
   running.expires = request.deadline + kExpiryMargin;
   running.work = request.work;
-  running_.insert_or_assign(request.message.id, std::move(running));
   target.OnRequestStarted();
   ++running_by_rank_[request.message.rank];
   // A permit that is granted at once needs no preceding permit_queued.
@@ -621,8 +620,8 @@
     const auto* queued = std::get_if<permit_queued>(&reply);
     return queued != nullptr && queued->id == request.message.id;
   });
-  replies_.emplace_back(
-      MakePermit(request.message.id, target, request.fence, request.work));
+  replies_.emplace_back(MakePermit(request.message.id, target, running));
+  running_.insert_or_assign(request.message.id, std::move(running));
 }
 
 void slot_scheduler::RefuseInfeasible(instant now) {
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -92,6 +92,8 @@
     std::string route;
     std::uint32_t rank = 0;
     epoch fence;
+    // The highest fence of the key table when the permit was issued.
+    epoch table_fence;
     instant started;
     // The permit is freed at this time if its holder hasn't released it.
     instant expires;
@@ -126,8 +128,7 @@
 
   permit_granted MakePermit(const permit_id& id,
                             const scheduled_endpoint& endpoint_state,
-                            const epoch& fence,
-                            duration work) const;
+                            const running_request& running) const;
   bool IsPaused(const waiting_request& request, instant now) const;
   // The unserved range that contains the key of the request; null if there is
   // none.
--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -267,6 +267,7 @@
   for (const permit_granted& each : granted) {
     CHECK(each.endpoint == entries[each.id.number == 3 ? 1 : 0].instance);
     CHECK(each.fence == table.Find(each.id.number == 3 ? 150 : 50)->fence);
+    CHECK(each.table_fence == table.highest_fence());
   }
   const auto refused = RepliesOfType<permit_refused>(replies);
   REQUIRE(refused.size() == 1);
--- a/bluebell/proxy/attempt_policy.cc
+++ b/bluebell/proxy/attempt_policy.cc
@@ -32,6 +32,14 @@
   return retry_request{uses_retry_budget};
 }
 
+// True if the endpoint has owned the key without a break. When ranges are
+// joined, the key takes a fence that the table had already; when it comes back
+// from another endpoint, it gets one above all of the table.
+bool IsSamePeriod(const keyed_execution& earlier, const keyed_execution& next) {
+  return earlier.fence == next.fence ||
+         (earlier.fence < next.fence && next.fence <= earlier.table_fence);
+}
+
 }  // namespace
 
 request_progress WithAttempt(request_progress progress, attempt_result result) {
@@ -59,7 +67,7 @@
   return std::none_of(progress.executions.begin(), progress.executions.end(),
                       [&](const keyed_execution& earlier) {
                         return earlier.endpoint == next.endpoint &&
-                               earlier.fence != next.fence;
+                               !IsSamePeriod(earlier, next);
                       });
 }
 
--- a/bluebell/proxy/attempt_policy_test.cc
+++ b/bluebell/proxy/attempt_policy_test.cc
@@ -150,5 +150,21 @@
   }
 }
 
+// Failure: a request is refused because the range of its key was joined with a
+// neighbouring one of the same owner, and has that one's fence since.
+TEST_CASE("a joined range is still the same assignment") {
+  const endpoint_instance owner{endpoint_id("i-1"), incarnation(1)};
+  const epoch fence(5);
+  const epoch table_fence(7);
+  const request_progress ran = WithKeyedAttempt(
+      Progress(true, 0), attempt_result::kLost, {owner, fence, table_fence});
+  CHECK(MayRunAgain(ran, {owner, epoch(6), epoch(9)}));
+  CHECK(MayRunAgain(ran, {owner, table_fence, epoch(9)}));
+  // The key moved away and came back.
+  CHECK(!MayRunAgain(ran, {owner, epoch(8), epoch(9)}));
+  // A dispatcher with an earlier table.
+  CHECK(!MayRunAgain(ran, {owner, epoch(4), epoch(6)}));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/proxy/keyed_execution.h
+++ b/bluebell/proxy/keyed_execution.h
@@ -11,6 +11,8 @@
   endpoint_instance endpoint;
   // The fence of the key's assignment to `endpoint` at that time.
   epoch fence;
+  // The highest fence of the key table at that time; zero if it isn't known.
+  epoch table_fence{};
 
   friend bool operator==(const keyed_execution&,
                          const keyed_execution&) = default;
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -49,6 +49,10 @@
   return release;
 }
 
+keyed_execution ExecutionUnder(const permit_granted& granted) {
+  return {granted.endpoint, granted.fence, granted.table_fence};
+}
+
 const error* FailureOf(const exchange_result& exchange) {
   return std::visit(
       overloaded{
@@ -166,7 +170,7 @@
     co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
                             kShutdownRetryAfter);
   }
-  if (!MayRunAgain(progress, {granted.endpoint, granted.fence})) {
+  if (!MayRunAgain(progress, ExecutionUnder(granted))) {
     permits_.Release(UnusedRelease(context.service, granted));
     context.reason = "the key has moved since an attempt ran at its owner";
     co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
@@ -250,8 +254,7 @@
   const attempt_result result = ResultOf(exchange, progress.idempotent);
   RecordAttempt(context, granted, exchange, result, caller_left);
   progress = progress.keyed
-                 ? WithKeyedAttempt(progress, result,
-                                    {granted.endpoint, granted.fence})
+                 ? WithKeyedAttempt(progress, result, ExecutionUnder(granted))
                  : WithAttempt(progress, result);
   if (caller_left) {
     context.reason = "the caller left";
