Drop what the coordinator keeps of endpoints that are gone

What operators would see: memory that grows with each replaced endpoint of a keyed service for as long as a daemon is the coordinator.

Cause: the last addresses, and whether an endpoint answers, were kept for each process that was ever listed.

Change: Advance() drops those of endpoints that aren't listed, own no keys and give none away.

--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -129,6 +129,32 @@
   return last_known->second;
 }
 
+void key_coordinator::ForgetGoneEndpoints() {
+  if (known_endpoint_count() <= endpoints_.size()) {
+    return;
+  }
+  std::set<endpoint_instance> in_use;
+  for (const fleet_endpoint& endpoint : endpoints_) {
+    in_use.insert(endpoint.instance);
+  }
+  for (const key_assignment& assignment : table_.assignments()) {
+    in_use.insert(assignment.owner);
+  }
+  if (pending_write_) {
+    for (const key_reassignment& pending : pending_write_->reassignments) {
+      in_use.insert(pending.to);
+    }
+  }
+  for (const key_move& move : moves_) {
+    in_use.insert(move.from());
+  }
+  const auto is_gone = [&](const auto& entry) {
+    return !in_use.contains(entry.first);
+  };
+  std::erase_if(last_address_, is_gone);
+  std::erase_if(reachability_, is_gone);
+}
+
 void key_coordinator::RecordOrderOutcome(const endpoint_instance& instance,
                                          bool answered) {
   endpoint_reachability& reachability = reachability_[instance];
@@ -265,6 +291,7 @@
 std::vector<coordinator_action>
 key_coordinator::Advance(instant authority_until, bool may_write, instant now) {
   std::vector<coordinator_action> actions;
+  ForgetGoneEndpoints();
   RefreshGrantedRanges();
   if (may_write) {
     CancelMoves(now);
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -16,6 +16,8 @@
 #ifndef BLUEBELL_KEYSPACE_KEY_COORDINATOR_H_
 #define BLUEBELL_KEYSPACE_KEY_COORDINATOR_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -114,6 +116,12 @@
   // owner hasn't accepted its first grant.
   std::vector<unserved_range> UnservedRanges() const;
 
+  // The number of endpoint processes of which the coordinator keeps an address
+  // or whether they answer.
+  std::size_t known_endpoint_count() const {
+    return std::max(last_address_.size(), reachability_.size());
+  }
+
   const key_table& table() const { return table_; }
   const store_version& revision() const { return revision_; }
 
@@ -152,6 +160,9 @@
   // True if so many consecutive orders to `instance` had no answer that its
   // keys are to move.
   bool IsLost(const endpoint_instance& instance) const;
+  // Drops the state of endpoints that aren't listed, own no keys and give none
+  // away.
+  void ForgetGoneEndpoints();
   // Counts consecutive orders that had no answer or were rejected; `answered`
   // resets the count.
   void RecordOrderOutcome(const endpoint_instance& instance, bool answered);
--- a/bluebell/keyspace/key_growth_test.cc
+++ b/bluebell/keyspace/key_growth_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <variant>
@@ -18,6 +19,7 @@
 namespace {
 
 const key_timing kTiming;
+const instant kStart = instant(seconds(1'000));
 constexpr milliseconds kStep{50};
 constexpr std::size_t kEndpointCount = 14;
 // The highest number of ranges that the planner allows for each owner.
@@ -109,12 +111,19 @@
   void Answer(const coordinator_action& action) {
     std::visit(overloaded{[&](const send_grant& order) {
                             ++grants_;
-                            keys_.OnGrantReply(order, now_,
-                                               {grant_verdict::kAccepted, true},
-                                               now_);
+                            grant_reply reply;
+                            if (order.endpoint != unreachable_) {
+                              reply.verdict = grant_verdict::kAccepted;
+                            }
+                            keys_.OnGrantReply(order, now_, reply, now_);
                           },
                           [&](const send_release& order) {
-                            keys_.OnReleaseReply(order, "token", now_);
+                            keys_.OnReleaseReply(
+                                order,
+                                order.endpoint == unreachable_
+                                    ? std::nullopt
+                                    : std::optional<std::string>("token"),
+                                now_);
                           },
                           [&](const write_key_table&) {
                             keys_.OnWritten(store_version(++revision_), now_);
@@ -126,7 +135,8 @@
   std::mt19937 random_;
   key_coordinator keys_;
   std::vector<fleet_endpoint> entries_;
-  instant now_ = instant(seconds(1'000));
+  instant now_ = kStart;
+  endpoint_instance unreachable_;
   std::uint64_t last_number_ = 0;
   std::uint64_t revision_ = 0;
   std::size_t grants_ = 0;
@@ -167,5 +177,14 @@
   CHECK(world.GrantsPerRenewalInterval() <= kBound);
 }
 
+// Failure: the coordinator keeps state of endpoints that ended long ago.
+TEST_CASE("nothing is kept of endpoints that were replaced") {
+  replaced_endpoints world(3);
+  for (int i = 0; i < 50; ++i) {
+    world.Replace();
+  }
+  CHECK(world.keys().known_endpoint_count() == kEndpointCount);
+}
+
 }  // namespace
 }  // namespace bluebell
