Limit the ranges that are split off for keys with a dominant load

What operators would see: a key table that grows with each key that had a dominant load once, at owners of unequal capacity.

Cause: such keys were split off whatever the number of ranges.

Change: up to 8 ranges for each owner, 2 more than for other moves. Each owner gets one such key at a time, which adds up to two ranges.

--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -26,6 +26,9 @@
 // Limits the number of ranges in the table, because each range is renewed by
 // its own call. Only single keys with a dominant load are split off beyond it.
 constexpr std::size_t kMaxRangesPerOwner = 6;
+// The limit for those keys. Each owner gets one at a time, which adds up to two
+// ranges.
+constexpr std::size_t kMaxRangesWithDominantKeys = kMaxRangesPerOwner + 2;
 
 // A key whose load is at least this share of its owner's capacity is placed by
 // itself.
@@ -268,11 +271,17 @@
     }
     assigned_endpoints.insert(fastest->first);
     const key_range range{load.key, load.key};
-    if (fastest->second < kMinCapacityGainFactor * owner->second ||
+    const key_table placed = state.table.With(range, fastest->first);
+    const bool exceeds_limit =
+        placed.assignments().size() > state.table.assignments().size() &&
+        placed.assignments().size() >
+            state.owner_capacities.size() * kMaxRangesWithDominantKeys;
+    if (exceeds_limit ||
+        fastest->second < kMinCapacityGainFactor * owner->second ||
         Overlaps(assignment->range, state.moving)) {
       continue;
     }
-    state.table = state.table.With(range, fastest->first);
+    state.table = placed;
     state.moving.push_back(range);
     moves.push_back({range, fastest->first});
   }
--- a/bluebell/keyspace/key_planner_test.cc
+++ b/bluebell/keyspace/key_planner_test.cc
@@ -114,6 +114,19 @@
   CHECK(PlanRebalance(input).empty());
 }
 
+// Failure: the table grows with each key that had a dominant load once.
+TEST_CASE("dominant keys split ranges up to a limit of their own") {
+  key_plan_input input = EvenInput(2, 2);
+  input.owner_capacities[Owner(1)] = 4;
+  for (int round = 0; round < 40; ++round) {
+    const auto key = static_cast<shard_key>(round * 800 + 7);
+    input.loads = {{key, 1.8}};
+    input.table = After(input, PlanRebalance(input));
+  }
+  CHECK(input.table.assignments().size() > 2 * 6);
+  CHECK(input.table.assignments().size() <= 2 * 8);
+}
+
 TEST_CASE("slow endpoints get fewer keys") {
   key_plan_input input = EvenInput(2, 2);
   input.owner_capacities[Owner(0)] = 0.5;
