Test the coordinator's state over months of virtual time

300 random events in more than 60 days of virtual time: endpoints that drain, end, restart or become unreachable, coordinators that change, and changing loads. The numbers of ranges, of known endpoints and of unserved ranges stay within their bounds.

--- a/bluebell/keyspace/key_growth_test.cc
+++ b/bluebell/keyspace/key_growth_test.cc
@@ -22,8 +22,10 @@
 const instant kStart = instant(seconds(1'000));
 constexpr milliseconds kStep{50};
 constexpr std::size_t kEndpointCount = 14;
-// The highest number of ranges that the planner allows for each owner.
+// The highest numbers of ranges that the planner allows for each owner, the
+// second one with those that were split off for single keys.
 constexpr std::size_t kMaxRangesPerOwner = 6;
+constexpr std::size_t kMaxRangesWithDominantKeys = 8;
 
 // A coordinator whose orders and writes are answered at once, and a registry
 // whose endpoints are replaced by others with new ids and addresses.
@@ -48,6 +50,48 @@
     Run(seconds(4));
   }
 
+  // One of the events of months of operation, and what follows at once. The
+  // hours until the next one are left out.
+  void Happen() {
+    const std::size_t which = RandomBelow(entries_.size());
+    switch (RandomBelow(8)) {
+      case 0:
+      case 1:
+        Replace();
+        break;
+      case 2:
+        // The process ends, and another one starts elsewhere.
+        entries_[which] = NewEntry();
+        break;
+      case 3:
+        entries_[which].instance.run = incarnation(++last_number_);
+        break;
+      case 4:
+        unreachable_ = entries_[which].instance;
+        Run(seconds(6));
+        unreachable_ = endpoint_instance();
+        break;
+      case 5:
+        // Another daemon becomes the coordinator.
+        keys_.TakeOver(keys_.table(), store_version(revision_), now_, now_);
+        break;
+      case 6:
+        SetBigKey();
+        break;
+      default:
+        ChangeLoads();
+        break;
+    }
+    Run(seconds(4));
+    now_ += std::chrono::minutes(RandomBelow(720));
+    Run(seconds(1));
+  }
+
+  // One key takes most of an endpoint.
+  void SetBigKey() {
+    keys_.SetLoads({{static_cast<shard_key>(RandomBelow(65'536)), 1.8}}, {});
+  }
+
   // A few adjacent keys have most of the load.
   void ChangeLoads() {
     std::vector<shard_load> loads;
@@ -79,6 +123,11 @@
   }
 
   const key_coordinator& keys() const { return keys_; }
+  std::int64_t days() const {
+    return std::chrono::duration_cast<std::chrono::hours>(now_ - kStart)
+               .count() /
+           24;
+  }
   std::size_t max_ranges() const { return max_ranges_; }
   // The number of ranges whose neighbour has the same owner.
   std::size_t UnjoinedRanges() const {
@@ -104,7 +153,7 @@
     entry.where =
         address::Parse("10.0.0.1:" + std::to_string(8'000 + last_number_))
             .value();
-    entry.slots = 2;
+    entry.slots = 1 + static_cast<std::uint32_t>(last_number_ % 3);
     return entry;
   }
 
@@ -186,5 +235,24 @@
   CHECK(world.keys().known_endpoint_count() == kEndpointCount);
 }
 
+// Failure: a state grows over months, or a range is left without an owner.
+TEST_CASE("the state of the coordinator stays flat over months") {
+  replaced_endpoints world(4);
+  std::size_t max_known = 0;
+  for (int i = 0; i < 300; ++i) {
+    world.Happen();
+    max_known = std::max(max_known, world.keys().known_endpoint_count());
+  }
+  INFO("at most " << world.max_ranges() << " ranges, now "
+                  << world.keys().table().assignments().size());
+  CHECK(world.days() > 60);
+  CHECK(world.max_ranges() <= kEndpointCount * kMaxRangesWithDominantKeys);
+  CHECK(max_known <= 2 * kEndpointCount);
+  world.Run(4 * kTiming.join_delay);
+  CHECK(world.UnjoinedRanges() == 0);
+  CHECK(world.keys().UnservedRanges().empty());
+  CHECK(world.keys().known_endpoint_count() == kEndpointCount);
+}
+
 }  // namespace
 }  // namespace bluebell
