Close the coordinator's clients of endpoints that are gone

What operators would see: a coordinator that keeps a client, with its idle connections, for each address that an endpoint of a keyed service ever had.

Change: before orders are sent, the clients of addresses that no endpoint has are destroyed. Calls in flight go on.

The call in coordinator_orders.cc has no test of its own.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -17,6 +17,7 @@
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/coordinator_role.h"
 #include "bluebell/gateway/key_order_log.h"
+#include "bluebell/gateway/order_clients.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/http/http_client.h"
 #include "bluebell/kv/async_call.h"
@@ -42,6 +43,9 @@
 void coordinator_role::Execute(const service_name& service,
                                const std::vector<coordinator_action>& actions) {
   const std::uint64_t term = authority_.term();
+  if (view_ && !actions.empty()) {
+    CloseUnlistedClients(clients_, *view_);
+  }
   // If an exception leaves the coroutine, the order counts as unanswered.
   // Without any result it would count as in flight for the rest of the term.
   const auto spawn =
