Test that a daemon whose lease has ended writes its entry again

It holds today: the renewal says that the lease has ended, and the daemon announces itself under a new one. The test fails if the result of the renewal is ignored.

--- a/bluebell/gateway/member_lease_test.cc
+++ b/bluebell/gateway/member_lease_test.cc
@@ -73,5 +73,34 @@
   CHECK(call_times[2] - call_times[1] < milliseconds(300));
 }
 
+// Failure: the entry has gone with its lease, and the daemon takes itself for
+// announced: it is no dispatcher, relay or coordinator until it restarts.
+TEST_CASE("a daemon whose lease has ended writes its entry again") {
+  const std::vector<std::string> responses{
+      Response("200 OK", R"({"Lease":7,"TtlS_time":6})"),
+      Response("200 OK", R"({"Revision":9})"), Response("404 Not Found", ""),
+      Response("200 OK", R"({"Lease":8,"TtlS_time":6})"),
+      Response("200 OK", R"({"Revision":12})")};
+  asio::io_context io;
+  std::vector<instant> call_times;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    call_times.push_back(BootNow());
+    return responses[std::min(call_times.size(), responses.size()) - 1];
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(
+      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      watcher_handlers{});
+  member_lease lease(io, *store, watcher, kMember);
+  lease.Start();
+  while (call_times.size() < responses.size() &&
+         io.run_one_for(seconds(5)) > 0) {
+  }
+  REQUIRE(call_times.size() == responses.size());
+  // The renewal that shows it, and the new announcement.
+  CHECK(call_times[2] - call_times[1] < seconds(2));
+  CHECK(call_times[4] - call_times[2] < seconds(1));
+}
+
 }  // namespace
 }  // namespace bluebell
