--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -16,6 +16,8 @@
 #ifndef BLUEBELL_KEYSPACE_KEY_COORDINATOR_H_
 #define BLUEBELL_KEYSPACE_KEY_COORDINATOR_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -27,6 +29,7 @@
 #include "bluebell/fleet/fleet_endpoint.h"
 #include "bluebell/keyspace/coordinator_action.h"
 #include "bluebell/keyspace/grant_record.h"
+#include "bluebell/keyspace/granted_range.h"
 #include "bluebell/keyspace/key_grant.h"
 #include "bluebell/keyspace/key_move.h"
 #include "bluebell/keyspace/key_planner.h"
@@ -34,6 +37,7 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/key_timing.h"
 #include "bluebell/keyspace/move_number.h"
+#include "bluebell/keyspace/range_joiner.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
 
@@ -41,7 +45,8 @@
 
 class key_coordinator {
  public:
-  explicit key_coordinator(const key_timing& timing) : timing_(timing) {}
+  explicit key_coordinator(const key_timing& timing)
+      : timing_(timing), joiner_(timing) {}
 
   // Begins to coordinate from `table`, which the store has at `revision` (zero
   // if it has none). A former coordinator has sent no grant after
@@ -111,17 +116,16 @@
   // owner hasn't accepted its first grant.
   std::vector<unserved_range> UnservedRanges() const;
 
+  // The number of endpoint processes of which the coordinator keeps an address
+  // or whether they answer.
+  std::size_t known_endpoint_count() const {
+    return std::max(last_address_.size(), reachability_.size());
+  }
+
   const key_table& table() const { return table_; }
   const store_version& revision() const { return revision_; }
 
  private:
-  // A range that is granted and renewed by one call.
-  struct granted_range {
-    key_range range;
-    epoch fence;
-    endpoint_instance owner;
-    grant_record grants;
-  };
   // A move whose range may be assigned to a new owner.
   struct reassignable_move {
     const key_move* move = nullptr;
@@ -156,6 +160,9 @@
   // True if so many consecutive orders to `instance` had no answer that its
   // keys are to move.
   bool IsLost(const endpoint_instance& instance) const;
+  // Drops the state of endpoints that aren't listed, own no keys and give none
+  // away.
+  void ForgetGoneEndpoints();
   // Counts consecutive orders that had no answer or were rejected; `answered`
   // resets the count.
   void RecordOrderOutcome(const endpoint_instance& instance, bool answered);
@@ -186,8 +193,9 @@
   // Releases without effect to lost endpoints that own no keys. An answer shows
   // that the endpoint can be reached again.
   void AddProbes(std::vector<coordinator_action>& actions, instant now);
-  // A table that completes the moves whose ranges may be assigned, or the same
-  // write again if its result isn't known.
+  // A table that completes the moves whose ranges may be assigned, or joins
+  // ranges if there are no moves, or the same write again if its result isn't
+  // known.
   void AddTableWrite(std::vector<coordinator_action>& actions, instant now);
   // Grants and renewals that are due.
   void AddGrants(std::vector<coordinator_action>& actions, instant now);
@@ -195,6 +203,8 @@
   // can't serve it any more, or takes it back. No value if it may not yet.
   std::optional<reassignment_reason> ReasonToReassign(const key_move& move,
                                                       instant now) const;
+  // The write of a table with joined ranges; nothing is joined if none can be.
+  write_key_table JoinRanges(instant now) const;
   // The write of a table in which `moves` are complete, as far as there are
   // endpoints for them.
   write_key_table CompleteMoves(
@@ -209,6 +219,7 @@
   bool ReachesTooFewOwners() const;
 
   key_timing timing_;
+  range_joiner joiner_;
   key_table table_;
   store_version revision_;
   // The write whose result isn't known, and whether it is to be repeated.
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -24,8 +24,11 @@
 // without requests are divided evenly.
 constexpr double kIdleKeyLoadSlots = 1e-5;
 // Limits the number of ranges in the table, because each range is renewed by
-// its own call.
+// its own call. Only single keys with a dominant load are split off beyond it.
 constexpr std::size_t kMaxRangesPerOwner = 6;
+// The limit for those keys. Each owner gets one at a time, which adds up to two
+// ranges.
+constexpr std::size_t kMaxRangesWithDominantKeys = kMaxRangesPerOwner + 2;
 
 // A key whose load is at least this share of its owner's capacity is placed by
 // itself.
@@ -110,6 +113,13 @@
   return total;
 }
 
+// True if a range of `table` may be split.
+bool MaySplit(const key_plan_input& input, const key_table& table) {
+  return table.assignments().size() <
+         std::max<std::size_t>(1, input.owner_capacities.size()) *
+             kMaxRangesPerOwner;
+}
+
 bool Overlaps(const key_range& range, const std::vector<key_range>& others) {
   return std::any_of(others.begin(), others.end(), [&](const key_range& other) {
     return other.Overlaps(range);
@@ -139,10 +149,7 @@
                                    double max_load) {
   std::optional<key_range> best;
   double best_load = max_load * kMinPieceShare;
-  const bool may_split =
-      input.table.assignments().size() <
-      std::max<std::size_t>(1, input.owner_capacities.size()) *
-          kMaxRangesPerOwner;
+  const bool may_split = MaySplit(input, input.table);
   const auto keep_if_better = [&](const key_range& piece) {
     const double load = LoadOf(input.loads, piece);
     if (load > best_load && load <= max_load) {
@@ -197,6 +204,7 @@
   }
   const double mean =
       (TotalOf(loads) + unowned_load) / std::max(0.01, capacity);
+  key_table planned = input.table;
   for (const key_range& unowned : unowned_ranges) {
     std::uint32_t first = unowned.first;
     while (first <= unowned.last) {
@@ -208,11 +216,13 @@
           CutAfter(input.loads, rest, free_capacity).value_or(rest.first);
       // A remainder with little load doesn't become a range of its own.
       const key_range remainder{last, unowned.last};
-      if (LoadOf(input.loads, remainder) < mean * kMinPieceShare) {
+      if (!MaySplit(input, planned) ||
+          LoadOf(input.loads, remainder) < mean * kMinPieceShare) {
         last = unowned.last;
       }
       const key_range piece{rest.first, last};
       loads[to] += LoadOf(input.loads, piece);
+      planned = planned.With(piece, to);
       moves.push_back({piece, to});
       first = std::uint32_t{last} + 1;
     }
@@ -261,11 +271,17 @@
     }
     assigned_endpoints.insert(fastest->first);
     const key_range range{load.key, load.key};
-    if (fastest->second < kMinCapacityGainFactor * owner->second ||
+    const key_table placed = state.table.With(range, fastest->first);
+    const bool exceeds_limit =
+        placed.assignments().size() > state.table.assignments().size() &&
+        placed.assignments().size() >
+            state.owner_capacities.size() * kMaxRangesWithDominantKeys;
+    if (exceeds_limit ||
+        fastest->second < kMinCapacityGainFactor * owner->second ||
         Overlaps(assignment->range, state.moving)) {
       continue;
     }
-    state.table = state.table.With(range, fastest->first);
+    state.table = placed;
     state.moving.push_back(range);
     moves.push_back({range, fastest->first});
   }
