Refuse a length that is written as a list

A message with "Content-Length: 5, 5" was taken; readers that don't know lists see another length, or none, and read its body as a message of its own. Beast accepts lists of equal values, and the check counted lines only. Now the value must consist of digits.

--- a/bluebell/http/internal/framing_samples.h
+++ b/bluebell/http/internal/framing_samples.h
@@ -111,6 +111,7 @@
               kHello),
       Refused("two lengths", "Content-Length: 5\r\nContent-Length: 6\r\n",
               kHello),
+      Refused("equal lengths in a list", "Content-Length: 5, 5\r\n", kHello),
       Refused("lengths in a list", "Content-Length: 5, 6\r\n", kHello),
       Refused("a length and a comma", "Content-Length: 5,\r\n", kHello),
       Refused("a comma and a length", "Content-Length: ,5\r\n", kHello),
@@ -173,7 +174,6 @@
       Refused("a line that ends with LF", "Content-Length: 5\nX-A: b\r\n",
               kHello),
       Refused("a line with a CR", "X-A: b\rContent-Length: 5\r\n", kHello),
-
       Refused("a chunk size that ends with LF", kChunked,
               "5\nhello\r\n0\r\n\r\n"),
       Refused("a chunk that ends with LF", kChunked, "5\r\nhello\n0\r\n\r\n"),
--- a/bluebell/http/message_framing.cc
+++ b/bluebell/http/message_framing.cc
@@ -45,18 +45,27 @@
   return codings;
 }
 
+// HTTP parsers accept a list of equal lengths in one line.
+bool HasOneLength(const bhttp::fields& fields) {
+  const auto value = fields[bhttp::field::content_length];
+  return fields.count(bhttp::field::content_length) == 1 &&
+         std::all_of(value.begin(), value.end(),
+                     [](char c) { return c >= '0' && c <= '9'; });
+}
+
 }  // namespace
 
 message_framing FramingOf(const bhttp::fields& fields, unsigned version) {
-  const std::size_t lengths = fields.count(bhttp::field::content_length);
+  const bool has_length = fields.count(bhttp::field::content_length) > 0;
   const std::vector<std::string_view> codings = TransferCodings(fields);
   if (codings.empty()) {
-    return lengths <= 1 ? message_framing::kClear : message_framing::kAmbiguous;
+    return !has_length || HasOneLength(fields) ? message_framing::kClear
+                                               : message_framing::kAmbiguous;
   }
   const bool chunked_last_only =
       IsChunked(codings.back()) &&
       std::count_if(codings.begin(), codings.end(), IsChunked) == 1;
-  if (version < kHttp11 || lengths > 0 || !chunked_last_only) {
+  if (version < kHttp11 || has_length || !chunked_last_only) {
     return message_framing::kAmbiguous;
   }
   return codings.size() == 1 ? message_framing::kClear
--- a/bluebell/http/message_framing_test.cc
+++ b/bluebell/http/message_framing_test.cc
@@ -31,6 +31,8 @@
       {{}, {"5"}, kHttp10, kClear},
       {{}, {"5", "5"}, kHttp11, kAmbiguous},
       {{}, {"5", "6"}, kHttp11, kAmbiguous},
+      {{}, {"5, 5"}, kHttp11, kAmbiguous},
+      {{}, {"5,5"}, kHttp11, kAmbiguous},
       {{"chunked"}, {}, kHttp11, kClear},
       {{"Chunked"}, {}, kHttp11, kClear},
       {{" chunked\t"}, {}, kHttp11, kClear},
