Refuse empty codings and chunks within chunks with 400

", chunked" and "chunked;q=1, chunked" got 501, as if their end were clear and only a coding unknown. A reader that skips empty codings, or ignores parameters, sees chunks once or twice. Both were refused and nothing behind them was read, so only the status was wrong. Red before: 3 of 550 assertions of the framing table, 4 of 31 of message_framing_test.

--- a/bluebell/http/message_framing.cc
+++ b/bluebell/http/message_framing.cc
@@ -28,6 +28,11 @@
   return boost::beast::iequals({coding.data(), coding.size()}, "chunked");
 }
 
+// True for "chunked" with or without parameters.
+bool IsNamedChunked(std::string_view coding) {
+  return IsChunked(Trimmed(coding.substr(0, coding.find(';'))));
+}
+
 // The codings of all lines in their order, with empty ones.
 std::vector<std::string_view> TransferCodings(const bhttp::fields& fields) {
   std::vector<std::string_view> codings;
@@ -64,7 +69,8 @@
   }
   const bool chunked_last_only =
       IsChunked(codings.back()) &&
-      std::count_if(codings.begin(), codings.end(), IsChunked) == 1;
+      std::count_if(codings.begin(), codings.end(), IsNamedChunked) == 1 &&
+      std::count(codings.begin(), codings.end(), std::string_view()) == 0;
   if (version < kHttp11 || has_length || !chunked_last_only) {
     return message_framing::kAmbiguous;
   }
--- a/bluebell/http/message_framing_test.cc
+++ b/bluebell/http/message_framing_test.cc
@@ -48,7 +48,12 @@
       {{"chunked,"}, {}, kHttp11, kAmbiguous},
       {{"chunked, chunked"}, {}, kHttp11, kAmbiguous},
       {{"chunked", "chunked"}, {}, kHttp11, kAmbiguous},
+      {{", chunked"}, {}, kHttp11, kAmbiguous},
+      {{"", "chunked"}, {}, kHttp11, kAmbiguous},
+      {{"chunked;q=1, chunked"}, {}, kHttp11, kAmbiguous},
+      {{"Chunked ;q=1, chunked"}, {}, kHttp11, kAmbiguous},
       {{"gzip, chunked"}, {}, kHttp11, kUnknownCoding},
+      {{"gzip;q=1, chunked"}, {}, kHttp11, kUnknownCoding},
       {{"gzip", "chunked"}, {}, kHttp11, kUnknownCoding},
       {{"gzip, chunked"}, {"5"}, kHttp11, kAmbiguous},
   };
