Refuse messages with folded header lines

A caller's request with "X-A: b" and " Content-Length: 5" in the next line was served without its body, and the body was read as the next request; a reader that takes the folded line for a field of its own sees another message. The same held for folded lengths and codings, and for endpoints' responses. The parser joins folded lines and doesn't say so, so ReadHead looks at the bytes that it has used. It is shared by both sides and holds the check of the framing too.

--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -24,7 +24,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
-#include "bluebell/http/message_framing.h"
+#include "bluebell/http/message_head.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/task.h"
 #include "bluebell/telemetry/log_event.h"
@@ -199,24 +199,14 @@
   parser.body_limit(shared_state_->bounds.max_body_bytes);
   LimitReadTime(shared_state_->bounds.header_timeout);
   stream_.expires_never();
-  const auto [header_error, header_bytes] =
-      co_await bhttp::async_read_header(stream_, buffer_, parser, kAwait);
-  if (header_error) {
-    co_return header_error;
-  }
-  switch (FramingOf(parser.get(), parser.get().version())) {
-    case message_framing::kClear:
-      break;
-    case message_framing::kUnknownCoding:
-      co_return boost::system::errc::make_error_code(
-          boost::system::errc::not_supported);
-    case message_framing::kAmbiguous:
-      co_return bhttp::error::bad_transfer_encoding;
+  const head_result head = co_await ReadHead<true>(stream_, buffer_, parser);
+  if (head.failure) {
+    co_return head.failure;
   }
   // The parser allocates the stated length of a body at once.
   const std::size_t length =
       static_cast<std::size_t>(parser.content_length().value_or(0));
-  if (!memory.GrowTo(kCopiesOfRequest * (header_bytes + length))) {
+  if (!memory.GrowTo(kCopiesOfRequest * (head.size + length))) {
     co_return boost::system::errc::make_error_code(
         boost::system::errc::not_enough_memory);
   }
@@ -240,7 +230,7 @@
     header = parser.get();
   }
   const boost::system::error_code failure =
-      co_await ReadBody(parser, memory, header_bytes);
+      co_await ReadBody(parser, memory, head.size);
   if (header) {
     static_cast<bhttp::fields&>(parser.get()) = std::move(*header);
   }
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -23,7 +23,7 @@
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
 #include "bluebell/http/embedded_status_line.h"
-#include "bluebell/http/message_framing.h"
+#include "bluebell/http/message_head.h"
 #include "bluebell/http/read_limits.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
@@ -160,14 +160,10 @@
   const std::size_t max_bytes = MaxResponseBytes();
   parser.header_limit(kMaxResponseHeaderBytes);
   parser.body_limit(max_bytes);
-  const auto [header_error, header_bytes] = co_await bhttp::async_read_header(
-      link.stream, link.buffer, parser, kAwait);
-  if (header_error) {
-    co_return header_error;
-  }
-  if (FramingOf(parser.get(), parser.get().version()) !=
-      message_framing::kClear) {
-    co_return bhttp::error::bad_transfer_encoding;
+  const head_result head =
+      co_await ReadHead<false>(link.stream, link.buffer, parser);
+  if (head.failure) {
+    co_return head.failure;
   }
   // The parser adds trailers to the header.
   std::optional<bhttp::fields> header;
@@ -175,7 +171,7 @@
     header = parser.get();
   }
   // The parser allocates the stated length of a body at once.
-  std::size_t received = header_bytes;
+  std::size_t received = head.size;
   if (const auto length = parser.content_length()) {
     if (!memory.GrowTo(received + static_cast<std::size_t>(*length))) {
       co_return bhttp::error::body_limit;
@@ -191,7 +187,7 @@
     received += size;
     // A body without a stated length occupies up to twice its size.
     const std::size_t occupied =
-        std::max(received, header_bytes + parser.get().body().capacity());
+        std::max(received, head.size + parser.get().body().capacity());
     if (received > max_bytes || !memory.GrowTo(occupied)) {
       co_return bhttp::error::body_limit;
     }
