Refuse chunk extensions with control characters

A chunk header may hold a quoted value, in which the parser accepts any character. A reader that ends lines at LF alone takes the rest of the value for the chunk, and so sees another end of the body: a request behind it may be hidden in it or run. The header of each chunk is now checked.

--- a/bluebell/http/message_head.cc
+++ b/bluebell/http/message_head.cc
@@ -1,5 +1,8 @@
 #include "bluebell/http/message_head.h"
 
+#include <algorithm>
+#include <cstdint>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -40,6 +43,22 @@
   return {};
 }
 
+// The parser accepts any character in a quoted value, so that other readers may
+// take a LF there for the end of the line.
+void CheckChunkHeader(std::uint64_t /*size*/,
+                      beast::string_view extensions,
+                      boost::system::error_code& failure) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  const bool is_text =
+      std::all_of(extensions.begin(), extensions.end(), [](unsigned char c) {
+        return c == '\t' || (c >= kFirstPrintable && c != kDelete);
+      });
+  if (!is_text) {
+    failure = bhttp::error::bad_chunk_extension;
+  }
+}
+
 }  // namespace
 
 template <bool kIsRequest>
@@ -54,6 +73,7 @@
     failure = bhttp::error::bad_field;
   }
   if (!failure && parser.is_header_done()) {
+    parser.on_chunk_header(CheckChunkHeader);
     failure = FramingError(FramingOf(parser.get(), parser.get().version()));
   }
   return used;
--- a/bluebell/http/message_head.h
+++ b/bluebell/http/message_head.h
@@ -36,7 +36,7 @@
 // boost::beast::http::error::need_more if it needs more than these, with
 // bad_transfer_encoding or bad_field if the body or a field has more than one
 // reading, and with errc::not_supported for a transfer coding besides
-// "chunked".
+// "chunked". The parser then refuses chunk extensions with control characters.
 template <bool kIsRequest>
 std::size_t PutHead(message_parser<kIsRequest>& parser,
                     std::string_view input,
