Refuse responses that state a body their status excludes

An interim response or 204 with a length or chunks was read without its body, as the parser does; what an endpoint sent as the body of an interim response was relayed as the response. Another sender of the two means one of them. Such an attempt is now lost, and its connection closed. A length of zero, and 304 with the length of what isn't sent, are as before. Red before: 6 of 618 assertions of the framing table, in its 4 rows with status 103 or 204.

--- a/bluebell/http/internal/framing_samples.h
+++ b/bluebell/http/internal/framing_samples.h
@@ -233,8 +233,15 @@
       ResponseOnly("no content", "204 No Content", "", true),
       ResponseOnly("no content and a length of zero", "204 No Content",
                    "Content-Length: 0\r\n", true),
+      ResponseOnly("no content and a length", "204 No Content",
+                   "Content-Length: 5\r\n", false),
+      ResponseOnly("no content and chunks", "204 No Content", kChunked, false),
       ResponseOnly("not modified and the length of what isn't sent",
                    "304 Not Modified", "Content-Length: 5\r\n", true),
+      ResponseOnly("an interim response with a length", "103 Early Hints",
+                   "Content-Length: 5\r\n", false),
+      ResponseOnly("an interim response with chunks", "103 Early Hints",
+                   kChunked, false),
   };
   return samples;
 }
--- a/bluebell/http/message_framing.cc
+++ b/bluebell/http/message_framing.cc
@@ -15,6 +15,8 @@
 namespace bhttp = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
 constexpr std::string_view kBlanks = " \t";
 
 std::string_view Trimmed(std::string_view text) {
@@ -78,4 +80,19 @@
                              : message_framing::kUnknownCoding;
 }
 
+message_framing FramingOf(const bhttp::request_header<>& head) {
+  return FramingOf(head, head.version());
+}
+
+message_framing FramingOf(const bhttp::response_header<>& head) {
+  // A response with status 304 may state the length of what isn't sent.
+  const unsigned status = head.result_int();
+  const bool excludes_body = status < kFirstFinalStatus || status == kNoContent;
+  const bool states_body = head.count(bhttp::field::transfer_encoding) > 0 ||
+                           (head.count(bhttp::field::content_length) > 0 &&
+                            head[bhttp::field::content_length] != "0");
+  return excludes_body && states_body ? message_framing::kAmbiguous
+                                      : FramingOf(head, head.version());
+}
+
 }  // namespace bluebell
--- a/bluebell/http/message_framing.h
+++ b/bluebell/http/message_framing.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 namespace bluebell {
 
@@ -25,6 +26,10 @@
 message_framing FramingOf(const boost::beast::http::fields& fields,
                           unsigned version);
 
+message_framing FramingOf(const boost::beast::http::request_header<>& head);
+// Ambiguous also if the status excludes a body and the fields state one.
+message_framing FramingOf(const boost::beast::http::response_header<>& head);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_HTTP_MESSAGE_FRAMING_H_
--- a/bluebell/http/message_head.cc
+++ b/bluebell/http/message_head.cc
@@ -74,7 +74,7 @@
   }
   if (!failure && parser.is_header_done()) {
     parser.on_chunk_header(CheckChunkHeader);
-    failure = FramingError(FramingOf(parser.get(), parser.get().version()));
+    failure = FramingError(FramingOf(parser.get().base()));
   }
   return used;
 }
