Read the responses to calls as strictly as those to requests

The HTTP client for grants, releases and the store took whatever the parser takes: two lengths, chunks in HTTP/1.0, an unknown coding as chunks, folds. A response whose end has two readings could confirm a release, and bytes of its body count as the response to the next grant. It now reads heads as the connections of requests do.

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -21,6 +21,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "bluebell/http/embedded_status_line.h"
+#include "bluebell/http/message_head.h"
 #include "bluebell/http/read_limits.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
@@ -184,6 +185,19 @@
     done(outcome);
   }
 
+  static asio::awaitable<boost::system::error_code> ReadResponse(
+      connection& link,
+      message_parser<false>& parser) {
+    const head_result head =
+        co_await ReadHead<false>(link.stream, link.buffer, parser);
+    if (head.failure || parser.is_done()) {
+      co_return head.failure;
+    }
+    const auto [failure, size] =
+        co_await bhttp::async_read(link.stream, link.buffer, parser, kAwait);
+    co_return failure;
+  }
+
   static asio::awaitable<result<http_response>> Exchange(
       std::shared_ptr<impl> self,
       http_request request,
@@ -227,11 +241,11 @@
       co_return self->Failure(errc::kConnectionLost, call_step, write_error,
                               timeout);
     }
-    bhttp::response_parser<bhttp::string_body> parser;
+    message_parser<false> parser;
     parser.body_limit(self->options_.max_body_bytes);
     parser.skip(request.method() == bhttp::verb::head);
-    const auto [read_error, bytes_read] =
-        co_await bhttp::async_read(link->stream, link->buffer, parser, kAwait);
+    const boost::system::error_code read_error =
+        co_await ReadResponse(*link, parser);
     if (read_error) {
       co_return self->Failure(errc::kConnectionLost, call_step, read_error,
                               timeout);
--- a/bluebell/http/http_client_test.cc
+++ b/bluebell/http/http_client_test.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/verb.hpp>
 #include <catch2/catch.hpp>
 
+#include "bluebell/http/internal/framing_samples.h"
 #include "bluebell/http/internal/response_script.h"
 
 namespace bluebell {
@@ -173,5 +174,34 @@
   CHECK(merged.error().code() == errc::kConnectionLost);
 }
 
+// Guards against an order about keys that counts as carried out because of a
+// response whose end has more than one reading.
+TEST_CASE("only framings with one reading are taken as responses to calls") {
+  const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner";
+  for (const framing_sample& sample : FramingSamples()) {
+    if (sample.response_ends_with_connection) {
+      // The server here doesn't close its connections.
+      continue;
+    }
+    asio::io_context io;
+    std::vector<bool> is_first_on_connection;
+    response_script server(io, [&](std::vector<std::string>& sent) {
+      is_first_on_connection.push_back(sent.empty());
+      sent.push_back(ResponseBytes(sample, "") + inner);
+      return sent.back();
+    });
+    auto client =
+        http_client::Make(io, server.where(), http_client_options()).value();
+    const std::vector<result<http_response>> outcomes{
+        CallOnce(io, *client, seconds(2)), CallOnce(io, *client, seconds(2))};
+    CAPTURE(sample.name);
+    for (const result<http_response>& outcome : outcomes) {
+      CHECK(outcome.has_value() == sample.response_taken);
+      CHECK((!outcome || outcome.value().body() == sample.body));
+    }
+    CHECK(is_first_on_connection == std::vector<bool>{true, true});
+  }
+}
+
 }  // namespace
 }  // namespace bluebell
