Leave trailers out of the responses to calls

The parser adds trailers to the header, so that the handover value of a release could come from a trailer, or from bytes after a chunked body that ended within its trailers. Connections of requests left them out already. Red before: 1 of 3 assertions of "trailers of a response to a call are ignored".

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -193,8 +193,11 @@
     if (head.failure || parser.is_done()) {
       co_return head.failure;
     }
+    // The parser adds trailers to the header.
+    const bhttp::fields header = parser.get();
     const auto [failure, size] =
         co_await bhttp::async_read(link.stream, link.buffer, parser, kAwait);
+    static_cast<bhttp::fields&>(parser.get()) = header;
     co_return failure;
   }
 
--- a/bluebell/http/http_client_test.cc
+++ b/bluebell/http/http_client_test.cc
@@ -203,5 +203,21 @@
   }
 }
 
+// Guards against a confirmation or a handover value in a trailer, which the
+// endpoint's own header doesn't have.
+TEST_CASE("trailers of a response to a call are ignored") {
+  asio::io_context io;
+  response_script server(io, [](std::vector<std::string>& /*sent*/) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\none\r\n0\r\nLate: 1\r\n\r\n";
+  });
+  auto client =
+      http_client::Make(io, server.where(), http_client_options()).value();
+  const result<http_response> outcome = CallOnce(io, *client, seconds(2));
+  REQUIRE(outcome.has_value());
+  CHECK(outcome.value().body() == "one");
+  CHECK(outcome.value().count("Late") == 0);
+}
+
 }  // namespace
 }  // namespace bluebell
