--- a/bluebell/fleet/relay_order.h
+++ b/bluebell/fleet/relay_order.h
@@ -21,6 +21,13 @@
 std::vector<fleet_member> RelaysOf(const fleet_snapshot& view,
                                    const domain_name& domain);
 
+// Returns the daemons that the others of the domain ask to confirm their state
+// while they watch the store: the relays, or one daemon of a smaller domain.
+// That is the coordinator, if it belongs to the domain, since its watch returns
+// often.
+std::vector<fleet_member> ConfirmingPeersOf(const fleet_snapshot& view,
+                                            const domain_name& domain);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_FLEET_RELAY_ORDER_H_
--- a/bluebell/fleet/relay_order_test.cc
+++ b/bluebell/fleet/relay_order_test.cc
@@ -1,6 +1,8 @@
 #include "bluebell/fleet/relay_order.h"
 
+#include <iterator>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -50,5 +52,24 @@
   CHECK(RelaysOf(MakeView(5), kDomain).empty());
 }
 
+// Guards against daemons that all ask the store, or that all ask each other.
+TEST_CASE("all daemons of a domain have the same confirming peers") {
+  fleet_snapshot view = MakeView(5);
+  const auto first = ConfirmingPeersOf(view, kDomain);
+  REQUIRE(first.size() == 1);
+  const auto other =
+      view.members.find(first[0].instance.id) == view.members.begin()
+          ? std::next(view.members.begin())
+          : view.members.begin();
+  view.coordinator = other->second.instance;
+  CHECK(ConfirmingPeersOf(view, kDomain) ==
+        std::vector<fleet_member>{other->second});
+  other->second.leaving = true;
+  CHECK(ConfirmingPeersOf(view, kDomain) == first);
+  CHECK(ConfirmingPeersOf(MakeView(0), kDomain).empty());
+  view = MakeView(20);
+  CHECK(ConfirmingPeersOf(view, kDomain) == RelaysOf(view, kDomain));
+}
+
 }  // namespace
 }  // namespace bluebell
