Notice silent watches of the configuration and of the daemons' entries

Callers would have seen an old configuration for up to 31 s: the watch of op/config waited on a connection that carried nothing, while other watches raised the daemon's revision.

While a daemon watches the store, watch_guard asks a daemon of its failure domain every 0.5 s with the message that followers of relays send, and takes changes from the answer. If nothing has confirmed the configuration for 1.4 s (0.7 s at the daemons that others ask) it reads the changes over a connection of its own: 86 calls a minute at one daemon of a domain, none at the others, and 6 for the daemons' entries. A watch that misses a shown change for 0.5 s is replaced, logged and counted in bluebell_silent_watches_total. A relay no longer vouches for a time at which its configuration wasn't confirmed. The check of the revisions that other daemons name moves out of store_watcher.

Evidence: the socket test with a proxy whose open connections carry nothing has the configuration after 0.2 to 1.0 s in four cases, in three runs; with the guard switched off it isn't there after 4 s in any of them. bluebell_gateway_test and bluebell_gateway_soak_test passed.

--- a/bluebell/fleet/change_log.cc
+++ b/bluebell/fleet/change_log.cc
@@ -34,6 +34,20 @@
 
 }  // namespace
 
+std::vector<kv_event> EventsOf(const scope_changes& scope) {
+  std::vector<kv_event> events;
+  for (const fleet_change& change : scope.changes) {
+    const store_version revision(change.revision);
+    if (change.deleted) {
+      events.emplace_back(kv_deletion{change.key, revision, change.is_exact});
+    } else {
+      events.emplace_back(
+          kv_item{change.key, change.value, revision, kv_lease()});
+    }
+  }
+  return events;
+}
+
 change_log::change_log(std::vector<std::string> prefixes) {
   for (std::string& prefix : prefixes) {
     scopes_.push_back({std::move(prefix), 0, 0, {}});
@@ -73,6 +87,15 @@
   }
 }
 
+bool change_log::HasNews(std::string_view prefix,
+                         const std::vector<kv_event>& events) const {
+  const store_version known = PositionOf(prefix);
+  return std::any_of(events.begin(), events.end(), [&](const kv_event& event) {
+    return std::visit([](const auto& each) { return each.revision; }, event) >
+           known;
+  });
+}
+
 std::optional<change_log::batch> change_log::ChangesAfter(
     const std::vector<std::uint64_t>& positions,
     std::size_t max_bytes) const {
--- a/bluebell/fleet/change_log.h
+++ b/bluebell/fleet/change_log.h
@@ -47,6 +47,10 @@
               const std::vector<kv_event>& events,
               const store_version& up_to);
 
+  // True if one of these changes is later than the position of `prefix`.
+  bool HasNews(std::string_view prefix,
+               const std::vector<kv_event>& events) const;
+
   // The changes after `positions`, of about `max_bytes` at the most, but at
   // least one if there is any that fits in a datagram. nullopt if this daemon
   // doesn't hold them all.
@@ -74,6 +78,9 @@
   std::vector<key_scope> scopes_;
 };
 
+// The changes of an update as events of the store.
+std::vector<kv_event> EventsOf(const scope_changes& scope);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_FLEET_CHANGE_LOG_H_
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -130,6 +130,10 @@
           [self](const fleet_state& state) { self->OnState(state); },
           [self](const address& to, const wire_message& message) {
             self->traffic_->SendPeer(to, message);
+          },
+          [self](const silent_watch& silent) {
+            self->metrics_.Add(metric::kSilentWatches,
+                               {silent.watch, Describe(silent.shown_by)});
           }});
   const fleet_member member{daemon->self_, settings.domain,
                             settings.peer_listen, settings.cpu_millis, false};
@@ -185,6 +189,18 @@
     std::reverse(relays.begin(), relays.end());
   }
   watcher_->SetRelays(std::move(relays));
+  const std::vector<fleet_member> peers =
+      ConfirmingPeersOf(view, settings_.domain);
+  std::vector<address> peer_addresses;
+  for (const fleet_member& peer : peers) {
+    if (peer.instance.id == self_.id) {
+      // The others ask this daemon, so it asks the store.
+      peer_addresses.clear();
+      break;
+    }
+    peer_addresses.push_back(peer.peer);
+  }
+  watcher_->SetConfirmingPeers(std::move(peer_addresses));
   watcher_->SetDuty(duty);
 }
 
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -47,25 +47,9 @@
 constexpr std::size_t kMaxUpdateBytes = 24'000;
 // Shorter outages can't make endpoint entries lapse.
 constexpr milliseconds kMinOutageForLapses{1'000};
-// Longer than the longest of the pauses above, after which a change arrives.
-constexpr milliseconds kExpectationTimeout{1'900};
 // The prefix of every key.
 constexpr const char* kAllKeysPrefix = "";
 
-std::vector<kv_event> EventsOf(const scope_changes& scope) {
-  std::vector<kv_event> events;
-  for (const fleet_change& change : scope.changes) {
-    const store_version revision(change.revision);
-    if (change.deleted) {
-      events.emplace_back(kv_deletion{change.key, revision, change.is_exact});
-    } else {
-      events.emplace_back(
-          kv_item{change.key, change.value, revision, kv_lease()});
-    }
-  }
-  return events;
-}
-
 }  // namespace
 
 store_watcher::store_watcher(asio::io_context& io,
@@ -79,14 +63,58 @@
       state_(std::move(decoders)),
       log_({endpoint_prefix_, config_key_, std::string(kDaemonStatePrefix)}),
       handlers_(std::move(handlers)),
-      expectation_(kExpectationTimeout),
-      endpoints_expectation_(kExpectationTimeout),
+      expected_(io, state_, [this] { Restart(); }),
+      guard_(io,
+             store,
+             log_,
+             config_key_,
+             std::string(kDaemonStatePrefix),
+             GuardHandlers()),
       follow_delay_(kMinFollowDelay),
       random_(std::random_device()()),
       follow_timer_(io),
-      expectation_timer_(io),
       lapse_timer_(io) {}
 
+watch_guard_handlers store_watcher::GuardHandlers() {
+  return {[this](std::string_view prefix, const std::vector<kv_event>& events,
+                 store_version up_to, std::string_view source) {
+            return TakeShownChanges(prefix, events, up_to, source);
+          },
+          [this](const silent_watch& silent) {
+            if (handlers_.on_silent_watch) {
+              handlers_.on_silent_watch(silent);
+            }
+            StartWatches(silent.position);
+          },
+          [this] { Restart(); }, [this] { return store_is_available(); },
+          [this](const address& to, const fleet_update_request& request) {
+            handlers_.send(to, request);
+          }};
+}
+
+bool store_watcher::TakeShownChanges(std::string_view prefix,
+                                     const std::vector<kv_event>& events,
+                                     store_version up_to,
+                                     std::string_view source) {
+  if (!log_.HasNews(prefix, events)) {
+    // The next check needs no changes that the store may have discarded.
+    log_.Append(prefix, {}, up_to);
+    return true;
+  }
+  // Their one watch delivers all changes in the order of their revisions, which
+  // the assignment of keys relies on.
+  if (duty_ >= watch_duty::kCoordinatorStandby) {
+    return false;
+  }
+  ApplyChanges(prefix, events, up_to, BootNow());
+  NotifyChanged(source);
+  return true;
+}
+
+void store_watcher::SetConfirmingPeers(std::vector<address> peers) {
+  guard_.SetPeers(std::move(peers));
+}
+
 void store_watcher::Start() {
   follow_after_ = BootNow() + follow_delay_;
   Restart();
@@ -96,6 +124,7 @@
   ++generation_;
   watching_ = false;
   following_ = false;
+  guard_.End();
   SpawnTask(io_.get_executor(), "store listing", Run(),
             [this, generation = generation_] { RestartAfter(generation); });
 }
@@ -205,6 +234,7 @@
 
 asio::awaitable<std::optional<store_version>> store_watcher::ReadAll(
     std::uint64_t generation) {
+  const instant asked_at = BootNow();
   result<kv_listing> listing = co_await store_.List(kAllKeysPrefix);
   const instant now = BootNow();
   if (generation != generation_) {
@@ -228,6 +258,7 @@
       .With("changes", changes.size())
       .With("endpoints_revision", state_.snapshot().endpoints_revision)
       .Write();
+  guard_.OnConfirmed(asked_at);
   NotifyChanged("listing");
   co_return revision;
 }
@@ -251,10 +282,12 @@
   const std::uint64_t generation = ++generation_;
   following_ = false;
   watching_ = true;
+  const instant now = BootNow();
   for (const watch_scope& keys : WatchScopes()) {
     const store_version after = keys.prefix == kAllKeysPrefix
                                     ? table_position
                                     : log_.PositionOf(keys.prefix);
+    guard_.BeginWatch(keys.prefix, after, now);
     SpawnTask(io_.get_executor(), "store watch", Watch(generation, keys, after),
               [this, generation] { RestartAfter(generation); });
   }
@@ -290,10 +323,18 @@
       break;
     }
     after = changes.value().revision;
-    ApplyChanges(scope.prefix, changes.value().events, after, now);
-    if (!changes.value().events.empty()) {
+    const std::vector<kv_event>& events = changes.value().events;
+    const milliseconds pause =
+        events.empty() ? milliseconds(0) : scope.pause_after_change;
+    // Another path may have shown the changes before.
+    const bool has_news = log_.HasNews(scope.prefix, events);
+    ApplyChanges(scope.prefix, events, after, now);
+    guard_.OnDelivered(scope.prefix, after, pause, now);
+    if (has_news) {
       NotifyChanged("watch");
-      co_await Pause(scope.pause_after_change);
+    }
+    if (!events.empty()) {
+      co_await Pause(pause);
     }
   }
 }
@@ -321,6 +362,7 @@
   ++generation_;
   watching_ = false;
   following_ = true;
+  guard_.End();
   follower_.Start(relays_, now);
 }
 
@@ -333,6 +375,7 @@
                                     .count())
       .Write();
   follow_after_ = now + follow_delay_;
+  guard_.OnConfirmed(follower_.confirmed_at());
   StartWatches(store_version());
   SetFollowTimer(follow_after_);
 }
@@ -383,9 +426,11 @@
   auto changes = log_.ChangesAfter(request.positions, kMaxUpdateBytes);
   if (watching_ && !failing_since_ && changes) {
     update.confirmed = true;
+    // A successful call says nothing about a watch that is silent.
+    const instant confirmed_at =
+        std::min(last_success_at_, guard_.confirmed_at());
     update.confirmed_age_ms = static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(now - last_success_at_)
-            .count());
+        std::chrono::duration_cast<milliseconds>(now - confirmed_at).count());
     update.has_more = changes->has_more;
     update.removal_delay_ms = static_cast<std::uint32_t>(
         std::chrono::duration_cast<milliseconds>(
@@ -400,6 +445,7 @@
 void store_watcher::OnUpdate(const address& from, const fleet_update& update) {
   const instant now = BootNow();
   if (!following_) {
+    guard_.OnUpdate(from, update);
     return;
   }
   if (follower_.OnUpdate(from, update, now) &&
@@ -482,68 +528,14 @@
 }
 
 void store_watcher::ExpectRevision(std::uint64_t revision) {
-  const store_version expected(revision);
-  if (state_.RaiseRevisionTo(expected)) {
+  if (state_.RaiseRevisionTo(store_version(revision))) {
     NotifyChanged("another daemon");
   }
-  const auto earlier_due = expectation_.due();
-  expectation_.Expect(expected, Covers(), BootNow());
-  if (expectation_.due() != earlier_due) {
-    ScheduleExpectation();
-  }
+  expected_.Expect(revision);
 }
 
 void store_watcher::ExpectEndpointsRevision(std::uint64_t revision) {
-  const auto earlier_due = endpoints_expectation_.due();
-  endpoints_expectation_.Expect(store_version(revision), CoversEndpoints(),
-                                BootNow());
-  if (endpoints_expectation_.due() != earlier_due) {
-    ScheduleExpectation();
-  }
-}
-
-revision_expectation::covers_function store_watcher::Covers() const {
-  return [this](const store_version& asked) { return state_.Covers(asked); };
-}
-
-revision_expectation::covers_function store_watcher::CoversEndpoints() const {
-  return [this](const store_version& asked) {
-    return state_.CoversEndpoints(asked);
-  };
-}
-
-void store_watcher::ScheduleExpectation() {
-  std::optional<instant> next = expectation_.due();
-  if (const auto due = endpoints_expectation_.due()) {
-    next = next ? std::min(*next, *due) : *due;
-  }
-  if (!next) {
-    return;
-  }
-  expectation_timer_.expires_after(
-      std::max<duration>(*next - BootNow(), milliseconds(1)));
-  expectation_timer_.async_wait([this](boost::system::error_code cancelled) {
-    if (!cancelled) {
-      CheckExpectations();
-    }
-  });
-}
-
-void store_watcher::CheckExpectations() {
-  const instant now = BootNow();
-  const bool is_overdue = expectation_.IsOverdue(Covers(), now);
-  const bool endpoints_are_overdue =
-      endpoints_expectation_.IsOverdue(CoversEndpoints(), now);
-  ScheduleExpectation();
-  if (!is_overdue && !endpoints_are_overdue) {
-    return;
-  }
-  log_event(log_level::kWarn, "watch is behind other daemons")
-      .With("revision", state_.snapshot().revision)
-      .With("endpoints_revision", state_.snapshot().endpoints_revision)
-      .With("endpoints", endpoints_are_overdue)
-      .Write();
-  Restart();
+  expected_.ExpectEndpoints(revision);
 }
 
 }  // namespace bluebell
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -26,8 +26,9 @@
 #include "bluebell/fleet/change_log.h"
 #include "bluebell/fleet/fleet_state.h"
 #include "bluebell/fleet/fleet_update.h"
-#include "bluebell/fleet/revision_expectation.h"
 #include "bluebell/fleet/state_follower.h"
+#include "bluebell/gateway/expected_revisions.h"
+#include "bluebell/gateway/watch_guard.h"
 #include "bluebell/wire/wire_message.h"
 
 namespace boost::asio {
@@ -59,6 +60,8 @@
   std::function<void(const fleet_state& state)> on_change;
   // Sends a message to another daemon. It may be lost.
   std::function<void(const address& to, const wire_message& message)> send;
+  // A watch didn't deliver a change and is replaced. May be empty.
+  std::function<void(const silent_watch& silent)> on_silent_watch = nullptr;
 };
 
 class store_watcher {
@@ -83,6 +86,8 @@
   // some time and if there are any.
   void SetDuty(watch_duty duty);
   void SetRelays(std::vector<address> relays);
+  // While this daemon watches the store, these confirm its state.
+  void SetConfirmingPeers(std::vector<address> peers);
 
   // Messages of daemons that follow this one, and of the relay that it follows.
   void OnUpdateRequest(const address& from,
@@ -139,17 +144,18 @@
                     const std::vector<kv_event>& events,
                     store_version up_to,
                     instant now);
+  watch_guard_handlers GuardHandlers();
+  // Takes in changes that another path than the watch has shown. False if they
+  // are left to the watch.
+  bool TakeShownChanges(std::string_view prefix,
+                        const std::vector<kv_event>& events,
+                        store_version up_to,
+                        std::string_view source);
   // Logs malformed values and endpoints that have left service, calls the
   // change handler and sets the lapse timer. `source` says in the log where the
   // change came from.
   void NotifyChanged(std::string_view source);
   void LogDepartures(std::string_view source);
-  // Sets the timer for the revisions that are expected.
-  void ScheduleExpectation();
-  // Reads the whole store again if an expected revision is overdue.
-  void CheckExpectations();
-  revision_expectation::covers_function Covers() const;
-  revision_expectation::covers_function CoversEndpoints() const;
   // Sets the timer that drops the endpoints whose entries stayed missing.
   void ScheduleLapse();
 
@@ -170,8 +176,9 @@
   change_log log_;
   watcher_handlers handlers_;
   std::optional<instant> failing_since_;
-  revision_expectation expectation_;
-  revision_expectation endpoints_expectation_;
+  // Both need members above.
+  expected_revisions expected_;
+  watch_guard guard_;
   // Another daemon has received changes of the store during the present outage.
   bool peer_saw_changes_ = false;
   watch_duty duty_ = watch_duty::kNone;
@@ -189,7 +196,6 @@
   milliseconds retry_pause_{0};
   std::minstd_rand random_;
   boost::asio::steady_timer follow_timer_;
-  boost::asio::steady_timer expectation_timer_;
   boost::asio::steady_timer lapse_timer_;
   // Increases with each Restart(). Coroutines of an earlier generation end when
   // they see another number.
--- a/bluebell/kv/kv_client.cc
+++ b/bluebell/kv/kv_client.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kCallTimeout{1'000};
 // Added to the requested wait of a watch for its response to arrive.
 constexpr milliseconds kWatchTimeoutMargin{1'000};
+// The shortest wait of a watch: it returns at once, with or without changes.
+constexpr milliseconds kNoWait{1};
 // Shorter than the time after which the store closes an idle connection.
 constexpr milliseconds kConnectionIdleTimeout{4'000};
 
@@ -31,11 +33,18 @@
   if (!client) {
     return client.error();
   }
-  return std::unique_ptr<kv_client>(new kv_client(std::move(client.value())));
+  options.reuse_connections = false;
+  auto check_client = http_client::Make(io, store_address, options);
+  if (!check_client) {
+    return check_client.error();
+  }
+  return std::unique_ptr<kv_client>(new kv_client(
+      std::move(client.value()), std::move(check_client.value())));
 }
 
-kv_client::kv_client(std::unique_ptr<http_client> client)
-    : client_(std::move(client)) {}
+kv_client::kv_client(std::unique_ptr<http_client> client,
+                     std::unique_ptr<http_client> check_client)
+    : client_(std::move(client)), check_client_(std::move(check_client)) {}
 
 kv_client::~kv_client() = default;
 
@@ -88,6 +97,18 @@
   co_return platform::DecodeChanges(response.value());
 }
 
+kv_client::awaitable_result<kv_changes> kv_client::ReadChanges(
+    std::string prefix,
+    store_version after) {
+  const result<http_response> response = co_await AsyncCall(
+      *check_client_, platform::EncodeWatch(prefix, after, kNoWait),
+      kCallTimeout, step::kReadStore);
+  if (!response) {
+    co_return response.error();
+  }
+  co_return platform::DecodeChanges(response.value());
+}
+
 kv_client::awaitable_result<kv_write_result> kv_client::Write(kv_write write) {
   const result<http_response> response = co_await Call(
       platform::EncodeWrite(write), kCallTimeout, step::kWriteStore);
--- a/bluebell/kv/kv_client.h
+++ b/bluebell/kv/kv_client.h
@@ -58,6 +58,11 @@
   awaitable_result<kv_changes> Watch(std::string prefix,
                                      store_version after,
                                      milliseconds max_wait);
+  // Reads the changes that Watch() would return, without waiting for any. Opens
+  // a connection for the call, since those that were used before may have
+  // become silent.
+  awaitable_result<kv_changes> ReadChanges(std::string prefix,
+                                           store_version after);
   // A conflict or an ended lease is a result, not an error.
   awaitable_result<kv_write_result> Write(kv_write write);
   // Starts a lease that expires after `term` unless it is renewed.
@@ -69,13 +74,16 @@
   awaitable_result<bool> EndLease(kv_lease lease);
 
  private:
-  explicit kv_client(std::unique_ptr<http_client> client);
+  kv_client(std::unique_ptr<http_client> client,
+            std::unique_ptr<http_client> check_client);
 
   awaitable_result<http_response> Call(http_request request,
                                        milliseconds timeout,
                                        step call_step);
 
   std::unique_ptr<http_client> client_;
+  // Opens a connection for each call.
+  std::unique_ptr<http_client> check_client_;
 };
 
 }  // namespace bluebell
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -123,6 +123,11 @@
      metric_kind::kCounter,
      {"invariant"},
      "Times an invariant did not hold. Anything but zero is a defect."},
+    {metric::kSilentWatches,
+     "bluebell_silent_watches_total",
+     metric_kind::kCounter,
+     {"watch", "shown_by"},
+     "Watches of the store that were replaced because they missed a change."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -35,6 +35,7 @@
   kTableVersion,         // label service; gauge
   kQueueLength,          // labels service, rank; gauge
   kInvariantViolations,  // label invariant
+  kSilentWatches,        // labels watch, shown_by
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
