Refuse responses with a status below 100

The parser reads such a status as that of any response, and the connection pool skipped the response as an interim one, so that what came behind it was relayed. Found by the fuzz target of responses after 2,475 runs: its status line "002" without a length was read to the end of the connection, and as an interim response once it had been passed on. Red before: 2 of 621 assertions of the framing table in bluebell/proxy, 2 of 450 with the HTTP client.

--- a/bluebell/http/internal/framing_samples.h
+++ b/bluebell/http/internal/framing_samples.h
@@ -242,6 +242,8 @@
                    "Content-Length: 5\r\n", false),
       ResponseOnly("an interim response with chunks", "103 Early Hints",
                    kChunked, false),
+      ResponseOnly("a status below 100", "002 Odd", "Content-Length: 0\r\n",
+                   false),
   };
   return samples;
 }
--- a/bluebell/http/message_framing.h
+++ b/bluebell/http/message_framing.h
@@ -27,7 +27,8 @@
                           unsigned version);
 
 message_framing FramingOf(const boost::beast::http::request_header<>& head);
-// Ambiguous also if the status excludes a body and the fields state one.
+// Ambiguous also if the status is below 100, or excludes a body that the fields
+// state.
 message_framing FramingOf(const boost::beast::http::response_header<>& head);
 
 }  // namespace bluebell
