--- a/bluebell/http/internal/framing_samples.h
+++ b/bluebell/http/internal/framing_samples.h
@@ -24,7 +24,7 @@
   unsigned request_status = kTakenStatus;
   // False: no response is accepted, and the connection isn't used again.
   bool response_taken = true;
-  std::string_view body = "";
+  std::string_view body;
   std::string_view version = "1.1";
   std::string_view response_status = "200 OK";
   // The body of a response consists of all bytes up to the end of the
@@ -61,7 +61,7 @@
                               std::string_view fields,
                               std::string_view coded,
                               unsigned status = 400) {
-  return {name, fields, coded, status, false};
+  return {name, fields, coded, status, false, {}};
 }
 
 inline framing_sample InHttp10(framing_sample sample) {
