--- a/bluebell/gateway/former_coordinators_test.cc
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -21,6 +21,7 @@
 // The history as coordinators wrote it who knew of no earlier ones.
 former_coordinators FromHistory(const std::vector<daemon_instance>& history) {
   std::vector<coordinator_record> records;
+  records.reserve(history.size());
   for (const daemon_instance& daemon : history) {
     records.push_back({daemon, store_version()});
   }
