Don't end the process of a coordinator that resigns

Callers saw: requests at a daemon ended without an answer when its process ended by a trap (exit code 133).

Cause: made its co_await the condition of an if statement whose body awaits too. For this coroutine GCC 12 generates an actor that rejects its first resumption. The function hadn't run in any test.

Change: the result goes to a variable, and the two steps are a function of role_lease, which has tests: "a coordinator that resigns leaves the history" ended with 133 with the former lines and passes now. No other coroutine of the gateway has an if statement of this form whose body awaits.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -442,14 +442,8 @@
   }
   resigned_until_ = BootNow() + kCandidacyPauseAfterResign;
   StopCoordinating("most owners of keys can't be reached");
-  // If ending the lease fails, it expires.
-  SpawnTask(io_.get_executor(), "coordinator resignation", EndLease());
-}
-
-asio::awaitable<void> coordinator_role::EndLease() {
-  if (co_await lease_.End()) {
-    co_await lease_.Withdraw(former_coordinators_.pending());
-  }
+  SpawnTask(io_.get_executor(), "coordinator resignation",
+            lease_.EndAndWithdraw(former_coordinators_.pending()));
 }
 
 }  // namespace bluebell
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -119,8 +119,6 @@
   void Resign();
   // Ends the lease, with retries, and then stops coordinating.
   boost::asio::awaitable<void> HandOver();
-  // Ends the lease. If the call fails, the lease expires.
-  boost::asio::awaitable<void> EndLease();
   // Excludes the former coordinators that have ended and sends this daemon's
   // claim to the others.
   void ExcludeFormerCoordinators(instant now);
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -173,6 +173,16 @@
   }
 }
 
+asio::awaitable<void> role_lease::EndAndWithdraw(
+    std::vector<coordinator_record> formers) {
+  // As the condition itself, the co_await made GCC 12 generate a coroutine that
+  // ended the process when it was started.
+  const bool has_ended = co_await End();
+  if (has_ended) {
+    co_await Withdraw(std::move(formers));
+  }
+}
+
 asio::awaitable<bool> role_lease::End() {
   ended_ = true;
   const result<bool> ended = co_await store_.EndLease(claim_.lease);
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -63,6 +63,10 @@
   // successor waits as it does for a coordinator that was lost.
   boost::asio::awaitable<void> Withdraw(
       std::vector<coordinator_record> formers);
+  // End() once, and Withdraw() if it was confirmed. Otherwise the lease
+  // expires.
+  boost::asio::awaitable<void> EndAndWithdraw(
+      std::vector<coordinator_record> formers);
 
   // When the last call was sent whose response proved that this daemon has the
   // role.
--- a/bluebell/gateway/role_lease_test.cc
+++ b/bluebell/gateway/role_lease_test.cc
@@ -56,6 +56,7 @@
   claim_outcome Claim() { return Run(lease_.Claim({})); }
   claim_outcome Renew() { return Run(lease_.Renew({})); }
   bool End() { return Run(lease_.End()); }
+  void EndAndWithdraw() { Run(RunEndAndWithdraw()); }
   std::size_t calls() const { return calls_; }
 
  private:
@@ -72,6 +73,11 @@
     return outcome.value();
   }
 
+  asio::awaitable<bool> RunEndAndWithdraw() {
+    co_await lease_.EndAndWithdraw({});
+    co_return true;
+  }
+
   asio::io_context io_;
   std::vector<std::string> responses_;
   std::size_t calls_ = 0;
@@ -120,5 +126,23 @@
   CHECK(role.End());
 }
 
+// Failure: a coordinator that resigns ends its process, or stays in the history
+// although it sends no more orders.
+TEST_CASE("a coordinator that resigns leaves the history") {
+  leased_role role({kLeaseStarted, kClaimWritten, kDone, kClaimWritten});
+  REQUIRE(role.Claim() == claim_outcome::kClaimed);
+  role.EndAndWithdraw();
+  CHECK(role.calls() == 4);
+}
+
+// Failure: a coordinator whose lease may still be held leaves the history, and
+// its successor doesn't wait for its orders.
+TEST_CASE("a coordinator whose lease hasn't ended stays in the history") {
+  leased_role role({kLeaseStarted, kClaimWritten, kTooManyCalls});
+  REQUIRE(role.Claim() == claim_outcome::kClaimed);
+  role.EndAndWithdraw();
+  CHECK(role.calls() == 3);
+}
+
 }  // namespace
 }  // namespace bluebell
