--- a/testing/gateway/departure_in_cut_test.cc
+++ b/testing/gateway/departure_in_cut_test.cc
@@ -63,7 +63,9 @@
     world.RunFor(milliseconds(1'000));
   }
   world.StopCallers();
-  CHECK(FindLateArrivals(world.record()) == std::vector<std::string>());
+  const std::vector<std::string> late = FindLateArrivals(world.record());
+  CAPTURE(late);
+  CHECK(late.empty());
   CHECK(FindMissingRecovery(world.record()).empty());
 }
 
