--- a/testing/gateway/departure_in_cut_test.cc
+++ b/testing/gateway/departure_in_cut_test.cc
@@ -43,8 +43,8 @@
   REQUIRE(made);
   gateway_world& world = *made.value();
   world.RunFor(milliseconds(2'500));
-  // Of the daemons' calls to the store, one in two seconds was under way at the
-  // end of one of the cuts, and was lost.
+  // With a renewal every 2 s during an outage, one of the cuts ends right after
+  // a renewal that was lost. The lengths differ by half of that period.
   for (const milliseconds cut : {milliseconds(4'000), milliseconds(5'000)}) {
     const instant begin = BootNow();
     SetStoreLinks(world, lose_bytes{true, true});
