Evacuate a failure domain when the operators ask for it

Operators had no way to empty a failure domain: the key op/evacuate/DOMAIN of the platform's store wasn't read, so requests and keys went on to endpoints there.

Endpoints of an evacuated domain now take no new requests and no keys. The watch of the configuration covers all keys of the operators, so that an evacuation is known within the same bound and costs no further calls. Keys move as those of draining endpoints; ranges without an owner are cut for the capacity that is left when all of them have moved. Ruled out: a watch of its own, which costs each daemon a call for each change.

--- a/bluebell/fleet/endpoint_departure.h
+++ b/bluebell/fleet/endpoint_departure.h
@@ -13,6 +13,8 @@
 enum class departure_cause {
   // Its entry says that it is draining, or it has said so in a response.
   kDraining,
+  // Its failure domain is being evacuated.
+  kEvacuated,
   // Its entry is missing after an outage of the store; see fleet_state.
   kLapsing,
   // Its entry is gone or malformed.
--- a/bluebell/fleet/fleet_service.h
+++ b/bluebell/fleet/fleet_service.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/time.h"
 
 namespace bluebell {
 
@@ -16,6 +17,11 @@
   // The number of connections that one endpoint accepts from all daemons
   // together.
   std::uint32_t max_connections = 1;
+  // How long an endpoint is cold after its start.
+  milliseconds warm_up{0};
+  // The requests per second that a cold endpoint can sustain; zero if there is
+  // no such limit.
+  double warm_up_per_s = 0;
 
   friend bool operator==(const fleet_service&, const fleet_service&) = default;
 };
--- a/bluebell/fleet/fleet_snapshot.h
+++ b/bluebell/fleet/fleet_snapshot.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "bluebell/core/ids.h"
@@ -25,6 +26,9 @@
   // Null until a configuration has been read.
   std::shared_ptr<const route_config> config;
   std::map<endpoint_id, fleet_endpoint> endpoints;
+  // The failure domains that the operators evacuate. Their endpoints get no new
+  // requests.
+  std::set<domain_name> evacuated_domains;
   // The key tables of the keyed services, as far as this daemon follows them.
   std::map<service_name, key_table> tables;
   std::map<daemon_id, fleet_member> members;
--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -1,6 +1,7 @@
 #include "bluebell/fleet/fleet_state.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <set>
 #include <utility>
 #include <variant>
@@ -12,8 +13,8 @@
 
 namespace {
 
-// Within this time after an outage of the store, running endpoints have written
-// their entries again.
+// Within this time after an outage of the store, running endpoints and the
+// operators have written their values again.
 constexpr milliseconds kEntryReturnTime{2'000};
 // An endpoint process without an entry has ended this long after it stated that
 // it is leaving.
@@ -61,7 +62,7 @@
 void fleet_state::Apply(const kv_event& event, instant now) {
   std::visit(overloaded{[&](const kv_item& item) {
                           if (RevisionOf(item.key) < item.revision) {
-                            Put(item);
+                            Put(item, now);
                           }
                         },
                         [&](const kv_deletion& deletion) {
@@ -69,7 +70,7 @@
                             RecordChange(deletion.key, deletion.revision);
                           }
                           if (RevisionOf(deletion.key) <= deletion.revision) {
-                            Remove(deletion.key, now);
+                            Remove(deletion, now);
                           }
                         }},
              event);
@@ -110,7 +111,11 @@
   removals_delayed_until_ = std::max(removals_delayed_until_, time);
 }
 
-bool fleet_state::RemoveLapsedEndpoints(instant now) {
+bool fleet_state::RemoveLapsed(instant now) {
+  const std::vector<domain_name> ended = evacuations_.TakeEnded(now);
+  for (const domain_name& domain : ended) {
+    MarkEvacuated(domain, false, now);
+  }
   const auto removed_count =
       std::erase_if(lapse_times_, [&](const auto& entry) {
         if (now < entry.second) {
@@ -119,11 +124,11 @@
         EraseEndpoint(entry.first);
         return true;
       });
-  return removed_count > 0;
+  return removed_count > 0 || !ended.empty();
 }
 
 std::optional<instant> fleet_state::NextLapseTime() const {
-  std::optional<instant> next;
+  std::optional<instant> next = evacuations_.NextEnd();
   for (const auto& [id, lapse_time] : lapse_times_) {
     next = next ? std::min(*next, lapse_time) : lapse_time;
   }
@@ -143,19 +148,25 @@
   return std::exchange(departures_, {});
 }
 
+std::vector<evacuation_change> fleet_state::TakeEvacuationChanges() {
+  return std::exchange(evacuation_changes_, {});
+}
+
 void fleet_state::EraseEndpoint(const endpoint_id& id) {
   if (current_.endpoints.erase(id) > 0) {
     departures_.push_back({id, departure_cause::kRemoved});
   }
 }
 
-void fleet_state::Put(const kv_item& item) {
+void fleet_state::Put(const kv_item& item, instant now) {
   revisions_.insert_or_assign(item.key, item.revision);
   RecordChange(item.key, item.revision);
   if (item.key.starts_with(decoders_.endpoint_prefix)) {
-    PutEndpoint(item);
+    PutEndpoint(item, now);
   } else if (item.key == decoders_.config_key) {
     PutConfig(item);
+  } else if (const auto domain = EvacuatedBy(item.key)) {
+    BeginEvacuation(*domain);
   } else if (item.key.starts_with(kTablePrefix)) {
     PutTable(item);
   } else if (item.key.starts_with(kDaemonStatePrefix)) {
@@ -174,7 +185,7 @@
       std::move(table).value());
 }
 
-void fleet_state::PutEndpoint(const kv_item& item) {
+void fleet_state::PutEndpoint(const kv_item& item, instant now) {
   result<fleet_endpoint> entry = decoders_.endpoint(item.key, item.value);
   const endpoint_id id(item.key.substr(decoders_.endpoint_prefix.size()));
   lapse_times_.erase(id);
@@ -191,6 +202,8 @@
       current_.endpoints.insert_or_assign(id, std::move(entry).value())
           .first->second;
   endpoint.draining = endpoint.draining || leaving_.contains(endpoint.instance);
+  endpoint.evacuated = evacuations_.domains().contains(endpoint.domain);
+  endpoint.cold_until = now + endpoint.warm_up_remaining;
   if (endpoint.draining && !was_draining) {
     departures_.push_back({id, departure_cause::kDraining});
   }
@@ -258,17 +271,77 @@
   }
 }
 
-void fleet_state::Remove(const std::string& key, instant now) {
+std::optional<domain_name> fleet_state::EvacuatedBy(
+    std::string_view key) const {
+  const std::string& prefix = decoders_.evacuation_prefix;
+  if (prefix.empty() || !key.starts_with(prefix) || key == prefix) {
+    return std::nullopt;
+  }
+  return domain_name(std::string(key.substr(prefix.size())));
+}
+
+void fleet_state::BeginEvacuation(const domain_name& domain) {
+  if (evacuations_.Begin(domain)) {
+    MarkEvacuated(domain, true, instant());
+  }
+}
+
+void fleet_state::EndEvacuation(const domain_name& domain, instant now) {
+  if (evacuations_.End(domain)) {
+    MarkEvacuated(domain, false, now);
+  }
+}
+
+void fleet_state::MarkEvacuated(const domain_name& domain,
+                                bool evacuated,
+                                instant now) {
+  std::size_t count = 0;
+  for (auto& [id, endpoint] : current_.endpoints) {
+    if (endpoint.domain != domain) {
+      continue;
+    }
+    ++count;
+    endpoint.evacuated = evacuated;
+    if (!evacuated) {
+      endpoint.cold_until =
+          std::max(endpoint.cold_until, ColdUntil(endpoint.service, now));
+    } else if (!endpoint.draining) {
+      departures_.push_back({id, departure_cause::kEvacuated});
+    }
+  }
+  current_.evacuated_domains = evacuations_.domains();
+  evacuation_changes_.push_back({domain, evacuated, count});
+}
+
+instant fleet_state::ColdUntil(const service_name& service, instant now) const {
+  const fleet_service* known =
+      current_.config ? current_.config->FindService(service) : nullptr;
+  return known == nullptr ? now : now + known->warm_up;
+}
+
+void fleet_state::RemoveEndpoint(const endpoint_id& id, instant now) {
+  const auto known = current_.endpoints.find(id);
+  if (now < removals_delayed_until_ && known != current_.endpoints.end()) {
+    known->second.lapsing = true;
+    lapse_times_.insert_or_assign(id, removals_delayed_until_);
+    departures_.push_back({id, departure_cause::kLapsing});
+  } else {
+    EraseEndpoint(id);
+  }
+}
+
+void fleet_state::Remove(const kv_deletion& deletion, instant now) {
+  const std::string& key = deletion.key;
   revisions_.erase(key);
   if (key.starts_with(decoders_.endpoint_prefix)) {
-    const endpoint_id id(key.substr(decoders_.endpoint_prefix.size()));
-    const auto known = current_.endpoints.find(id);
-    if (now < removals_delayed_until_ && known != current_.endpoints.end()) {
-      known->second.lapsing = true;
-      lapse_times_.insert_or_assign(id, removals_delayed_until_);
-      departures_.push_back({id, departure_cause::kLapsing});
+    RemoveEndpoint(endpoint_id(key.substr(decoders_.endpoint_prefix.size())),
+                   now);
+  } else if (const auto domain = EvacuatedBy(key)) {
+    // A store that has lost the request gets it again from the operators.
+    if (!deletion.is_exact && now < removals_delayed_until_) {
+      evacuations_.EndAt(*domain, removals_delayed_until_);
     } else {
-      EraseEndpoint(id);
+      EndEvacuation(*domain, now);
     }
   } else if (key.starts_with(kMemberPrefix)) {
     current_.members.erase(daemon_id(key.substr(kMemberPrefix.size())));
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -23,7 +23,9 @@
 #include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/coordinator_record.h"
+#include "bluebell/fleet/domain_evacuations.h"
 #include "bluebell/fleet/endpoint_departure.h"
+#include "bluebell/fleet/evacuation_change.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/kv/kv_types.h"
 
@@ -40,6 +42,11 @@
                                        std::string_view value)>
       endpoint;
   std::function<result<route_config>(std::string_view value)> config;
+  // Prefix of all keys that the operators write; `config_key` begins with it.
+  std::string operator_prefix;
+  // Prefix of the keys that request the evacuation of a failure domain, whose
+  // name follows it. Empty if operators evacuate none.
+  std::string evacuation_prefix;
 };
 
 class fleet_state {
@@ -78,11 +85,10 @@
   // Until when OnStoreRecovered() delays removals; a time in the past if it
   // doesn't.
   instant removals_delayed_until() const { return removals_delayed_until_; }
-  // Removes endpoints whose entry hasn't returned in that time. Returns true if
-  // there were any.
-  bool RemoveLapsedEndpoints(instant now);
-  // When RemoveLapsedEndpoints() is to be called next; no value if no endpoint
-  // is lapsing.
+  // Removes endpoints whose entry hasn't returned in that time, and ends
+  // evacuations whose request hasn't. Returns true if there were any.
+  bool RemoveLapsed(instant now);
+  // When RemoveLapsed() is to be called next; no value if nothing is lapsing.
   std::optional<instant> NextLapseTime() const;
 
   // The endpoint process has stated in a response that it is leaving. It counts
@@ -104,17 +110,31 @@
   // Returns and clears the endpoints that have left service since the last
   // call, in the order of their changes.
   std::vector<endpoint_departure> TakeDepartures();
+  // Returns and clears the evacuations that have begun or ended since the last
+  // call.
+  std::vector<evacuation_change> TakeEvacuationChanges();
 
  private:
-  void Put(const kv_item& item);
+  void Put(const kv_item& item, instant now);
   // Removes the endpoint and notes its departure.
   void EraseEndpoint(const endpoint_id& id);
-  void Remove(const std::string& key, instant now);
+  void Remove(const kv_deletion& deletion, instant now);
+  void RemoveEndpoint(const endpoint_id& id, instant now);
   void RecordChange(std::string_view key, const store_version& revision);
-  void PutEndpoint(const kv_item& item);
+  void PutEndpoint(const kv_item& item, instant now);
   void PutConfig(const kv_item& item);
   void PutTable(const kv_item& item);
   void PutDaemonState(const kv_item& item);
+  // The failure domain whose evacuation `key` requests; no value if `key` is
+  // another one.
+  std::optional<domain_name> EvacuatedBy(std::string_view key) const;
+  void BeginEvacuation(const domain_name& domain);
+  void EndEvacuation(const domain_name& domain, instant now);
+  // Marks the domain's endpoints, and notes the change for the log. An endpoint
+  // whose evacuation ends counts as cold, since it has had no requests.
+  void MarkEvacuated(const domain_name& domain, bool evacuated, instant now);
+  // Until when an endpoint of the service that is cold from `now` on stays so.
+  instant ColdUntil(const service_name& service, instant now) const;
 
   fleet_decoders decoders_;
   fleet_snapshot current_;
@@ -131,6 +151,8 @@
   std::map<endpoint_id, instant> lapse_times_;
   std::vector<error> errors_;
   std::vector<endpoint_departure> departures_;
+  domain_evacuations evacuations_;
+  std::vector<evacuation_change> evacuation_changes_;
 };
 
 }  // namespace bluebell
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -1,6 +1,8 @@
 #include "bluebell/fleet/fleet_state.h"
 
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -11,9 +13,12 @@
 namespace {
 
 const instant kStart = instant(seconds(1'000));
+const service_name kService("tracker");
+constexpr seconds kWarmUp{3};
 
 fleet_decoders TestDecoders() {
-  return {"entries/", "config",
+  return {"entries/",
+          "config",
           [](const std::string& key,
              std::string_view value) -> result<fleet_endpoint> {
             if (value == "bad") {
@@ -23,12 +28,20 @@
             entry.instance.endpoint = endpoint_id(key.substr(8));
             entry.instance.run = incarnation(value == "later run" ? 1 : 0);
             entry.draining = value == "draining";
+            entry.domain = domain_name(value == "in west" ? "west" : "east");
+            entry.service = kService;
             return entry;
           },
           [](std::string_view value) -> result<route_config> {
+            fleet_service service;
+            service.name = kService;
+            service.warm_up = kWarmUp;
             return route_config::Make(
-                config_version(std::stoull(std::string(value))), {}, {}, {});
-          }};
+                config_version(std::stoull(std::string(value))), {}, {service},
+                {});
+          },
+          "operators/",
+          "operators/evacuate/"};
 }
 
 kv_item Item(const std::string& key,
@@ -73,7 +86,7 @@
   const auto lapse = state.NextLapseTime();
   REQUIRE(lapse);
   CHECK(*lapse <= kStart + seconds(2));
-  CHECK(state.RemoveLapsedEndpoints(*lapse));
+  CHECK(state.RemoveLapsed(*lapse));
   CHECK(state.snapshot().endpoints.size() == 1);
   CHECK(state.snapshot().endpoints.contains(endpoint_id("b")));
 }
@@ -180,7 +193,7 @@
   state.Apply(kv_deletion{"entries/c", store_version(7)}, kStart);
   CHECK(state.TakeDepartures() ==
         std::vector{departure("c", departure_cause::kLapsing)});
-  state.RemoveLapsedEndpoints(*state.NextLapseTime());
+  state.RemoveLapsed(*state.NextLapseTime());
   CHECK(state.TakeDepartures() ==
         std::vector{departure("c", departure_cause::kRemoved)});
 }
@@ -270,5 +283,96 @@
   CHECK(state.snapshot().revision == store_version(7));
 }
 
+const fleet_endpoint& EndpointIn(const fleet_state& state,
+                                 const std::string& id) {
+  return state.snapshot().endpoints.at(endpoint_id(id));
+}
+
+// Guards against requests and keys that still go to a failure domain that the
+// operators evacuate.
+TEST_CASE("endpoints of an evacuated failure domain take no requests") {
+  fleet_state state(TestDecoders());
+  state.Apply(Item("config", "1", 1), kStart);
+  state.Apply(Item("entries/a", "in west", 2), kStart);
+  state.Apply(Item("entries/b", "ok", 3), kStart);
+  state.TakeDepartures();
+  state.Apply(Item("operators/evacuate/west", "{}", 4), kStart);
+  CHECK(!EndpointIn(state, "a").TakesRequests());
+  CHECK(EndpointIn(state, "b").TakesRequests());
+  CHECK(state.snapshot().evacuated_domains ==
+        std::set<domain_name>{domain_name("west")});
+  CHECK(state.TakeDepartures() ==
+        std::vector<endpoint_departure>{
+            {endpoint_id("a"), departure_cause::kEvacuated}});
+  CHECK(state.TakeEvacuationChanges() ==
+        std::vector<evacuation_change>{{domain_name("west"), true, 1}});
+  SECTION("also one that starts or writes its entry meanwhile") {
+    state.Apply(Item("entries/a", "in west", 5), kStart);
+    state.Apply(Item("entries/c", "in west", 6), kStart);
+    CHECK(!EndpointIn(state, "a").TakesRequests());
+    CHECK(!EndpointIn(state, "c").TakesRequests());
+  }
+  SECTION("several domains can be evacuated at once") {
+    state.Apply(Item("operators/evacuate/east", "{}", 5), kStart);
+    CHECK(!EndpointIn(state, "b").TakesRequests());
+    state.Apply(kv_deletion{"operators/evacuate/west", store_version(6)},
+                kStart);
+    CHECK(EndpointIn(state, "a").TakesRequests());
+    CHECK(!EndpointIn(state, "b").TakesRequests());
+  }
+  SECTION("until it ends; they are cold then") {
+    const instant end = kStart + seconds(20);
+    state.Apply(kv_deletion{"operators/evacuate/west", store_version(5)}, end);
+    CHECK(EndpointIn(state, "a").TakesRequests());
+    CHECK(EndpointIn(state, "a").cold_until == end + kWarmUp);
+    CHECK(state.snapshot().evacuated_domains.empty());
+    // A later statement of the endpoint goes first.
+    state.Apply(Item("entries/a", "in west", 6), end);
+    CHECK(EndpointIn(state, "a").cold_until == end);
+  }
+}
+
+TEST_CASE("a daemon that starts during an evacuation knows of it") {
+  fleet_state state(TestDecoders());
+  state.ApplyListing({Item("entries/a", "in west", 1),
+                      Item("operators/evacuate/west", "{}", 2)},
+                     store_version(2), kStart);
+  CHECK(!EndpointIn(state, "a").TakesRequests());
+}
+
+// Guards against requests to an evacuated domain after the store has come back
+// from a copy that is older than the operators' request.
+TEST_CASE("an evacuation that the store has lost may be requested again") {
+  fleet_state state(TestDecoders());
+  state.ApplyListing({Item("entries/a", "in west", 1),
+                      Item("operators/evacuate/west", "{}", 2)},
+                     store_version(2), kStart);
+  state.OnStoreRecovered(kStart);
+  state.ApplyListing({Item("entries/a", "in west", 1)}, store_version(3),
+                     kStart);
+  CHECK(!EndpointIn(state, "a").TakesRequests());
+  const instant lapse = *state.NextLapseTime();
+  SECTION("and then stays in force") {
+    state.Apply(Item("operators/evacuate/west", "{}", 4), kStart);
+    CHECK(!state.NextLapseTime());
+    CHECK(!state.RemoveLapsed(lapse));
+    CHECK(!EndpointIn(state, "a").TakesRequests());
+  }
+  SECTION("and ends otherwise") {
+    CHECK(state.RemoveLapsed(lapse));
+    CHECK(EndpointIn(state, "a").TakesRequests());
+  }
+}
+
+// Operators of earlier deployments request no evacuations.
+TEST_CASE("no failure domain is evacuated without the operators' prefix") {
+  fleet_decoders decoders = TestDecoders();
+  decoders.evacuation_prefix.clear();
+  fleet_state state(std::move(decoders));
+  state.Apply(Item("entries/a", "in west", 1), kStart);
+  state.Apply(Item("operators/evacuate/west", "{}", 2), kStart);
+  CHECK(EndpointIn(state, "a").TakesRequests());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -41,8 +41,11 @@
 
 fleet_decoders PlatformDecoders() {
   return {std::string(platform::kEndpointPrefix),
-          std::string(platform::kConfigKey), platform::DecodeEndpoint,
-          platform::DecodeConfig};
+          std::string(platform::kConfigKey),
+          platform::DecodeEndpoint,
+          platform::DecodeConfig,
+          std::string(platform::kOperatorPrefix),
+          std::string(platform::kEvacuationPrefix)};
 }
 
 // The highest duty of the daemon `self` among all services.
@@ -164,9 +167,12 @@
       .With("config", view->config ? view->config->version().value() : 0)
       .With("endpoints", view->endpoints.size())
       .With("members", view->members.size())
+      .With("evacuated_domains", view->evacuated_domains.size())
       .With("coordinator",
             view->coordinator ? view->coordinator->id.value() : std::string())
       .Write();
+  metrics_.Set(metric::kEvacuatedDomains, {},
+               static_cast<double>(view->evacuated_domains.size()));
   traffic_->Publish(view);
   role_->OnView(view);
   if (view->config) {
--- a/bluebell/gateway/member_lease_test.cc
+++ b/bluebell/gateway/member_lease_test.cc
@@ -62,7 +62,8 @@
   });
   const auto store = kv_client::Make(io, server.where()).value();
   store_watcher watcher(
-      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      io, *store,
+      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
       watcher_handlers{});
   member_lease lease(io, *store, watcher, kMember);
   lease.Start();
@@ -95,7 +96,8 @@
   });
   const auto store = kv_client::Make(io, server.where()).value();
   store_watcher watcher(
-      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      io, *store,
+      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
       watcher_handlers{[](const fleet_state&) {}, nullptr});
   member_lease lease(io, *store, watcher, kMember);
   lease.Start();
@@ -127,7 +129,8 @@
   });
   const auto store = kv_client::Make(io, server.where()).value();
   store_watcher watcher(
-      io, *store, fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+      io, *store,
+      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
       watcher_handlers{});
   member_lease lease(io, *store, watcher, kMember);
   lease.Start();
--- a/bluebell/gateway/role_lease_test.cc
+++ b/bluebell/gateway/role_lease_test.cc
@@ -49,7 +49,8 @@
         store_(kv_client::Make(io_, server_.where()).value()),
         watcher_(io_,
                  *store_,
-                 fleet_decoders{"endpoints/", "config", nullptr, nullptr},
+                 fleet_decoders{"endpoints/", "config", nullptr, nullptr,
+                                "config", ""},
                  watcher_handlers{}),
         lease_({daemon_id("front-1"), incarnation(1)}, *store_, watcher_) {}
 
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -59,15 +59,16 @@
     : io_(io),
       store_(store),
       endpoint_prefix_(decoders.endpoint_prefix),
-      config_key_(decoders.config_key),
+      operator_prefix_(decoders.operator_prefix),
       state_(std::move(decoders)),
-      log_({endpoint_prefix_, config_key_, std::string(kDaemonStatePrefix)}),
+      log_({endpoint_prefix_, operator_prefix_,
+            std::string(kDaemonStatePrefix)}),
       handlers_(std::move(handlers)),
       expected_(io, state_, [this] { Restart(); }),
       guard_(io,
              store,
              log_,
-             config_key_,
+             operator_prefix_,
              std::string(kDaemonStatePrefix),
              GuardHandlers()),
       follow_delay_(kMinFollowDelay),
@@ -222,13 +223,13 @@
   }
   if (duty_ == watch_duty::kRelay) {
     return {{endpoint_prefix_, kPauseAsRelay},
-            {config_key_, kPauseAsRelay},
+            {operator_prefix_, kPauseAsRelay},
             {std::string(kDaemonStatePrefix), kPauseAsRelay}};
   }
   const bool dispatches = duty_ == watch_duty::kDispatcher;
   return {{endpoint_prefix_,
            dispatches ? kPauseWithDuty : kPauseAfterEndpointChange},
-          {config_key_, kPauseAfterConfigChange},
+          {operator_prefix_, kPauseAfterConfigChange},
           {std::string(kDaemonStatePrefix), kPauseAfterFleetChange}};
 }
 
@@ -493,7 +494,20 @@
       .Write();
 }
 
+void store_watcher::LogEvacuations(std::string_view source) {
+  for (const evacuation_change& change : state_.TakeEvacuationChanges()) {
+    log_event(log_level::kInfo, change.begins ? "failure domain evacuated"
+                                              : "failure domain in use again")
+        .With("evacuated", change.domain)
+        .With("endpoints", change.endpoints)
+        .With("source", source)
+        .With("position", log_.PositionOf(operator_prefix_))
+        .Write();
+  }
+}
+
 void store_watcher::NotifyChanged(std::string_view source) {
+  LogEvacuations(source);
   LogDepartures(source);
   for (const error& problem : state_.TakeErrors()) {
     log_event(log_level::kWarn, "malformed value ignored")
@@ -512,7 +526,7 @@
   lapse_timer_.expires_after(
       std::max<duration>(*next - BootNow(), milliseconds(1)));
   lapse_timer_.async_wait([this](boost::system::error_code cancelled) {
-    if (!cancelled && state_.RemoveLapsedEndpoints(BootNow())) {
+    if (!cancelled && state_.RemoveLapsed(BootNow())) {
       NotifyChanged("lapse");
     }
   });
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -157,6 +157,7 @@
   // change handler and sets the lapse timer. `source` says in the log where the
   // change came from.
   void NotifyChanged(std::string_view source);
+  void LogEvacuations(std::string_view source);
   void LogDepartures(std::string_view source);
   // Sets the timer that drops the endpoints whose entries stayed missing.
   void ScheduleLapse();
@@ -172,7 +173,7 @@
   boost::asio::io_context& io_;
   kv_client& store_;
   std::string endpoint_prefix_;
-  std::string config_key_;
+  std::string operator_prefix_;
   fleet_state state_;
   // What this daemon can hand on, and its positions in the store's changes.
   change_log log_;
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -94,8 +94,8 @@
 
 bool key_coordinator::IsUsable(const endpoint_instance& instance) const {
   const fleet_endpoint* entry = FindEndpoint(instance.endpoint);
-  return entry != nullptr && entry->instance == instance && !entry->draining &&
-         !IsLost(instance);
+  return entry != nullptr && entry->instance == instance &&
+         entry->TakesRequests() && !IsLost(instance);
 }
 
 bool key_coordinator::HasProcessEnded(const endpoint_instance& instance) const {
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -143,7 +143,8 @@
   key_move* FindMove(move_number number);
   // Null if the registry doesn't list `id`.
   const fleet_endpoint* FindEndpoint(const endpoint_id& id) const;
-  // True if `instance` may own keys: listed, not draining and not lost.
+  // True if `instance` may own keys: listed, neither draining nor
+  // evacuated, and not lost.
   bool IsUsable(const endpoint_instance& instance) const;
   // True if the process of `instance` has ended for certain: a later process
   // has its id or its address.
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -194,16 +194,14 @@
     return moves;
   }
   owner_loads loads = LoadsOfOwners(input);
-  double unowned_load = 0;
   double capacity = 0;
-  for (const key_range& range : unowned_ranges) {
-    unowned_load += LoadOf(input.loads, range);
-  }
   for (const auto& [owner, slots] : input.owner_capacities) {
     capacity += slots;
   }
+  // The ranges of owners that aren't usable count too, because they follow
+  // soon. Without them the first of many would be cut into tiny pieces.
   const double mean =
-      (TotalOf(loads) + unowned_load) / std::max(0.01, capacity);
+      LoadOf(input.loads, {0, kLastShardKey}) / std::max(0.01, capacity);
   key_table planned = input.table;
   for (const key_range& unowned : unowned_ranges) {
     std::uint32_t first = unowned.first;
--- a/bluebell/permits/permitted_endpoint.cc
+++ b/bluebell/permits/permitted_endpoint.cc
@@ -19,7 +19,7 @@
     endpoint.where = granted.where;
     return endpoint;
   }
-  if (entry->second.draining) {
+  if (!entry->second.TakesRequests()) {
     return std::nullopt;
   }
   if (entry->second.instance != granted.endpoint && !is_later) {
--- a/bluebell/permits/scheduled_endpoint.cc
+++ b/bluebell/permits/scheduled_endpoint.cc
@@ -61,7 +61,7 @@
 }
 
 bool scheduled_endpoint::IsInService(instant now) const {
-  return !entry_.draining && !performance_.IsSuspended(now);
+  return entry_.TakesRequests() && !performance_.IsSuspended(now);
 }
 
 bool scheduled_endpoint::HasFreeSlot(instant now) const {
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -273,7 +273,7 @@
   return excluded.empty() ||
          std::any_of(endpoints_.begin(), endpoints_.end(),
                      [&](const auto& entry) {
-                       return !entry.second.entry().draining &&
+                       return entry.second.entry().TakesRequests() &&
                               std::find(excluded.begin(), excluded.end(),
                                         entry.first) == excluded.end();
                      });
--- a/bluebell/permits/slot_scheduler_test.cc
+++ b/bluebell/permits/slot_scheduler_test.cc
@@ -111,6 +111,31 @@
   CHECK(refused.front().reason == permit_refusal::kNoEndpoint);
 }
 
+// Guards against requests that still go to a failure domain that the operators
+// evacuate, also those that waited for its endpoints before.
+TEST_CASE("requests go elsewhere while their domain is evacuated") {
+  slot_scheduler scheduler(service_name("manifest"));
+  std::vector<fleet_endpoint> endpoints = MakeEndpoints(2, 1);
+  endpoints[1].domain = domain_name("b");
+  scheduler.SetEndpoints(endpoints, nullptr, kStart);
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    scheduler.RequestPermit(MakeRequest(i, 0), kStart);
+  }
+  const auto running =
+      RepliesOfType<permit_granted>(scheduler.TakeReplies(kStart));
+  REQUIRE(running.size() == 2);
+  endpoints[0].evacuated = true;
+  scheduler.SetEndpoints(endpoints, nullptr, kStart);
+  const instant later = kStart + milliseconds(50);
+  for (const permit_granted& each : running) {
+    scheduler.ReleasePermit(MakeRelease(each, permit_outcome::kAnswered, 50),
+                            later);
+  }
+  const auto next = RepliesOfType<permit_granted>(scheduler.TakeReplies(later));
+  REQUIRE(next.size() == 1);
+  CHECK(next.front().endpoint == endpoints[1].instance);
+}
+
 TEST_CASE("the next free slot goes to the most urgent request") {
   slot_scheduler scheduler(service_name("manifest"));
   scheduler.SetEndpoints(MakeEndpoints(1, 1), nullptr, kStart);
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -128,6 +128,11 @@
      metric_kind::kCounter,
      {"watch", "shown_by"},
      "Watches of the store that were replaced because they missed a change."},
+    {metric::kEvacuatedDomains,
+     "bluebell_evacuated_domains",
+     metric_kind::kGauge,
+     {},
+     "Failure domains that this daemon sends no requests to."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -36,6 +36,7 @@
   kQueueLength,          // labels service, rank; gauge
   kInvariantViolations,  // label invariant
   kSilentWatches,        // labels watch, shown_by
+  kEvacuatedDomains,     // gauge
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
--- a/testing/gateway/silent_watch_test.cc
+++ b/testing/gateway/silent_watch_test.cc
@@ -50,7 +50,7 @@
                                  errc::kMalformedMessage, step::kDecodeMessage,
                                  key, "no endpoints here"));
                            },
-                           DecodeVersion},
+                           DecodeVersion, kConfigKey, ""},
             watcher_handlers{
                 [](const fleet_state& /*state*/) {},
                 [sender = std::move(send)](const address& /*to*/,
