Rebalance the keys of services with hundreds of owners by complete plans

Keys without load are spread over all owners. The load of neighbouring keys is corrected when the latest requests show a change that chance doesn't explain, and differences that chance explains are left out, so that moves don't follow noise. An owner that is slow for a moment keeps its keys: capacities follow a mean over 40 requests. With fewer owners nothing changes, but for the cost: the coordinator's lists are passed once instead of once for each range, and unserved ranges are found by binary search.

--- /dev/null
+++ b/bluebell/keyspace/complete_planner.cc
@@ -0,0 +1,290 @@
+#include "bluebell/keyspace/complete_planner.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <queue>
+#include <utility>
+
+#include "bluebell/keyspace/key_load_index.h"
+
+namespace bluebell {
+
+namespace {
+
+// An owner gives keys away when its use, its load divided by its capacity, is
+// above the mean use times this factor and above the mean use plus this share.
+constexpr double kMaxUseFactor = 1.2;
+constexpr double kMinExcessShare = 0.1;
+// It keeps this multiple of an even share, so that it isn't left below the mean
+// by a load that was measured too high.
+constexpr double kKeptUseFactor = 1;
+// A new owner gets up to this multiple of an even share: larger pieces leave
+// the table with fewer ranges.
+constexpr double kFilledUseFactor = 1.05;
+// An owner whose use is above this multiple of the mean has keys that have just
+// become busy. They are spread at once, over owners that then give other keys
+// away and get up to the second multiple of an even share.
+constexpr double kUrgentDonorUseFactor = 2;
+constexpr double kUrgentUseFactor = 1.6;
+// The highest use of an owner by such keys alone.
+constexpr double kMaxUrgentUse = 0.9;
+// While the use is below this, moves interrupt next to no work, and keys are
+// spread evenly whatever their load.
+constexpr double kIdleUse = 0.01;
+// The load that each key counts in addition to its measured load, so that keys
+// without requests are divided evenly.
+constexpr double kIdleKeyLoadSlots = 1e-5;
+// Requests for moving keys wait for the work that runs on them.
+constexpr double kMaxMovingShare = 0.3;
+constexpr std::size_t kMaxMovingRangesPerOwner = 64;
+// Limits the number of ranges in the table, because each range is renewed by
+// its own call.
+constexpr std::size_t kMaxRangesPerOwner = 4;
+// A piece is moved only if its load is more than this share of the load that
+// could be moved.
+constexpr double kMinPieceShare = 0.15;
+// A whole range is preferred to a part of one with a higher load, because it
+// adds no range to the table.
+constexpr double kWholeRangePreference = 1.4;
+// The highest use of the new owner after the move of a piece that is larger
+// than an even load allows, relative to the use of the former owner before it.
+constexpr double kMaxUseAfterMoveRatio = 0.85;
+
+struct owner_state {
+  endpoint_instance owner;
+  double capacity = 0;
+  double load = 0;
+  std::vector<key_range> movable;
+  // Moves away from this owner, those that are under way included.
+  std::size_t releases = 0;
+
+  double use() const { return load / std::max(0.01, capacity); }
+};
+
+struct piece {
+  key_range range;
+  double load = 0;
+  // The movable range that the piece is taken from.
+  std::size_t source = 0;
+};
+
+// The owners ordered by the load that they may get in addition. An entry whose
+// owner has got some since is put in order when it reaches the top.
+class receiver_queue {
+ public:
+  void Push(double room, std::size_t owner) {
+    if (room > 0) {
+      entries_.emplace(room, owner);
+    }
+  }
+  // The owner with the most room, which `room_of` says for each owner. No value
+  // if no owner has room.
+  template <typename RoomOf>
+  std::optional<std::size_t> Top(const RoomOf& room_of) {
+    while (!entries_.empty()) {
+      const auto [room, owner] = entries_.top();
+      const double present_room = room_of(owner);
+      if (present_room >= room) {
+        return owner;
+      }
+      entries_.pop();
+      Push(present_room, owner);
+    }
+    return std::nullopt;
+  }
+
+ private:
+  std::priority_queue<std::pair<double, std::size_t>> entries_;
+};
+
+// Builds one plan.
+class planner {
+ public:
+  explicit planner(const complete_plan_input& input)
+      : index_(input.loads, kIdleKeyLoadSlots),
+        range_count_(input.ranges.size()) {
+    for (const auto& [owner, capacity] : input.owner_capacities) {
+      owners_.push_back({owner, capacity, 0, {}, 0});
+      capacity_ += capacity;
+    }
+    for (const owned_range& each : input.ranges) {
+      if (owner_state* state = FindOwner(each.owner)) {
+        state->load += index_.LoadOf(each.range);
+        if (each.is_movable) {
+          state->movable.push_back(each.range);
+        }
+      }
+    }
+    total_ = index_.LoadOf(key_range());
+    for (const key_range& range : input.moving) {
+      moving_load_ += index_.LoadOf(range);
+    }
+    mean_use_ = total_ / std::max(0.01, capacity_);
+  }
+
+  std::vector<planned_move> Plan() {
+    for (std::size_t i = 0; i < owners_.size(); ++i) {
+      if (IsOverloaded(owners_[i])) {
+        donors_.emplace(owners_[i].use(), i);
+      } else {
+        receivers_.Push(RoomOf(owners_[i], kFilledUseFactor), i);
+        urgent_receivers_.Push(RoomOf(owners_[i], kUrgentUseFactor), i);
+      }
+    }
+    while (!donors_.empty()) {
+      const std::size_t from = donors_.top().second;
+      donors_.pop();
+      if (MoveFrom(owners_[from]) &&
+          owners_[from].use() > mean_use_ * kKeptUseFactor) {
+        donors_.emplace(owners_[from].use(), from);
+      }
+    }
+    return std::move(moves_);
+  }
+
+ private:
+  owner_state* FindOwner(const endpoint_instance& owner) {
+    const auto found = std::lower_bound(
+        owners_.begin(), owners_.end(), owner,
+        [](const owner_state& state, const endpoint_instance& wanted) {
+          return state.owner < wanted;
+        });
+    return found != owners_.end() && found->owner == owner ? &*found : nullptr;
+  }
+
+  bool is_idle() const { return mean_use_ < kIdleUse; }
+
+  bool IsOverloaded(const owner_state& state) const {
+    return state.use() > mean_use_ * kMaxUseFactor &&
+           (is_idle() || state.use() > mean_use_ + kMinExcessShare);
+  }
+
+  // The load that the owner may get until its use is this multiple of the mean.
+  double RoomOf(const owner_state& state, double use_factor) const {
+    return mean_use_ * use_factor * state.capacity - state.load;
+  }
+
+  // Moves one piece away from the owner. Returns false if none can be moved.
+  bool MoveFrom(owner_state& donor) {
+    const bool is_urgent = donor.use() > mean_use_ * kUrgentDonorUseFactor;
+    const double use_factor = is_urgent ? kUrgentUseFactor : kFilledUseFactor;
+    const auto to = (is_urgent ? urgent_receivers_ : receivers_)
+                        .Top([&](std::size_t owner) {
+                          return RoomOf(owners_[owner], use_factor);
+                        });
+    if (!to || donor.releases >= kMaxMovingRangesPerOwner) {
+      return false;
+    }
+    owner_state& receiver = owners_[*to];
+    const double excess =
+        donor.load - mean_use_ * kKeptUseFactor * donor.capacity;
+    std::optional<piece> best =
+        BestPiece(donor, std::min(excess, RoomOf(receiver, use_factor)));
+    if (!best) {
+      best = BestPiece(donor, LargerLoadFor(donor, receiver, is_urgent));
+    }
+    if (!best || ExceedsMovingShare(best->load)) {
+      return false;
+    }
+    Take(donor, *best);
+    moving_load_ += best->load;
+    donor.load -= best->load;
+    ++donor.releases;
+    receiver.load += best->load;
+    moves_.push_back({best->range, receiver.owner});
+    return true;
+  }
+
+  // The highest load that the receiver may get if no smaller piece is left, for
+  // example because a single key has more.
+  static double LargerLoadFor(const owner_state& donor,
+                              const owner_state& receiver,
+                              bool is_urgent) {
+    if (is_urgent) {
+      // The receiver can give its present keys away.
+      return kMaxUrgentUse * receiver.capacity;
+    }
+    return donor.use() * kMaxUseAfterMoveRatio * receiver.capacity -
+           receiver.load;
+  }
+
+  bool ExceedsMovingShare(double load) const {
+    return !is_idle() && moving_load_ > 0 &&
+           moving_load_ + load > kMaxMovingShare * total_;
+  }
+
+  // The best part of the owner's movable ranges with at most `max_load`. No
+  // value if none is worth a move.
+  std::optional<piece> BestPiece(const owner_state& donor,
+                                 double max_load) const {
+    std::optional<piece> best;
+    double best_worth = std::max(0.0, max_load * kMinPieceShare);
+    const auto consider = [&](const key_range& range, std::size_t source,
+                              double preference) {
+      const double load = index_.LoadOf(range);
+      if (load <= max_load && load * preference > best_worth) {
+        best = piece{range, load, source};
+        best_worth = load * preference;
+      }
+    };
+    const bool may_split = range_count_ < owners_.size() * kMaxRangesPerOwner;
+    for (std::size_t i = 0; i < donor.movable.size(); ++i) {
+      const key_range& range = donor.movable[i];
+      consider(range, i, kWholeRangePreference);
+      if (!may_split || index_.LoadOf(range) <= max_load) {
+        continue;
+      }
+      if (const auto last = index_.LongestPrefix(range, max_load)) {
+        consider({range.first, *last}, i, 1);
+      }
+      if (const auto first = index_.LongestSuffix(range, max_load)) {
+        consider({*first, range.last}, i, 1);
+      }
+    }
+    return best;
+  }
+
+  void Take(owner_state& donor, const piece& taken) {
+    const key_range source = donor.movable[taken.source];
+    donor.movable.erase(donor.movable.begin() +
+                        static_cast<std::ptrdiff_t>(taken.source));
+    for (const key_range& rest : source.Without(taken.range)) {
+      donor.movable.push_back(rest);
+      ++range_count_;
+    }
+  }
+
+  key_load_index index_;
+  std::vector<owner_state> owners_;
+  std::size_t range_count_;
+  double capacity_ = 0;
+  double total_ = 0;
+  double mean_use_ = 0;
+  double moving_load_ = 0;
+  // By use.
+  std::priority_queue<std::pair<double, std::size_t>> donors_;
+  receiver_queue receivers_;
+  receiver_queue urgent_receivers_;
+  std::vector<planned_move> moves_;
+};
+
+}  // namespace
+
+std::vector<planned_move> PlanCompleteRebalance(complete_plan_input input) {
+  if (input.owner_capacities.size() < 2) {
+    return {};
+  }
+  // The requests of one key can't be divided, so no endpoint can serve more of
+  // them than the fastest one.
+  double max_slots = 0;
+  for (const auto& [owner, slots] : input.owner_capacities) {
+    max_slots = std::max(max_slots, slots);
+  }
+  for (shard_load& load : input.loads) {
+    load.slots = std::min(load.slots, max_slots);
+  }
+  return planner(input).Plan();
+}
+
+}  // namespace bluebell
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -1,8 +1,14 @@
 #include "bluebell/keyspace/key_coordinator.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
+#include <variant>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/keyspace/complete_planner.h"
+#include "bluebell/keyspace/rebalance_policy.h"
 
 namespace bluebell {
 
@@ -18,6 +24,10 @@
 constexpr std::size_t kMinOwnersToResign = 4;
 constexpr milliseconds kProbeInterval{1'000};
 constexpr milliseconds kRebalanceInterval{300};
+// The loads are measured this often.
+constexpr milliseconds kCompleteRebalanceInterval{250};
+// How long a range has its owner before a complete plan moves it again.
+constexpr milliseconds kMinOwnershipTime{200};
 // The usual time from the start of a move to the answer to its release.
 constexpr milliseconds kExpectedReleaseTime{300};
 
@@ -59,6 +69,10 @@
 
 void key_coordinator::SetEndpoints(std::vector<fleet_endpoint> endpoints) {
   endpoints_ = std::move(endpoints);
+  std::sort(endpoints_.begin(), endpoints_.end(),
+            [](const fleet_endpoint& a, const fleet_endpoint& b) {
+              return a.instance < b.instance;
+            });
   for (const fleet_endpoint& endpoint : endpoints_) {
     last_address_.insert_or_assign(endpoint.instance, endpoint.where);
   }
@@ -79,11 +93,13 @@
 
 const fleet_endpoint* key_coordinator::FindEndpoint(
     const endpoint_id& id) const {
-  const auto found = std::find_if(endpoints_.begin(), endpoints_.end(),
-                                  [&](const fleet_endpoint& endpoint) {
-                                    return endpoint.instance.endpoint == id;
-                                  });
-  return found == endpoints_.end() ? nullptr : &*found;
+  const auto found = std::lower_bound(
+      endpoints_.begin(), endpoints_.end(), id,
+      [](const fleet_endpoint& endpoint, const endpoint_id& wanted) {
+        return endpoint.instance.endpoint < wanted;
+      });
+  return found == endpoints_.end() || found->instance.endpoint != id ? nullptr
+                                                                     : &*found;
 }
 
 bool key_coordinator::IsLost(const endpoint_instance& instance) const {
@@ -312,41 +328,29 @@
   return actions;
 }
 
-std::vector<key_range> key_coordinator::StationaryRanges(
-    const key_assignment& assignment) const {
-  std::vector<key_range> moving;
-  for (const key_move& move : moves_) {
-    if (assignment.range.Contains(move.range())) {
-      moving.push_back(move.range());
-    }
-  }
-  return assignment.range.Without(moving);
-}
-
-void key_coordinator::AddGrantedRanges(
+void key_coordinator::AddGrantedRange(
     const key_assignment& assignment,
     const key_range& range,
-    std::vector<granted_range>& granted_ranges) const {
-  for (const granted_range& former : granted_ranges_) {
-    const key_range overlap{std::max(former.range.first, range.first),
-                            std::min(former.range.last, range.last)};
-    if (former.fence != assignment.fence || overlap.last < overlap.first) {
-      continue;
-    }
-    granted_range granted{overlap, assignment.fence, assignment.owner,
-                          former.grants};
-    granted_range* previous =
-        granted_ranges.empty() ? nullptr : &granted_ranges.back();
-    // Ranges with a grant in flight aren't merged, because the answer to a
-    // grant applies to the range that was granted.
-    if (previous != nullptr && previous->fence == granted.fence &&
-        previous->range.last + 1 == overlap.first &&
-        grant_record::CanMerge(previous->grants, granted.grants)) {
-      previous->range.last = overlap.last;
-      previous->grants = grant_record::Merged(previous->grants, granted.grants);
-    } else {
-      granted_ranges.push_back(std::move(granted));
-    }
+    const granted_range& former,
+    std::vector<granted_range>& granted_ranges) {
+  const key_range overlap{std::max(former.range.first, range.first),
+                          std::min(former.range.last, range.last)};
+  if (former.fence != assignment.fence || overlap.last < overlap.first) {
+    return;
+  }
+  granted_range granted{overlap, assignment.fence, assignment.owner,
+                        former.grants};
+  granted_range* previous =
+      granted_ranges.empty() ? nullptr : &granted_ranges.back();
+  // Ranges with a grant in flight aren't merged, because the answer to a grant
+  // applies to the range that was granted.
+  if (previous != nullptr && previous->fence == granted.fence &&
+      previous->range.last + 1 == overlap.first &&
+      grant_record::CanMerge(previous->grants, granted.grants)) {
+    previous->range.last = overlap.last;
+    previous->grants = grant_record::Merged(previous->grants, granted.grants);
+  } else {
+    granted_ranges.push_back(std::move(granted));
   }
 }
 
@@ -355,10 +359,38 @@
             [](const granted_range& a, const granted_range& b) {
               return a.range < b.range;
             });
+  std::vector<key_range> moving;
+  for (const key_move& move : moves_) {
+    moving.push_back(move.range());
+  }
+  std::sort(moving.begin(), moving.end());
   std::vector<granted_range> granted_ranges;
+  granted_ranges.reserve(granted_ranges_.size());
+  // All three lists are in ascending order, so one pass is enough.
+  auto next_moving = moving.begin();
+  auto next_former = granted_ranges_.begin();
   for (const key_assignment& assignment : table_.assignments()) {
-    for (const key_range& range : StationaryRanges(assignment)) {
-      AddGrantedRanges(assignment, range, granted_ranges);
+    const key_range& whole = assignment.range;
+    while (next_moving != moving.end() && next_moving->last < whole.first) {
+      ++next_moving;
+    }
+    std::vector<key_range> moving_here;
+    for (auto each = next_moving;
+         each != moving.end() && each->first <= whole.last; ++each) {
+      if (whole.Contains(*each)) {
+        moving_here.push_back(*each);
+      }
+    }
+    while (next_former != granted_ranges_.end() &&
+           next_former->range.last < whole.first) {
+      ++next_former;
+    }
+    for (const key_range& range : whole.Without(std::move(moving_here))) {
+      for (auto former = next_former;
+           former != granted_ranges_.end() && former->range.first <= range.last;
+           ++former) {
+        AddGrantedRange(assignment, range, *former, granted_ranges);
+      }
     }
   }
   granted_ranges_ = std::move(granted_ranges);
@@ -402,8 +434,7 @@
 
 void key_coordinator::StartForcedMoves(instant now) {
   const std::size_t move_count_before = moves_.size();
-  for (const granted_range& granted :
-       std::vector<granted_range>(granted_ranges_)) {
+  for (const granted_range& granted : granted_ranges_) {
     if (!IsUsable(granted.owner)) {
       StartMove(granted, granted.range, std::nullopt, now);
     }
@@ -425,49 +456,103 @@
   key_plan_input input;
   input.table = table_;
   input.loads = loads_;
+  input.owner_capacities = OwnerCapacities();
+  for (const key_move& move : moves_) {
+    input.moving.push_back(move.range());
+  }
+  return input;
+}
+
+std::map<endpoint_instance, double> key_coordinator::OwnerCapacities() const {
+  std::map<endpoint_instance, double> usable;
   for (const fleet_endpoint& endpoint : endpoints_) {
     if (IsUsable(endpoint.instance)) {
       const auto capacity = capacities_.find(endpoint.instance.endpoint);
-      input.owner_capacities[endpoint.instance] =
+      usable[endpoint.instance] =
           capacity == capacities_.end() ? endpoint.slots : capacity->second;
     }
   }
-  for (const key_move& move : moves_) {
-    input.moving.push_back(move.range());
-  }
-  return input;
+  return usable;
 }
 
 void key_coordinator::StartPlannedMoves(instant now) {
-  if (now < next_plan_ || !moves_.empty() || pending_write_) {
+  if (now < next_plan_ || pending_write_) {
     return;
   }
-  next_plan_ = now + kRebalanceInterval;
-  key_plan_input input = PlanInput();
+  std::visit(
+      overloaded{[&](const gradual_rebalance&) { StartGradualMoves(now); },
+                 [&](const complete_rebalance&) { StartCompleteMoves(now); }},
+      RebalancePolicyFor(endpoints_.size()));
+}
+
+bool key_coordinator::IsMovable(const granted_range& granted,
+                                instant now) const {
   // Ranges with an unanswered grant aren't moved: they could get a new owner
   // only after that grant has expired, and would not be served until then. The
   // same holds if their grant may run out before the release is confirmed, as
   // after a pause of this process.
+  const auto unconfirmed_expiry =
+      granted.grants.LatestUnconfirmedExpiry(timing_);
+  return !granted.grants.in_flight() && unconfirmed_expiry &&
+         *unconfirmed_expiry <= now &&
+         !granted.grants.IsRenewalOverdue(timing_, now);
+}
+
+void key_coordinator::StartGradualMoves(instant now) {
+  if (!moves_.empty()) {
+    return;
+  }
+  next_plan_ = now + kRebalanceInterval;
+  key_plan_input input = PlanInput();
   for (const granted_range& granted : granted_ranges_) {
-    const auto unconfirmed_expiry =
-        granted.grants.LatestUnconfirmedExpiry(timing_);
-    if (granted.grants.in_flight() || !unconfirmed_expiry ||
-        now < *unconfirmed_expiry ||
-        granted.grants.IsRenewalOverdue(timing_, now)) {
+    if (!IsMovable(granted, now)) {
       input.moving.push_back(granted.range);
     }
   }
-  for (const planned_move& planned : PlanRebalance(input)) {
-    const auto granted =
-        std::find_if(granted_ranges_.begin(), granted_ranges_.end(),
-                     [&](const granted_range& candidate) {
-                       return candidate.range.Contains(planned.range);
-                     });
-    if (granted != granted_ranges_.end()) {
-      StartMove(*granted, planned.range, planned.to, now);
+  StartMoves(PlanRebalance(input), now);
+}
+
+void key_coordinator::StartCompleteMoves(instant now) {
+  next_plan_ = now + kCompleteRebalanceInterval;
+  complete_plan_input input;
+  input.owner_capacities = OwnerCapacities();
+  input.loads = loads_;
+  input.ranges.reserve(granted_ranges_.size() + moves_.size());
+  for (const granted_range& granted : granted_ranges_) {
+    // A move that is reversed or followed by another one at once would cost
+    // more than it gains.
+    const bool has_settled =
+        granted.grants.assigned_at() + kMinOwnershipTime <= now;
+    input.ranges.push_back(
+        {granted.range, granted.owner, has_settled && IsMovable(granted, now)});
+  }
+  for (const key_move& move : moves_) {
+    input.ranges.push_back(
+        {move.range(), move.to().value_or(move.from()), false});
+    input.moving.push_back(move.range());
+  }
+  StartMoves(PlanCompleteRebalance(std::move(input)), now);
+}
+
+void key_coordinator::StartMoves(const std::vector<planned_move>& planned,
+                                 instant now) {
+  for (const planned_move& each : planned) {
+    const auto after = std::upper_bound(
+        granted_ranges_.begin(), granted_ranges_.end(), each.range.first,
+        [](shard_key key, const granted_range& granted) {
+          return key < granted.range.first;
+        });
+    if (after == granted_ranges_.begin()) {
+      continue;
+    }
+    const granted_range& granted = *std::prev(after);
+    if (granted.range.Contains(each.range)) {
+      StartMove(granted, each.range, each.to, now);
     }
   }
-  RefreshGrantedRanges();
+  if (!planned.empty()) {
+    RefreshGrantedRanges();
+  }
 }
 
 move_number key_coordinator::NextMoveNumber() {
@@ -504,8 +589,13 @@
 }
 
 write_key_table key_coordinator::JoinRanges(instant now) const {
+  const std::vector<key_range> joinable =
+      joiner_.JoinableRanges(granted_ranges_, now);
+  if (joinable.empty()) {
+    return {};
+  }
   write_key_table write{table_, revision_, {}, {}};
-  for (const key_range& range : joiner_.JoinableRanges(granted_ranges_, now)) {
+  for (const key_range& range : joinable) {
     key_table joined = write.table.Joined(range);
     // A part may be a piece of a range whose other piece has a grant in flight.
     if (joined != write.table) {
@@ -587,6 +677,9 @@
       reassignable.push_back({&move, *reason});
     }
   }
+  if (!moves_.empty() && reassignable.empty()) {
+    return;
+  }
   write_key_table write =
       moves_.empty() ? JoinRanges(now) : CompleteMoves(reassignable);
   if (write.reassignments.empty() && write.joined.empty()) {
@@ -666,6 +759,13 @@
 }
 
 bool key_coordinator::ReachesTooFewOwners() const {
+  const bool any_in_doubt = std::any_of(
+      reachability_.begin(), reachability_.end(), [](const auto& entry) {
+        return entry.second.consecutive_failures >= kFailuresUntilInDoubt;
+      });
+  if (!any_in_doubt) {
+    return false;
+  }
   std::set<endpoint_instance> distinct_owners;
   std::size_t unresponsive_owners = 0;
   for (const key_assignment& assignment : table_.assignments()) {
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -170,11 +170,13 @@
   // Rebuilds `granted_ranges_` from the table without the ranges that are
   // moving, and keeps the grant records of the former ranges.
   void RefreshGrantedRanges();
-  // Appends the granted ranges within `range`, a part of `assignment` that
-  // isn't moving, and merges adjacent ones whose grant records can be merged.
-  void AddGrantedRanges(const key_assignment& assignment,
-                        const key_range& range,
-                        std::vector<granted_range>& granted_ranges) const;
+  // Appends the part of `former` within `range`, which isn't moving, if it
+  // belongs to `assignment`, and merges it with the range before if their grant
+  // records can be merged.
+  static void AddGrantedRange(const key_assignment& assignment,
+                              const key_range& range,
+                              const granted_range& former,
+                              std::vector<granted_range>& granted_ranges);
 
   // Cancels forced moves whose owner is usable again. A range that the owner
   // has released, or may have released, is assigned to it again with a new
@@ -183,8 +185,19 @@
   // Starts moves of all ranges whose owner isn't usable, and of ranges without
   // an owner.
   void StartForcedMoves(instant now);
-  // Starts the moves that even out the load, if no other move is under way.
+  // Starts the moves that even out the load, as RebalancePolicyFor() says for
+  // the number of usable endpoints.
   void StartPlannedMoves(instant now);
+  // A few moves, if no other move is under way.
+  void StartGradualMoves(instant now);
+  // All moves that a complete plan allows beside those that are under way.
+  void StartCompleteMoves(instant now);
+  // Starts those of `planned` whose range lies in one granted range.
+  void StartMoves(const std::vector<planned_move>& planned, instant now);
+  // True if the range may be released for a planned move.
+  bool IsMovable(const granted_range& granted, instant now) const;
+  // The usable endpoints with their capacities.
+  std::map<endpoint_instance, double> OwnerCapacities() const;
   void StartMove(const granted_range& granted,
                  const key_range& range,
                  const std::optional<endpoint_instance>& to,
@@ -211,9 +224,6 @@
   write_key_table CompleteMoves(
       const std::vector<reassignable_move>& moves) const;
   move_number NextMoveNumber();
-  // The subranges of an assignment that aren't moving.
-  std::vector<key_range> StationaryRanges(
-      const key_assignment& assignment) const;
   key_plan_input PlanInput() const;
   // True if more than half of the owners, out of a minimum number of owners,
   // don't answer.
@@ -226,6 +236,7 @@
   // The write whose result isn't known, and whether it is to be repeated.
   std::optional<write_key_table> pending_write_;
   bool must_repeat_write_ = false;
+  // In the order of their ids.
   std::vector<fleet_endpoint> endpoints_;
   std::map<endpoint_instance, address> last_address_;
   std::vector<shard_load> loads_;
--- a/bluebell/keyspace/key_planner.cc
+++ b/bluebell/keyspace/key_planner.cc
@@ -56,6 +56,9 @@
 std::optional<shard_key> CutAfter(const std::vector<shard_load>& loads,
                                   const key_range& range,
                                   double max_load) {
+  if (max_load <= 0) {
+    return std::nullopt;
+  }
   double sum = 0;
   std::uint32_t next = range.first;
   auto load = std::lower_bound(loads.begin(), loads.end(), range.first,
--- a/bluebell/keyspace/shard_load.h
+++ b/bluebell/keyspace/shard_load.h
@@ -9,12 +9,15 @@
 #ifndef BLUEBELL_KEYSPACE_SHARD_LOAD_H_
 #define BLUEBELL_KEYSPACE_SHARD_LOAD_H_
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
 #include "bluebell/core/decaying_load.h"
 #include "bluebell/core/time.h"
 #include "bluebell/keyspace/key_range.h"
+#include "bluebell/keyspace/load_trend.h"
+#include "bluebell/keyspace/rebalance_policy.h"
 
 namespace bluebell {
 
@@ -33,13 +36,25 @@
   void Add(shard_key key, duration work, instant now);
 
   // The keys' loads at `now`, in ascending order of the keys, without those
-  // whose load has decayed to a negligible value.
+  // whose load has decayed to a negligible value. For complete plans they are
+  // estimated from the measured ones; see EstimateLoads().
   std::vector<shard_load> Loads(instant now) const;
 
+  // For which plans the loads are measured.
+  void SetPolicy(const rebalance_policy& policy);
+
  private:
+  // Long enough to average over several requests of a key, short enough to
+  // follow keys that become busy.
+  static constexpr decaying_load::window kGradualMeanTime{2.5};
   void RemoveNegligible(instant now);
 
+  // The time constant with which a key's load decays.
+  decaying_load::window mean_time_ = kGradualMeanTime;
   std::map<shard_key, decaying_load> loads_;
+  // One for each block of keys; empty unless complete plans are made.
+  std::vector<load_trend> trends_;
+  decaying_load::window mean_work_{0};
   instant next_cleanup_;
 };
 
--- a/bluebell/permits/endpoint_performance.cc
+++ b/bluebell/permits/endpoint_performance.cc
@@ -10,6 +10,11 @@
 // The weight of a new measurement in the moving average.
 constexpr double kSlownessSampleWeight = 0.15;
 constexpr double kSuccessSampleWeight = 0.2;
+// The number of requests that the long-term mean covers.
+constexpr std::uint32_t kLongTermRequests = 40;
+// The usual slowness counts as that many requests, so that the first few don't
+// make an endpoint appear much faster or slower than it is.
+constexpr double kInitialRequests = 3;
 // Bounds the effect of one long request: the work of requests varies by this
 // factor.
 constexpr double kMaxSlownessSample = 8;
@@ -45,6 +50,9 @@
   slowness_ = SlownessAt(now) * (1 - kSlownessSampleWeight) +
               ratio * kSlownessSampleWeight;
   slowness_updated_at_ = now;
+  answered_ = std::min(answered_ + 1, kLongTermRequests);
+  long_term_slowness_ +=
+      (ratio - long_term_slowness_) / (answered_ + kInitialRequests);
   success_ratio_ =
       SuccessRatioAt(now) * (1 - kSuccessSampleWeight) + kSuccessSampleWeight;
   success_updated_at_ = now;
--- a/bluebell/permits/endpoint_performance.h
+++ b/bluebell/permits/endpoint_performance.h
@@ -32,6 +32,9 @@
   // Decays towards 1 without new measurements, so that an endpoint that was
   // slow is tried again.
   double SlownessAt(instant now) const;
+  // The same over a longer time, without the decay: machines that endpoints
+  // share make them slow for fractions of a second.
+  double long_term_slowness() const { return long_term_slowness_; }
   // The share of requests that the endpoint answers without a failure, 0.05 to
   // 1. Decays towards 1 without new failures.
   double SuccessRatioAt(instant now) const;
@@ -49,6 +52,9 @@
   static constexpr std::uint32_t kNoResponsesBeforeSuspension = 2;
 
   double slowness_ = 1;
+  double long_term_slowness_ = 1;
+  // The answered requests, up to the number that the long-term mean covers.
+  std::uint32_t answered_ = 0;
   double success_ratio_ = 1;
   instant slowness_updated_at_;
   instant success_updated_at_;
--- a/bluebell/permits/scheduled_endpoint.h
+++ b/bluebell/permits/scheduled_endpoint.h
@@ -51,6 +51,10 @@
   double measured_slowness(instant now) const {
     return performance_.SlownessAt(now);
   }
+  // As measured_slowness(), over a longer time.
+  double long_term_slowness() const {
+    return performance_.long_term_slowness();
+  }
   // The share of requests that the endpoint answers without a failure.
   double success_ratio() const { return success_ratio_; }
   // The number of slots of an average endpoint that would do the same work.
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -5,6 +5,10 @@
 #include <iterator>
 #include <limits>
 #include <utility>
+#include <variant>
+
+#include "bluebell/core/overloaded.h"
+#include "bluebell/keyspace/rebalance_policy.h"
 
 namespace bluebell {
 
@@ -80,6 +84,7 @@
     }
   }
   endpoints_ = std::move(next);
+  key_loads_.SetPolicy(RebalancePolicyFor(endpoints_.size()));
   UpdateSharedCapacity(now);
   std::erase_if(paused_assignments_, [&](const auto& entry) {
     return entry.second.until + kMaxMisdirectedPause <= now;
@@ -102,6 +107,10 @@
 void slot_scheduler::SetUnservedRanges(std::vector<unserved_range> unserved,
                                        instant now) {
   unserved_ranges_ = std::move(unserved);
+  std::sort(unserved_ranges_.begin(), unserved_ranges_.end(),
+            [](const unserved_range& a, const unserved_range& b) {
+              return a.range < b.range;
+            });
   for (waiting_request& each : TakeOwnerQueues()) {
     EnqueueOrRefuse(std::move(each), now);
   }
@@ -110,11 +119,18 @@
 
 const unserved_range* slot_scheduler::FindUnservedRange(
     const permit_request& message) const {
-  const auto found = std::find_if(
-      unserved_ranges_.begin(), unserved_ranges_.end(), [&](const auto& each) {
-        return message.key && each.range.Contains(*message.key);
-      });
-  return found == unserved_ranges_.end() ? nullptr : &*found;
+  if (!message.key) {
+    return nullptr;
+  }
+  // The ranges don't overlap.
+  const auto after = std::upper_bound(
+      unserved_ranges_.begin(), unserved_ranges_.end(), *message.key,
+      [](shard_key key, const auto& each) { return key < each.range.first; });
+  if (after == unserved_ranges_.begin()) {
+    return nullptr;
+  }
+  const unserved_range& candidate = *std::prev(after);
+  return candidate.range.Contains(*message.key) ? &candidate : nullptr;
 }
 
 void slot_scheduler::MarkAllQueuesChanged() {
@@ -169,19 +185,32 @@
   request.work = work_estimate_.Expected(
       message.route, milliseconds(message.objective_left_ms));
   demand_.Add(message.rank, request.work, now);
+  const permit_id id = message.id;
+  const duration work = request.work;
+  const bool is_queued = EnqueueOrRefuse(std::move(request), now);
   if (keyed_ && message.key) {
-    // Refused requests count as well. Otherwise the load of a key that
-    // overloads its owner would be underestimated.
-    key_loads_.Add(*message.key, request.work, now);
+    key_loads_.Add(*message.key, CountedWork(work, is_queued), now);
   }
-  const permit_id id = message.id;
-  if (EnqueueOrRefuse(std::move(request), now)) {
+  if (is_queued) {
     // Tells the requester that the dispatcher is reachable. Removed again if
     // the permit is granted at once.
     replies_.emplace_back(permit_queued{id});
   }
 }
 
+duration slot_scheduler::CountedWork(duration work, bool is_queued) const {
+  // Refused requests count as well. Otherwise the load of a key that overloads
+  // its owner would be underestimated.
+  const auto refused_work =
+      std::visit(overloaded{[&](const gradual_rebalance&) { return work; },
+                            [&](const complete_rebalance&) {
+                              // Its caller repeats it once.
+                              return work / 2;
+                            }},
+                 RebalancePolicyFor(endpoints_.size()));
+  return is_queued ? work : refused_work;
+}
+
 slot_scheduler::queue_state slot_scheduler::FindQueue(const permit_id& id) {
   if (shared_queue_.Contains(id)) {
     return {&shared_queue_, shared_capacity_};
@@ -679,11 +708,20 @@
 
 std::map<endpoint_id, double> slot_scheduler::Capacities() const {
   std::map<endpoint_id, double> capacities;
+  const rebalance_policy policy = RebalancePolicyFor(endpoints_.size());
   for (const auto& [id, endpoint_state] : endpoints_) {
+    const double slowness = std::visit(
+        overloaded{
+            [&](const gradual_rebalance&) { return endpoint_state.slowness(); },
+            [&](const complete_rebalance&) {
+              // An endpoint that is slow for a moment keeps its keys.
+              return endpoint_state.long_term_slowness();
+            }},
+        policy);
     // Requests at a slow endpoint are late more often, even if it is idle, so
     // it gets less work than its slowness alone would allow.
-    capacities[id] = endpoint_state.entry().slots /
-                     std::pow(endpoint_state.slowness(), kSlownessExponent);
+    capacities[id] =
+        endpoint_state.entry().slots / std::pow(slowness, kSlownessExponent);
   }
   return capacities;
 }
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -76,7 +76,8 @@
   std::optional<instant> NextWakeup() const;
 
   // The recent load of each key, for a keyed service. Refused requests count
-  // too.
+  // too, with half of their work where RebalancePolicyFor() asks for complete
+  // plans.
   std::vector<shard_load> KeyLoads(instant now) const;
   // How much work each endpoint should get relative to the others, in slots of
   // an average endpoint.
@@ -140,6 +141,8 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
+  // The work by which a request counts in the load of its key.
+  duration CountedWork(duration work, bool is_queued) const;
   // The queue in which the request waits; null if it doesn't wait.
   queue_state FindQueue(const permit_id& id);
   // Moves the deadline of a waiting request forward to that of its repetition,
@@ -209,6 +212,7 @@
   shard_load_meter key_loads_;
   // By the fencing token of the assignment.
   std::map<epoch, pause> paused_assignments_;
+  // In ascending order.
   std::vector<unserved_range> unserved_ranges_;
   std::vector<permit_reply> replies_;
   // Owners whose queue may have a request that can start.
