Tag store versions and leases with the store's era

A store that comes back from an older copy assigns revisions and lease ids again, so a condition, a watch or a renewal that names one of them may refer to another change than its sender means. store_version now has the era in its high part and kv_lease names its era. kv_client reads the header Store-Era, reports a rise, doesn't send calls that name an earlier era, and leaves the outcome of a write unknown if the era has changed meanwhile. A listing begins anew if its pages are of different eras. Without the header every era is 0 and nothing changes.

--- a/bluebell/core/ids.h
+++ b/bluebell/core/ids.h
@@ -37,7 +37,7 @@
 using config_version = strong_value<struct config_version_tag, std::uint64_t>;
 
 // The version that the platform's store assigns to a value. Zero means that
-// there is no such value.
+// there is no such value. Its high part is the store's era; see store_era.h.
 using store_version = strong_value<struct store_version_tag, std::uint64_t>;
 
 // Identifies one run of a process. A restarted process has another one.
--- a/bluebell/kv/kv_types.h
+++ b/bluebell/kv/kv_types.h
@@ -4,18 +4,42 @@
 #ifndef BLUEBELL_KV_KV_TYPES_H_
 #define BLUEBELL_KV_KV_TYPES_H_
 
+#include <compare>
 #include <cstdint>
+#include <ostream>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/core/time.h"
 
 namespace bluebell {
 
-// The id of a lease. Zero: no lease.
-using kv_lease = strong_value<struct kv_lease_tag, std::uint64_t>;
+// A lease, by its id and the era in which the store granted it: a store that
+// came back from an older copy may grant the same id again. The id zero stands
+// for no lease.
+class kv_lease {
+ public:
+  kv_lease() = default;
+  explicit kv_lease(std::uint64_t id, store_era era = store_era())
+      : id_(id), era_(id == 0 ? store_era() : era) {}
+
+  std::uint64_t id() const { return id_; }
+  const store_era& era() const { return era_; }
+
+  friend bool operator==(const kv_lease&, const kv_lease&) = default;
+  friend auto operator<=>(const kv_lease&, const kv_lease&) = default;
+
+  friend std::ostream& operator<<(std::ostream& out, const kv_lease& v) {
+    return out << v.id_;
+  }
+
+ private:
+  std::uint64_t id_ = 0;
+  store_era era_;
+};
 
 struct kv_granted_lease {
   kv_lease lease;
