Read the store anew and announce this daemon again when the era rises

After the store came back from an older copy, the daemons went on with watches and leases of the lost history. A rise of the era now ends all watches and the following of a relay. The store is read anew after a random delay of up to 1 s, and each daemon writes its own entry again within 1 s. What only the copy lacks (endpoints, daemons, evacuations) lapses after 2 s unless it is written again; a key table with a lower fence than the known one is ignored, as an older configuration already was. A relay in an earlier era doesn't vouch for a follower in a later one. Without the header nothing changes. New gauge bluebell_store_era.

--- a/bluebell/fleet/change_log.cc
+++ b/bluebell/fleet/change_log.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "bluebell/core/overloaded.h"
+#include "bluebell/core/store_era.h"
 
 namespace bluebell {
 
@@ -107,7 +108,11 @@
   std::size_t count = 0;
   for (std::size_t i = 0; i < scopes_.size(); ++i) {
     const key_scope& each = scopes_[i];
-    if (positions[i] < each.first) {
+    // A daemon in a later era of the store knows of a history that this one
+    // hasn't read yet.
+    const bool is_later_era = EraOf(store_version(positions[i])) >
+                              EraOf(store_version(each.position));
+    if (positions[i] < each.first || is_later_era) {
       return std::nullopt;
     }
     // The other daemon may know more than this one.
--- a/bluebell/fleet/change_log.h
+++ b/bluebell/fleet/change_log.h
@@ -53,7 +53,7 @@
 
   // The changes after `positions`, of about `max_bytes` at the most, but at
   // least one if there is any that fits in a datagram. nullopt if this daemon
-  // doesn't hold them all.
+  // doesn't hold them all, or has read the store in an earlier era only.
   std::optional<batch> ChangesAfter(const std::vector<std::uint64_t>& positions,
                                     std::size_t max_bytes) const;
 
--- a/bluebell/fleet/change_log_test.cc
+++ b/bluebell/fleet/change_log_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "bluebell/core/store_era.h"
+
 namespace bluebell {
 namespace {
 
@@ -120,5 +122,14 @@
   CHECK(log.ChangesAfter({10, 10}, kRoom)->scopes[1].changes.empty());
 }
 
+// Failure: a relay that hasn't noticed that the store came back from an older
+// copy vouches for the state of a follower that has.
+TEST_CASE("a daemon in an earlier era of the store has nothing to hand on") {
+  change_log log({"a/"});
+  log.Reset(VersionIn(store_era(1), 50));
+  CHECK(log.ChangesAfter({VersionIn(store_era(1), 60).value()}, 1'000));
+  CHECK_FALSE(log.ChangesAfter({VersionIn(store_era(2), 40).value()}, 1'000));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "bluebell/core/overloaded.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/fleet/store_keys.h"
 
 namespace bluebell {
@@ -124,7 +125,11 @@
         EraseEndpoint(entry.first);
         return true;
       });
-  return removed_count > 0 || !ended.empty();
+  const auto removed_members =
+      std::erase_if(member_lapse_times_, [&](const auto& entry) {
+        return entry.second <= now && current_.members.erase(entry.first) > 0;
+      });
+  return removed_count > 0 || removed_members > 0 || !ended.empty();
 }
 
 std::optional<instant> fleet_state::NextLapseTime() const {
@@ -132,6 +137,9 @@
   for (const auto& [id, lapse_time] : lapse_times_) {
     next = next ? std::min(*next, lapse_time) : lapse_time;
   }
+  for (const auto& [id, lapse_time] : member_lapse_times_) {
+    next = next ? std::min(*next, lapse_time) : lapse_time;
+  }
   return next;
 }
 
@@ -180,9 +188,18 @@
     errors_.push_back(table.error());
     return;
   }
-  current_.tables.insert_or_assign(
-      service_name(item.key.substr(kTablePrefix.size())),
-      std::move(table).value());
+  const service_name service(item.key.substr(kTablePrefix.size()));
+  if (!IsRevertedTable(service, table.value(), item.revision)) {
+    current_.tables.insert_or_assign(service, std::move(table).value());
+  }
+}
+
+bool fleet_state::IsRevertedTable(const service_name& service,
+                                  const key_table& table,
+                                  const store_version& revision) const {
+  const auto known = current_.tables.find(service);
+  return EraOf(revision) != store_era() && known != current_.tables.end() &&
+         table.highest_fence() < known->second.highest_fence();
 }
 
 void fleet_state::PutEndpoint(const kv_item& item, instant now) {
@@ -253,6 +270,7 @@
       return;
     }
     const daemon_id id = member.value().instance.id;
+    member_lapse_times_.erase(id);
     current_.members.insert_or_assign(id, std::move(member).value());
   } else if (item.key == kCoordinatorKey) {
     const result<daemon_instance> daemon = DecodeDaemon(item.key, item.value);
@@ -332,6 +350,10 @@
 
 void fleet_state::Remove(const kv_deletion& deletion, instant now) {
   const std::string& key = deletion.key;
+  // Only a store that came back from an older copy lacks a key without having
+  // reported the deletion in the era of its value.
+  const bool is_lost =
+      !deletion.is_exact && EraOf(RevisionOf(key)) < EraOf(deletion.revision);
   revisions_.erase(key);
   if (key.starts_with(decoders_.endpoint_prefix)) {
     RemoveEndpoint(endpoint_id(key.substr(decoders_.endpoint_prefix.size())),
@@ -344,8 +366,13 @@
       EndEvacuation(*domain, now);
     }
   } else if (key.starts_with(kMemberPrefix)) {
-    current_.members.erase(daemon_id(key.substr(kMemberPrefix.size())));
-  } else if (key.starts_with(kTablePrefix)) {
+    const daemon_id id(key.substr(kMemberPrefix.size()));
+    if (is_lost && now < removals_delayed_until_) {
+      member_lapse_times_.insert_or_assign(id, removals_delayed_until_);
+    } else {
+      current_.members.erase(id);
+    }
+  } else if (key.starts_with(kTablePrefix) && !is_lost) {
     current_.tables.erase(service_name(key.substr(kTablePrefix.size())));
   } else if (key == kCoordinatorKey) {
     current_.coordinator.reset();
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -85,8 +85,9 @@
   // Until when OnStoreRecovered() delays removals; a time in the past if it
   // doesn't.
   instant removals_delayed_until() const { return removals_delayed_until_; }
-  // Removes endpoints whose entry hasn't returned in that time, and ends
-  // evacuations whose request hasn't. Returns true if there were any.
+  // Removes endpoints and, after a rise of the store's era, daemons whose entry
+  // hasn't returned in that time, and ends evacuations whose request hasn't.
+  // Returns true if there were any.
   bool RemoveLapsed(instant now);
   // When RemoveLapsed() is to be called next; no value if nothing is lapsing.
   std::optional<instant> NextLapseTime() const;
@@ -119,6 +120,11 @@
   // Removes the endpoint and notes its departure.
   void EraseEndpoint(const endpoint_id& id);
   void Remove(const kv_deletion& deletion, instant now);
+  // True if `table`, at `revision`, is that of an older copy of the store,
+  // while this daemon knows a later one.
+  bool IsRevertedTable(const service_name& service,
+                       const key_table& table,
+                       const store_version& revision) const;
   void RemoveEndpoint(const endpoint_id& id, instant now);
   void RecordChange(std::string_view key, const store_version& revision);
   void PutEndpoint(const kv_item& item, instant now);
@@ -149,6 +155,9 @@
   std::map<endpoint_instance, instant> leaving_;
   // Endpoints whose entry is missing, and when they are removed.
   std::map<endpoint_id, instant> lapse_times_;
+  // Daemons whose entry a store from an older copy lacks, and when they are
+  // removed.
+  std::map<daemon_id, instant> member_lapse_times_;
   std::vector<error> errors_;
   std::vector<endpoint_departure> departures_;
   domain_evacuations evacuations_;
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "bluebell/core/store_era.h"
+
 #include "bluebell/fleet/store_keys.h"
 
 namespace bluebell {
@@ -374,5 +376,54 @@
   CHECK(EndpointIn(state, "a").TakesRequests());
 }
 
+kv_item ItemIn(std::uint64_t era,
+               const std::string& key,
+               const std::string& value,
+               std::uint64_t revision) {
+  return {key, value, VersionIn(store_era(era), revision), kv_lease()};
+}
+
+// Failure: the store comes back from an older copy, and the daemon returns to
+// an older configuration, an older key table, or sends requests to endpoints
+// that are evacuated, or forgets the other daemons and the endpoints.
+TEST_CASE("an older copy of the store reverts nothing that is in force") {
+  const key_table first = key_table().With(key_range(), endpoint_instance());
+  const key_table second = first.With(key_range(), endpoint_instance());
+  const std::string member =
+      EncodeMember({{daemon_id("front-1"), incarnation(1)},
+                    domain_name("east"),
+                    address::Parse("10.0.0.1:7200").value(),
+                    100,
+                    false});
+  fleet_state state(TestDecoders());
+  state.ApplyListing({ItemIn(1, "config", "8", 90),
+                      ItemIn(1, "operators/evacuate/west", "", 91),
+                      ItemIn(1, "entries/a", "in west", 92),
+                      ItemIn(1, TableKey(kService), second.ToJson(), 93),
+                      ItemIn(1, MemberKey(daemon_id("front-1")), member, 94)},
+                     VersionIn(store_era(1), 95), kStart);
+  REQUIRE(state.snapshot().evacuated_domains.size() == 1);
+  state.OnStoreRecovered(kStart);
+  state.ApplyListing({ItemIn(2, "config", "7", 80),
+                      ItemIn(2, TableKey(kService), first.ToJson(), 81)},
+                     VersionIn(store_era(2), 85), kStart);
+  CHECK(state.snapshot().config->version() == config_version(8));
+  CHECK(state.snapshot().tables.at(kService) == second);
+  CHECK(state.snapshot().evacuated_domains.size() == 1);
+  CHECK(state.snapshot().endpoints.at(endpoint_id("a")).lapsing);
+  CHECK(state.snapshot().members.size() == 1);
+  REQUIRE(state.NextLapseTime() == kStart + seconds(2));
+  // What the first copy's clients wrote again stays.
+  state.Apply(ItemIn(2, "operators/evacuate/west", "", 86), kStart);
+  state.Apply(ItemIn(2, "entries/a", "in west", 87), kStart);
+  state.RemoveLapsed(kStart + seconds(2));
+  CHECK(state.snapshot().evacuated_domains.size() == 1);
+  CHECK(state.snapshot().endpoints.size() == 1);
+  CHECK(state.snapshot().members.empty());
+  // A change of the earlier era that arrives late, for example from a relay.
+  state.Apply(kv_deletion{"entries/a", VersionIn(store_era(1), 99)}, kStart);
+  CHECK(state.snapshot().endpoints.size() == 1);
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -173,6 +173,8 @@
       .Write();
   metrics_.Set(metric::kEvacuatedDomains, {},
                static_cast<double>(view->evacuated_domains.size()));
+  metrics_.Set(metric::kStoreEra, {},
+               static_cast<double>(store_->era().value()));
   traffic_->Publish(view);
   role_->OnView(view);
   if (view->config) {
--- a/bluebell/gateway/member_lease.cc
+++ b/bluebell/gateway/member_lease.cc
@@ -6,7 +6,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "bluebell/core/boot_clock.h"
@@ -38,6 +37,9 @@
 // The second write expects the entry that the first one has found. It conflicts
 // only if the entry changes in between.
 constexpr int kWritesPerAnnouncement = 2;
+// All daemons announce themselves anew when the store comes back from an older
+// copy. Entries that it lacks lapse after 2 s.
+constexpr milliseconds kEraSpread{1'000};
 
 }  // namespace
 
@@ -52,7 +54,23 @@
                            kv_client& store,
                            store_watcher& watcher,
                            fleet_member self)
-    : io_(io), store_(store), watcher_(watcher), self_(std::move(self)) {}
+    : io_(io),
+      store_(store),
+      watcher_(watcher),
+      self_(std::move(self)),
+      random_(std::random_device()()),
+      pause_(io) {
+  store_.AddEraHandler([this](store_era /*era*/) { OnEraRise(); });
+}
+
+void member_lease::OnEraRise() {
+  ++rises_;
+  announced_ = false;
+  entry_revision_ = store_version();
+  std::uniform_int_distribution<std::int64_t> spread(0, kEraSpread.count());
+  next_call_ = BootNow() + milliseconds(spread(random_));
+  pause_.cancel();
+}
 
 void member_lease::Start() {
   SpawnTask(io_.get_executor(), "member lease", Run(), [this] { Start(); });
@@ -130,17 +148,24 @@
 }
 
 asio::awaitable<void> member_lease::Run() {
-  asio::steady_timer timer(io_);
   while (!leaving_) {
+    const duration delay = next_call_ - BootNow();
+    if (delay > duration(0)) {
+      pause_.expires_after(delay);
+      co_await pause_.async_wait(kAwait);
+      continue;
+    }
     if (!announced_) {
-      announced_ = co_await Announce();
+      const std::uint64_t rises = rises_;
+      const bool written = co_await Announce();
+      announced_ = written && rises == rises_;
     } else if (watcher_.store_is_available()) {
       co_await Renew();
     } else {
       SpawnTask(io_.get_executor(), "member lease renewal", Renew(), [] {});
     }
-    timer.expires_after(NextPause());
-    co_await timer.async_wait(kAwait);
+    pause_.expires_after(NextPause());
+    co_await pause_.async_wait(kAwait);
   }
 }
 
--- a/bluebell/gateway/member_lease.h
+++ b/bluebell/gateway/member_lease.h
@@ -8,9 +8,14 @@
 #ifndef BLUEBELL_GATEWAY_MEMBER_LEASE_H_
 #define BLUEBELL_GATEWAY_MEMBER_LEASE_H_
 
+#include <cstdint>
+#include <random>
+
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_member.h"
 #include "bluebell/kv/kv_types.h"
 
@@ -57,6 +62,9 @@
   // The pause before the next announcement or renewal.
   milliseconds NextPause() const;
   boost::asio::awaitable<void> RemoveEntry();
+  // The store came back from an older copy, which has lost the lease and
+  // perhaps the entry.
+  void OnEraRise();
 
   boost::asio::io_context& io_;
   kv_client& store_;
@@ -65,6 +73,13 @@
   kv_lease lease_;
   // The revision of the daemon id's entry, as far as it is known.
   store_version entry_revision_;
+  // Increases with each rise of the store's era. An announcement that began
+  // under another number hasn't announced this daemon.
+  std::uint64_t rises_ = 0;
+  // No call starts before this time.
+  instant next_call_;
+  std::minstd_rand random_;
+  boost::asio::steady_timer pause_;
   bool announced_ = false;
   bool leaving_ = false;
 };
--- a/bluebell/gateway/member_lease_test.cc
+++ b/bluebell/gateway/member_lease_test.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include "bluebell/core/store_era.h"
+
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/store_watcher.h"
@@ -143,5 +145,63 @@
   CHECK(call_times[4] - call_times[2] < seconds(1));
 }
 
+// Failure: the store comes back without the entry, or with an earlier one, and
+// the daemon goes on renewing a lease id that another daemon may have by now.
+TEST_CASE("a daemon writes its entry again when the store's era rises") {
+  const auto in_era = [](const std::string& era, const std::string& body) {
+    return Response("200 OK\r\nStore-Era: " + era, body);
+  };
+  const std::vector<std::string> responses{
+      in_era("1", R"({"Lease":7,"TtlS_time":6})"),
+      in_era("1", R"({"Revision":9})"), in_era("2", "{}"),
+      in_era("2", R"({"Lease":7,"TtlS_time":6})"),
+      in_era("2", R"({"Revision":4})")};
+  asio::io_context io;
+  std::vector<instant> call_times;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    call_times.push_back(BootNow());
+    return responses[std::min(call_times.size(), responses.size()) - 1];
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  // Has a client of its own, so that all calls are those of the lease.
+  const auto watcher_store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(
+      io, *watcher_store,
+      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
+      watcher_handlers{});
+  member_lease lease(io, *store, watcher, kMember);
+  lease.Start();
+  while (call_times.size() < responses.size() &&
+         io.run_one_for(seconds(5)) > 0) {
+  }
+  REQUIRE(call_times.size() == responses.size());
+  CHECK(call_times[4] - call_times[2] < milliseconds(1'500));
+}
+
+// Failure: a daemon goes on with watches and a state of the history that the
+// store has lost.
+TEST_CASE("a rise of the store's era starts a new read of all keys") {
+  asio::io_context io;
+  std::size_t calls = 0;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    // The listing and the watches of the first era, then those of the second.
+    const std::string era = ++calls <= 3 ? "1" : "2";
+    return Response("200 OK\r\nStore-Era: " + era,
+                    R"({"items":[],"events":[],"CurrentRev":3})");
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(
+      io, *store,
+      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
+      watcher_handlers{[](const fleet_state&) {}, nullptr});
+  watcher.Start();
+  const instant latest = BootNow() + seconds(4);
+  while (watcher.read_era() != store_era(2) && BootNow() < latest) {
+    io.run_one_for(milliseconds(100));
+  }
+  CHECK(watcher.read_era() == store_era(2));
+  CHECK(watcher.state().removals_delayed_until() > BootNow());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -47,6 +47,10 @@
 constexpr std::size_t kMaxUpdateBytes = 24'000;
 // Shorter outages can't make endpoint entries lapse.
 constexpr milliseconds kMinOutageForLapses{1'000};
+// When the store comes back from an older copy, all daemons read it anew, also
+// those that follow relays. Spread over this time, 87 listings stay within the
+// store's rate of reads.
+constexpr milliseconds kEraReadSpread{1'000};
 // The prefix of every key.
 constexpr const char* kAllKeysPrefix = "";
 
@@ -74,7 +78,9 @@
       follow_delay_(kMinFollowDelay),
       random_(std::random_device()()),
       follow_timer_(io),
-      lapse_timer_(io) {}
+      lapse_timer_(io) {
+  store_.AddEraHandler([this](store_era era) { OnEraRise(era); });
+}
 
 watch_guard_handlers store_watcher::GuardHandlers() {
   return {[this](std::string_view prefix, const std::vector<kv_event>& events,
@@ -130,6 +136,21 @@
             [this, generation = generation_] { RestartAfter(generation); });
 }
 
+void store_watcher::OnEraRise(store_era era) {
+  const instant now = BootNow();
+  std::uniform_int_distribution<std::int64_t> spread(0, kEraReadSpread.count());
+  const milliseconds delay(spread(random_));
+  log_event(log_level::kWarn, "store came back from an older copy")
+      .With("era", era)
+      .With("known_revision", RevisionIn(state_.snapshot().revision))
+      .With("read_in_ms", delay.count())
+      .Write();
+  next_read_ = now + delay;
+  // What the copy lacks is written again by then.
+  state_.OnStoreRecovered(now);
+  Restart();
+}
+
 void store_watcher::RestartAfter(std::uint64_t failed_generation) {
   if (failed_generation == generation_) {
     Restart();
@@ -247,6 +268,7 @@
   }
   EndOutage(now);
   const store_version revision = listing.value().revision;
+  read_revision_ = revision;
   const std::vector<kv_event> changes =
       state_.ApplyListing(listing.value().items, revision, now);
   if (log_.PositionOf(kAllKeysPrefix) == store_version()) {
@@ -266,6 +288,10 @@
 
 asio::awaitable<void> store_watcher::Run() {
   const std::uint64_t generation = generation_;
+  const duration delay = next_read_ - BootNow();
+  if (delay > duration(0)) {
+    co_await Pause(std::chrono::ceil<milliseconds>(delay));
+  }
   while (generation == generation_) {
     const std::optional<store_version> listed = co_await ReadAll(generation);
     if (generation != generation_) {
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -22,6 +22,7 @@
 
 #include "bluebell/core/address.h"
 #include "bluebell/core/error.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/change_log.h"
 #include "bluebell/fleet/fleet_state.h"
@@ -94,6 +95,8 @@
                        const fleet_update_request& request);
   void OnUpdate(const address& from, const fleet_update& update);
 
+  // The store's era in which this daemon has last read all keys. Zero before.
+  store_era read_era() const { return EraOf(read_revision_); }
   // False from a failed call to the store until the next successful one.
   bool store_is_available() const { return !failing_since_; }
   // When the last successful call to the store ended.
@@ -128,6 +131,9 @@
   boost::asio::awaitable<void> Watch(std::uint64_t generation,
                                      watch_scope scope,
                                      store_version after);
+  // The store has come back from an older copy: ends all watches and the
+  // following of a relay, and reads everything anew after a random delay.
+  void OnEraRise(store_era era);
   // Called after each successful call. True if an outage has just ended.
   bool EndOutage(instant now);
   // Reads the whole store again and replaces the watches.
@@ -196,6 +202,10 @@
   instant follow_after_;
   milliseconds follow_delay_;
   instant last_success_at_;
+  // The revision of the latest listing.
+  store_version read_revision_;
+  // No listing starts before this time.
+  instant next_read_;
   milliseconds retry_pause_{0};
   std::minstd_rand random_;
   boost::asio::steady_timer follow_timer_;
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -133,6 +133,11 @@
      metric_kind::kGauge,
      {},
      "Failure domains that this daemon sends no requests to."},
+    {metric::kStoreEra,
+     "bluebell_store_era",
+     metric_kind::kGauge,
+     {},
+     "Times that the store has come back from an older copy."},
 });
 
 consteval bool RowsFollowEnum() {
