Give the fences of a key table the store's era as their high part

A store that comes back from an older copy makes a coordinator count fences from a lower number again, and begin from a table that is older than the grants in force. key_table::InEra() makes all further fences of a table higher than those of earlier eras. key_coordinator::Reassert() writes the coordinator's own table over the copy's and goes on renewing, and moves nothing until the grants of coordinators of the lost history have ended; ranges of a write without a known result lose their owner. TakeOverCopy() begins from the copy's table, with new fences that are written before any grant. Neither is called yet.

--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -43,6 +43,7 @@
   former_stopped_by_ = former_stopped_by;
   pending_write_.reset();
   must_repeat_write_ = false;
+  grants_await_write_ = false;
   moves_.clear();
   granted_ranges_.clear();
   reachability_.clear();
@@ -54,6 +55,41 @@
   }
 }
 
+void key_coordinator::Reassert(const store_era& era,
+                               store_version revision,
+                               instant now) {
+  key_table own = table_.InEra(era);
+  if (pending_write_) {
+    for (const key_reassignment& unknown : pending_write_->reassignments) {
+      own = own.Without(unknown.range);
+    }
+  }
+  TakeOver(std::move(own), revision, std::nullopt, now);
+  OnHistoryLost();
+  WritePresentTable();
+}
+
+void key_coordinator::TakeOverCopy(const key_table& table,
+                                   const store_era& era,
+                                   store_version revision,
+                                   instant former_stopped_by,
+                                   instant now) {
+  TakeOver(table.WithNewFences(era), revision, former_stopped_by, now);
+  WritePresentTable();
+  grants_await_write_ = true;
+}
+
+void key_coordinator::WritePresentTable() {
+  pending_write_ = write_key_table{table_, revision_, {}, {}};
+  must_repeat_write_ = true;
+}
+
+bool key_coordinator::MayMove(instant now) const {
+  return !history_lost_ ||
+         (former_stopped_by_ &&
+          now >= *former_stopped_by_ + timing_.MaxGrantLifetime());
+}
+
 void key_coordinator::OnFormerStopped(instant stopped_by) {
   if (former_stopped_by_) {
     return;
@@ -309,7 +345,11 @@
   std::vector<coordinator_action> actions;
   ForgetGoneEndpoints();
   RefreshGrantedRanges();
-  if (may_write) {
+  if (may_write && !MayMove(now)) {
+    if (pending_write_) {
+      AddTableWrite(actions, now);
+    }
+  } else if (may_write) {
     CancelMoves(now);
     StartForcedMoves(now);
     StartPlannedMoves(now);
@@ -740,6 +780,10 @@
 
 void key_coordinator::AddGrants(std::vector<coordinator_action>& actions,
                                 instant now) {
+  if (grants_await_write_ && pending_write_) {
+    return;
+  }
+  grants_await_write_ = false;
   for (granted_range& granted : granted_ranges_) {
     const auto where = last_address_.find(granted.owner);
     if (!granted.grants.IsDue(now) || where == last_address_.end() ||
--- a/bluebell/keyspace/key_coordinator.h
+++ b/bluebell/keyspace/key_coordinator.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_endpoint.h"
 #include "bluebell/keyspace/coordinator_action.h"
@@ -60,6 +61,28 @@
   // only if TakeOver() was called without that time.
   void OnFormerStopped(instant stopped_by);
 
+  // The store came back from an older copy, in which the table has `revision`,
+  // and this coordinator has claimed the role again with authority still in
+  // force. Writes its own table over the copy's and renews its grants at once.
+  // The lost history may have included other coordinators that sent grants, so
+  // nothing moves until their grants have ended, see OnFormerStopped(). The
+  // ranges of a write without a known result lose their owner, since either may
+  // have a grant.
+  void Reassert(const store_era& era, store_version revision, instant now);
+  // Like TakeOver(), from the `table` of an older copy, after all grants that
+  // may have been sent have ended. Grants follow once the table is written with
+  // new fences.
+  void TakeOverCopy(const key_table& table,
+                    const store_era& era,
+                    store_version revision,
+                    instant former_stopped_by,
+                    instant now);
+  // A coordinator of a history that the store has lost may have assigned ranges
+  // without waiting for another coordinator's grants: those without an owner,
+  // and those whose owner's process had ended. Nothing moves until its grants
+  // have ended, too.
+  void OnHistoryLost() { history_lost_ = true; }
+
   // All endpoints of the service, as the registry lists them now.
   void SetEndpoints(std::vector<fleet_endpoint> endpoints);
   // `loads`: the mean number of slots that each key's requests occupy, in
@@ -224,6 +247,11 @@
   write_key_table CompleteMoves(
       const std::vector<reassignable_move>& moves) const;
   move_number NextMoveNumber();
+  // Writes the present table again before any other.
+  void WritePresentTable();
+  // False while a coordinator of a lost history may have granted keys to owners
+  // that the table doesn't name.
+  bool MayMove(instant now) const;
   key_plan_input PlanInput() const;
   // True if more than half of the owners, out of a minimum number of owners,
   // don't answer.
@@ -236,6 +264,9 @@
   // The write whose result isn't known, and whether it is to be repeated.
   std::optional<write_key_table> pending_write_;
   bool must_repeat_write_ = false;
+  // No grant is sent until `pending_write_` has its result.
+  bool grants_await_write_ = false;
+  bool history_lost_ = false;
   // In the order of their ids.
   std::vector<fleet_endpoint> endpoints_;
   std::map<endpoint_instance, address> last_address_;
--- a/bluebell/keyspace/key_coordinator_test.cc
+++ b/bluebell/keyspace/key_coordinator_test.cc
@@ -800,5 +800,75 @@
   CHECK(joined.front().grant.fence == epoch(2));
 }
 
+// Failure: the store comes back from an older copy. The coordinator stops
+// renewing, takes the copy's table for the present one, or moves keys that a
+// coordinator of the lost history has granted to others: those without an
+// owner, and those of an ended process.
+TEST_CASE("a coordinator asserts its table over that of an older copy") {
+  coordinator_fixture test(3);
+  const endpoint_instance owner = test.entries[0].instance;
+  const endpoint_instance ended{endpoint_id("ended"), incarnation(0)};
+  test.keys.TakeOver(
+      key_table().With({0, 999}, owner).With({1'000, 1'999}, ended),
+      store_version(9), kStart, kStart);
+  REQUIRE(ActionsOf<send_grant>(test.Advance()).size() == 1);
+  const store_version copied = VersionIn(store_era(1), 4);
+  test.keys.Reassert(store_era(1), copied, test.now);
+  const auto actions = test.Advance();
+  CHECK(ActionsOf<send_grant>(actions).size() == 1);
+  const auto writes = ActionsOf<write_key_table>(actions);
+  REQUIRE(writes.size() == 1);
+  CHECK(writes.front().expected == copied);
+  CHECK(writes.front().table.era() == store_era(1));
+  CHECK(writes.front().table.Find(0)->owner == owner);
+  test.keys.OnWritten(VersionIn(store_era(1), 5), test.now);
+  const auto moves_something = [&] {
+    const auto next = test.Advance();
+    return !ActionsOf<write_key_table>(next).empty() ||
+           !ActionsOf<send_release>(next).empty();
+  };
+  test.now += kTiming.authority_duration;
+  CHECK_FALSE(moves_something());
+  test.keys.OnFormerStopped(test.now);
+  test.now += kTiming.MaxGrantLifetime() - milliseconds(1);
+  CHECK_FALSE(moves_something());
+  test.now += milliseconds(1);
+  CHECK(moves_something());
+}
+
+// Failure: the store comes back while a table write has no known result, and
+// the coordinator grants the keys to one owner while a coordinator of the lost
+// history has granted them to the other.
+TEST_CASE("ranges of an unknown write lose their owner with the history") {
+  coordinator_fixture test(1);
+  const auto writes = ActionsOf<write_key_table>(test.Advance());
+  REQUIRE(writes.size() == 1);
+  test.keys.OnWriteUnknown();
+  test.keys.Reassert(store_era(1), VersionIn(store_era(1), 4), test.now);
+  CHECK(test.keys.table().assignments().empty());
+  const auto repeated = ActionsOf<write_key_table>(test.Advance());
+  REQUIRE(repeated.size() == 1);
+  CHECK(repeated.front().table.assignments().empty());
+}
+
+// Failure: a coordinator that begins with an older copy grants keys with fences
+// that the store doesn't have, or that are below those of the lost history.
+TEST_CASE("grants from an older copy follow its table with new fences") {
+  coordinator_fixture test(1);
+  const key_table copy =
+      key_table().With(key_range(), test.entries[0].instance);
+  test.keys.TakeOverCopy(copy, store_era(2), VersionIn(store_era(2), 4), kStart,
+                         test.now);
+  const auto actions = test.Advance();
+  CHECK(ActionsOf<send_grant>(actions).empty());
+  const auto writes = ActionsOf<write_key_table>(actions);
+  REQUIRE(writes.size() == 1);
+  CHECK(writes.front().table == copy.WithNewFences(store_era(2)));
+  test.keys.OnWritten(VersionIn(store_era(2), 5), test.now);
+  const auto grants = ActionsOf<send_grant>(test.Advance());
+  REQUIRE(grants.size() == 1);
+  CHECK(grants.front().grant.fence > copy.highest_fence());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/keyspace/key_table.cc
+++ b/bluebell/keyspace/key_table.cc
@@ -15,6 +15,10 @@
 
 namespace json = boost::json;
 
+// The low part of a fence counts the assignments of an era. At a thousand moves
+// a second it lasts for 50 days without a step into the next era.
+constexpr unsigned kFenceBits = 32;
+
 error Malformed(std::string detail) {
   return {errc::kInvalidArgument, step::kParseTable, "", std::move(detail)};
 }
@@ -78,6 +82,37 @@
   return next;
 }
 
+key_table key_table::InEra(const store_era& era) const {
+  key_table next = *this;
+  next.highest_fence_ =
+      std::max(highest_fence_, epoch(era.value() << kFenceBits));
+  return next;
+}
+
+key_table key_table::WithNewFences(const store_era& era) const {
+  key_table next = InEra(era);
+  for (key_assignment& assignment : next.assignments_) {
+    next.highest_fence_ = epoch(next.highest_fence_.value() + 1);
+    assignment.fence = next.highest_fence_;
+  }
+  return next;
+}
+
+key_table key_table::Without(const key_range& range) const {
+  key_table next;
+  next.highest_fence_ = highest_fence_;
+  for (const key_assignment& assignment : assignments_) {
+    for (const key_range& rest : assignment.range.Without(range)) {
+      next.assignments_.push_back({rest, assignment.owner, assignment.fence});
+    }
+  }
+  return next;
+}
+
+store_era key_table::era() const {
+  return store_era(highest_fence_.value() >> kFenceBits);
+}
+
 const key_assignment* key_table::Find(shard_key key) const {
   const auto after =
       std::upper_bound(assignments_.begin(), assignments_.end(), key,
--- a/bluebell/keyspace/key_table.h
+++ b/bluebell/keyspace/key_table.h
@@ -16,6 +16,7 @@
 
 #include "bluebell/core/ids.h"
 #include "bluebell/core/result.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/keyspace/key_range.h"
 
 namespace bluebell {
@@ -51,6 +52,21 @@
   // fence on these keys since, so highest_fence() stays.
   key_table Joined(const key_range& range) const;
 
+  // The table whose further fences belong to `era` of the store: they are above
+  // all fences of earlier eras, whatever tables of these were lost. The
+  // assignments keep theirs.
+  key_table InEra(const store_era& era) const;
+  // The same, with a new fence for each assignment. Endpoints may have seen
+  // higher fences than those of a table from an older copy of the store.
+  key_table WithNewFences(const store_era& era) const;
+  // The table in which `range` has no owner.
+  key_table Without(const key_range& range) const;
+
+  // The store's era to which the highest fence belongs. A table of an earlier
+  // era than the store's comes from an older copy: the coordinator writes it in
+  // the present era before it moves a key.
+  store_era era() const;
+
   // The assignment that contains `key`, or null if the key has no owner. Valid
   // as long as this table.
   const key_assignment* Find(shard_key key) const;
--- a/bluebell/keyspace/key_table_test.cc
+++ b/bluebell/keyspace/key_table_test.cc
@@ -62,5 +62,28 @@
       R"({"highest_fence":1,"assignments":[[0,70000,"i",1,1]]})"));
 }
 
+// Failure: a store that came back from an older copy makes a coordinator give
+// fences again, and endpoints refuse the latest owner or accept an earlier one.
+TEST_CASE("fences of a later era are above all of the earlier ones") {
+  const endpoint_instance owner{endpoint_id("a"), incarnation(1)};
+  key_table lost;
+  for (int i = 0; i < 5; ++i) {
+    lost = lost.With(key_range(), owner);
+  }
+  const key_table copy = key_table().With({0, 9}, owner).With({10, 19}, owner);
+  CHECK(copy.InEra(store_era(0)) == copy);
+  CHECK(copy.era() == store_era(0));
+  const key_table next = copy.InEra(store_era(1)).With({0, 9}, owner);
+  CHECK(next.era() == store_era(1));
+  CHECK(next.Find(0)->fence > lost.highest_fence());
+  CHECK(next.Find(10)->fence == copy.Find(10)->fence);
+  const key_table renewed = copy.WithNewFences(store_era(2));
+  CHECK(renewed.Find(0)->fence > next.highest_fence());
+  CHECK(renewed.Find(0)->fence < renewed.Find(10)->fence);
+  CHECK(renewed.InEra(store_era(1)) == renewed);
+  CHECK(key_table::FromJson(renewed.ToJson()).value() == renewed);
+  CHECK(renewed.Without({5, 9}).Find(5) == nullptr);
+}
+
 }  // namespace
 }  // namespace bluebell
