Decide who takes the coordinator's role after a rollback of the store

The claim, the history and the key tables of an older copy may be older than grants in force, so that a successor could give keys a second owner. era_succession decides: a coordinator with authority in force claims the role again whatever the copy shows, unless the history names another daemon's claim of the new era; it asserts its own tables and renews at once. A record in the history stands for the coordinators of the lost history, so that the claimant and its successors move nothing before the grants of these have ended. A claim names the era in which it was written. An entry of another era excludes no former coordinator. No table is written between a rise of the era and the new claim.

--- a/bluebell/fleet/coordinator_record.h
+++ b/bluebell/fleet/coordinator_record.h
@@ -14,8 +14,9 @@
   daemon_instance daemon;
   // A revision of the store at which the process had announced itself. Zero
   // stands for the revision of the history's value, which isn't known before it
-  // is written. Runs are random numbers, so only an entry of the daemon that is
-  // newer than this shows that a later process has taken its place.
+  // is written; the era is that of the write. Runs are random numbers, so only
+  // an entry of the daemon that is newer than this shows that a later process
+  // has taken its place.
   store_version announced_by;
 
   friend bool operator==(const coordinator_record&,
--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -217,6 +217,13 @@
   if (!MaySend(order_kind::kTableWrite, term)) {
     co_return;
   }
+  const store_era era = asserted_era_;
+  if (era != store_.era()) {
+    if (coordinated_service* unwritten = FindService(service)) {
+      OnWriteWithoutResult(*unwritten, BootNow());
+    }
+    co_return;
+  }
   const kv_write write{{{std::string(kCoordinatorKey), lease_.revision()},
                         {TableKey(service), order.expected}},
                        {{TableKey(service), order.table.ToJson(), kv_lease()}}};
@@ -226,6 +233,16 @@
     co_return;
   }
   const instant now = BootNow();
+  if (era != asserted_era_) {
+    // The tables have been asserted in a later era, with writes of their own.
+    co_return;
+  }
+  if (era != store_.era()) {
+    // The store may have lost the write with its era, and a conflict says
+    // nothing about the table that it has now.
+    OnWriteWithoutResult(*coordinated, now);
+    co_return;
+  }
   if (!written) {
     watcher_.ReportFailure(written.error(), now);
     OnWriteWithoutResult(*coordinated, now);
--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -36,10 +36,45 @@
 constexpr milliseconds kClaimMessageInterval{100};
 constexpr milliseconds kLoadRequestInterval{250};
 constexpr milliseconds kHandOverRetryInterval{200};
+constexpr milliseconds kSilenceRetryInterval{200};
 // A daemon that has resigned because it reaches too few endpoints doesn't claim
 // the role again for this time, so that another daemon can take it.
 constexpr milliseconds kCandidacyPauseAfterResign{10'000};
 
+// A key table in the store.
+struct stored_table {
+  key_table table;
+  store_version revision;
+};
+
+// No value if a table can't be decoded.
+std::optional<std::map<service_name, stored_table>> DecodeTables(
+    const std::vector<kv_item>& items) {
+  std::map<service_name, stored_table> tables;
+  for (const kv_item& item : items) {
+    result<key_table> table = key_table::FromJson(item.value);
+    if (!table) {
+      log_event(log_level::kError, "key table can't be decoded")
+          .With(table.error())
+          .Write();
+      return std::nullopt;
+    }
+    tables.insert_or_assign(
+        service_name(item.key.substr(kTablePrefix.size())),
+        stored_table{std::move(table).value(), item.revision});
+  }
+  return tables;
+}
+
+std::map<service_name, key_table> TablesOf(
+    const std::map<service_name, stored_table>& stored) {
+  std::map<service_name, key_table> tables;
+  for (const auto& [service, each] : stored) {
+    tables.emplace(service, each.table);
+  }
+  return tables;
+}
+
 }  // namespace
 
 coordinator_role::coordinator_role(asio::io_context& io,
@@ -56,7 +91,8 @@
       traffic_(traffic),
       tick_(io),
       authority_(timing),
-      lease_(self_, store, watcher) {}
+      lease_(self_, store, watcher),
+      succession_(timing) {}
 
 coordinator_role::~coordinator_role() = default;
 
@@ -80,6 +116,8 @@
   const instant now = BootNow();
   if (authority_.has_role() && view_->coordinator &&
       *view_->coordinator != self_ &&
+      EraOf(watcher_.state().RevisionOf(kCoordinatorKey)) ==
+          EraOf(lease_.revision()) &&
       watcher_.state().RevisionOf(kCoordinatorKey) > lease_.revision()) {
     StopCoordinating("another daemon is the coordinator");
   }
@@ -118,7 +156,32 @@
       }));
 }
 
+std::vector<service_name> coordinator_role::KeyedServices() const {
+  std::vector<service_name> names;
+  if (view_ && view_->config) {
+    for (const fleet_service& service : view_->config->services()) {
+      if (service.keyed) {
+        names.push_back(service.name);
+      }
+    }
+  }
+  return names;
+}
+
+void coordinator_role::ObserveEra(instant now) {
+  const bool knows_owners = authority_.has_role() && !leaving_ &&
+                            !silent_until_ &&
+                            now < authority_.EndOf(lease_.proven_at());
+  const era_verdict verdict =
+      succession_.OnEra(store_.era(), knows_owners, now);
+  if (verdict == era_verdict::kStops && authority_.has_role() && !leaving_ &&
+      asserted_era_ < store_.era()) {
+    StopCoordinating("the store has lost the claim");
+  }
+}
+
 void coordinator_role::Tick(instant now) {
+  ObserveEra(now);
   if (authority_.has_role()) {
     TickAsCoordinator(now);
   } else {
@@ -127,10 +190,10 @@
 }
 
 void coordinator_role::TickAsCandidate(instant now) {
-  const bool may_claim = !leaving_ && !claim_in_flight_ && HasKeyedService() &&
-                         IsAnnounced() && now >= resigned_until_ &&
-                         watcher_.store_is_available() &&
-                         lease_.view_is_recent();
+  const bool may_claim =
+      !leaving_ && !claim_in_flight_ && HasKeyedService() && IsAnnounced() &&
+      now >= resigned_until_ && watcher_.store_is_available() &&
+      watcher_.read_era() == store_.era() && lease_.view_is_recent();
   if (!may_claim) {
     vacant_since_.reset();
     return;
@@ -144,6 +207,11 @@
     vacant_since_.reset();
     return;
   }
+  if (!succession_.MayClaim(
+          AreSettled(view_->tables, KeyedServices(), store_.era()), now)) {
+    vacant_since_.reset();
+    return;
+  }
   if (!vacant_since_) {
     vacant_since_ = now;
   }
@@ -165,29 +233,49 @@
   former_coordinators_ = former_coordinators::FromHistory(
       watcher_.state().coordinator_history(),
       watcher_.state().RevisionOf(kCoordinatorHistoryKey), self_);
+  const store_era era = store_.era();
+  if (era != store_era()) {
+    const std::optional<bool> settled = co_await ReadIsSettled();
+    if (!settled) {
+      vacant_since_.reset();
+      co_return;
+    }
+    if (!*settled) {
+      former_coordinators_.AddLostHistory(era);
+    }
+  }
   const claim_outcome outcome =
       co_await lease_.Claim(former_coordinators_.pending());
   if (outcome != claim_outcome::kClaimed) {
     vacant_since_.reset();
     co_return;
   }
-  former_coordinators_.SetAuthorityUntil(BootNow() +
-                                         timing_.authority_duration);
+  former_coordinators_.SetAuthorityUntil(BootNow() + timing_.authority_duration,
+                                         timing_.MaxGrantLifetime());
+  silent_until_.reset();
   const bool tables_loaded = co_await TakeOver();
   if (leaving_) {
     co_await lease_.End();
     co_return;
   }
   // This daemon may have yielded to a later claim in the meantime.
-  if (!tables_loaded || lease_.revision() <= last_yielded_claim_) {
+  if (!tables_loaded || lease_.revision() <= last_yielded_claim_ ||
+      EraOf(lease_.revision()) != store_.era()) {
     vacant_since_.reset();
     co_return;
   }
   authority_.OnClaimed();
+  asserted_era_ = store_.era();
   watcher_.SetDuty(watch_duty::kCoordinator);
   log_event(log_level::kInfo, "coordinates keys")
       .With("revision", lease_.revision())
       .With("former", FormerCoordinatorIds())
+      .With("era", store_.era())
+      .With("silent_ms", silent_until_
+                             ? std::chrono::duration_cast<milliseconds>(
+                                   *silent_until_ - BootNow())
+                                   .count()
+                             : 0)
       .Write();
   // Without renewals the lease expires, so the role must end with them.
   SpawnTask(io_.get_executor(), "coordinator lease", KeepLease(),
@@ -220,18 +308,22 @@
       former_coordinators_.all_excluded() ? std::optional(now) : std::nullopt;
   next_claim_message_ = now;
   services_.clear();
-  for (const kv_item& item : tables.value().items) {
-    const service_name service(item.key.substr(kTablePrefix.size()));
-    result<key_table> table = key_table::FromJson(item.value);
-    if (!table) {
-      log_event(log_level::kError, "key table can't be decoded")
-          .With(table.error())
-          .Write();
-      co_return false;
-    }
+  const std::optional<std::map<service_name, stored_table>> stored =
+      DecodeTables(tables.value().items);
+  if (!stored) {
+    co_return false;
+  }
+  if (!AreSettled(TablesOf(*stored), KeyedServices(),
+                  EraOf(lease_.revision()))) {
+    silent_until_ = succession_.SilentUntil(now);
+    co_return true;
+  }
+  for (const auto& [service, table] : *stored) {
     auto coordinated = std::make_unique<coordinated_service>(timing_);
-    coordinated->keys.TakeOver(std::move(table).value(), item.revision,
-                               former_until, now);
+    coordinated->keys.TakeOver(table.table, table.revision, former_until, now);
+    if (former_coordinators_.has_lost_history()) {
+      coordinated->keys.OnHistoryLost();
+    }
     services_.insert_or_assign(service, std::move(coordinated));
   }
   SyncServices(now);
@@ -239,7 +331,7 @@
 }
 
 void coordinator_role::SyncServices(instant now) {
-  if (!view_ || !view_->config) {
+  if (!view_ || !view_->config || silent_until_) {
     return;
   }
   for (const fleet_service& service : view_->config->services()) {
@@ -249,7 +341,13 @@
     std::unique_ptr<coordinated_service>& coordinated = services_[service.name];
     if (!coordinated) {
       coordinated = std::make_unique<coordinated_service>(timing_);
-      coordinated->keys.TakeOver(key_table(), store_version(), now, now);
+      const bool history_lost = former_coordinators_.has_lost_history();
+      coordinated->keys.TakeOver(
+          key_table().InEra(EraOf(lease_.revision())), store_version(),
+          history_lost ? std::nullopt : std::optional(now), now);
+      if (history_lost) {
+        coordinated->keys.OnHistoryLost();
+      }
     }
     coordinated->keys.SetEndpoints(view_->EndpointsOf(service.name));
   }
@@ -264,8 +362,13 @@
     if (authority_.term() != term || leaving_) {
       break;
     }
-    const claim_outcome outcome =
-        co_await lease_.Renew(former_coordinators_.pending());
+    const bool must_reclaim = asserted_era_ != store_.era();
+    claim_outcome outcome = claim_outcome::kUnknown;
+    if (must_reclaim) {
+      outcome = co_await ReclaimInEra();
+    } else {
+      outcome = co_await lease_.Renew(former_coordinators_.pending());
+    }
     if (authority_.term() != term) {
       break;
     }
@@ -278,8 +381,134 @@
   }
 }
 
+asio::awaitable<claim_outcome> coordinator_role::ReclaimInEra() {
+  const std::uint64_t term = authority_.term();
+  const result<kv_listing> role =
+      co_await store_.List(std::string(kCoordinatorKey));
+  if (!role) {
+    watcher_.ReportFailure(role.error(), BootNow());
+    co_return claim_outcome::kUnknown;
+  }
+  const store_era era = EraOf(role.value().revision);
+  std::vector<coordinator_record> history;
+  for (const kv_item& item : role.value().items) {
+    if (item.key == kCoordinatorHistoryKey) {
+      auto decoded = DecodeHistory(item.key, item.value);
+      if (decoded) {
+        history = std::move(decoded).value();
+      }
+    }
+  }
+  ObserveEra(BootNow());
+  if (authority_.term() != term || leaving_) {
+    co_return claim_outcome::kUnknown;
+  }
+  if (IsClaimedByOther(history, self_, era)) {
+    co_return claim_outcome::kLost;
+  }
+  former_coordinators formers = former_coordinators_;
+  formers.AddLostHistory(era);
+  const claim_outcome outcome = co_await lease_.Reclaim(
+      FindRoleVersions(role.value().items), formers.pending());
+  if (authority_.term() != term || outcome != claim_outcome::kClaimed) {
+    // The next attempt reads which daemon has claimed the role.
+    co_return claim_outcome::kUnknown;
+  }
+  const result<kv_listing> tables =
+      co_await store_.List(std::string(kTablePrefix));
+  const auto stored =
+      tables ? DecodeTables(tables.value().items) : std::nullopt;
+  if (authority_.term() != term) {
+    co_return claim_outcome::kUnknown;
+  }
+  const instant now = BootNow();
+  const bool is_current = tables && EraOf(tables.value().revision) == era &&
+                          EraOf(lease_.revision()) == era;
+  if (!stored || !is_current) {
+    // Without the revisions of the tables this daemon can't write its own. The
+    // next attempt claims the role again.
+    co_return claim_outcome::kUnknown;
+  }
+  for (const auto& [service, table] : *stored) {
+    if (table.table.era() >= era) {
+      co_return claim_outcome::kLost;
+    }
+  }
+  former_coordinators_ = std::move(formers);
+  former_coordinators_.SetAuthorityUntil(now + timing_.authority_duration,
+                                         timing_.MaxGrantLifetime());
+  asserted_era_ = era;
+  next_claim_message_ = now;
+  CancelReleases();
+  for (auto& [service, coordinated] : services_) {
+    const auto copied = stored->find(service);
+    // The response to a write of the earlier era is ignored.
+    coordinated->write_in_flight = false;
+    coordinated->keys.Reassert(
+        era,
+        copied == stored->end() ? store_version() : copied->second.revision,
+        now);
+  }
+  log_event(log_level::kWarn, "coordinates keys again in a new store era")
+      .With("era", era)
+      .With("revision", lease_.revision())
+      .With("former", FormerCoordinatorIds())
+      .Write();
+  TickAsCoordinator(now);
+  co_return claim_outcome::kClaimed;
+}
+
+asio::awaitable<std::optional<bool>> coordinator_role::ReadIsSettled() {
+  const result<kv_listing> tables =
+      co_await store_.List(std::string(kTablePrefix));
+  if (!tables) {
+    watcher_.ReportFailure(tables.error(), BootNow());
+    co_return std::nullopt;
+  }
+  const auto stored = DecodeTables(tables.value().items);
+  if (!stored) {
+    co_return std::nullopt;
+  }
+  co_return AreSettled(TablesOf(*stored), KeyedServices(),
+                       EraOf(tables.value().revision));
+}
+
+asio::awaitable<void> coordinator_role::EndSilence(std::uint64_t term) {
+  const result<kv_listing> tables =
+      co_await store_.List(std::string(kTablePrefix));
+  ending_silence_ = false;
+  const store_era era = EraOf(lease_.revision());
+  if (authority_.term() != term || !silent_until_ || era != store_.era()) {
+    co_return;
+  }
+  const instant now = BootNow();
+  const auto stored =
+      tables ? DecodeTables(tables.value().items) : std::nullopt;
+  if (!stored) {
+    silent_until_ = now + kSilenceRetryInterval;
+    co_return;
+  }
+  silent_until_.reset();
+  for (const auto& [service, table] : *stored) {
+    auto coordinated = std::make_unique<coordinated_service>(timing_);
+    if (table.table.era() < era) {
+      coordinated->keys.TakeOverCopy(table.table, era, table.revision, now,
+                                     now);
+    } else {
+      coordinated->keys.TakeOver(table.table, table.revision, now, now);
+    }
+    services_.insert_or_assign(service, std::move(coordinated));
+  }
+  log_event(log_level::kInfo, "all grants of the lost history have ended")
+      .With("era", era)
+      .Write();
+  SyncServices(now);
+  TickAsCoordinator(now);
+}
+
 void coordinator_role::StopCoordinating(const std::string& reason) {
   authority_.OnStopped();
+  silent_until_.reset();
   CancelReleases();
   for (const auto& [service, coordinated] : services_) {
     traffic_.SetUnservedRanges(service, {});
@@ -357,8 +586,14 @@
       .With("reason", std::string(ToText(exclusion.reason)))
       .Write();
   if (former_coordinators_.all_excluded()) {
+    // The record of a lost history is excluded when the grants of its
+    // coordinators have ended, not when their authority has.
+    const instant stopped_by =
+        exclusion.reason == exclusion_reason::kHistoryEnded
+            ? former_coordinators_.authority_until()
+            : now;
     for (auto& [service, coordinated] : services_) {
-      coordinated->keys.OnFormerStopped(now);
+      coordinated->keys.OnFormerStopped(stopped_by);
     }
   }
 }
@@ -383,6 +618,15 @@
 
 void coordinator_role::TickAsCoordinator(instant now) {
   ExcludeFormerCoordinators(now);
+  if (silent_until_) {
+    if (now >= *silent_until_ && !ending_silence_) {
+      ending_silence_ = true;
+      SpawnTask(io_.get_executor(), "end of silence",
+                EndSilence(authority_.term()),
+                [this] { ending_silence_ = false; });
+    }
+    return;
+  }
   const instant authority_until = authority_.EndOf(lease_.proven_at());
   if (authority_until <= now) {
     CancelReleases();
@@ -391,8 +635,8 @@
     Measure(service, *coordinated, now);
     const bool may_write =
         MaySend(order_kind::kTableWrite, authority_.term()) &&
-        !coordinated->write_in_flight && now >= coordinated->next_write &&
-        watcher_.store_is_available();
+        asserted_era_ == store_.era() && !coordinated->write_in_flight &&
+        now >= coordinated->next_write && watcher_.store_is_available();
     const auto actions =
         coordinated->keys.Advance(authority_until, may_write, now);
     Execute(service, actions);
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -23,6 +23,7 @@
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/gateway/era_succession.h"
 #include "bluebell/gateway/former_coordinators.h"
 #include "bluebell/gateway/order_authority.h"
 #include "bluebell/gateway/role_lease.h"
@@ -111,6 +112,20 @@
   std::string FormerCoordinatorIds() const;
   // Reads the key tables from the store. False if a read or a table failed.
   boost::asio::awaitable<bool> TakeOver();
+  // Whether the key tables in the store name all owners; no value if they can't
+  // be read.
+  boost::asio::awaitable<std::optional<bool>> ReadIsSettled();
+  // The names of the keyed services of the present configuration.
+  std::vector<service_name> KeyedServices() const;
+  // Begins to coordinate from the tables of an older copy of the store, after
+  // all grants that may be outstanding have ended.
+  boost::asio::awaitable<void> EndSilence(std::uint64_t term);
+  // Takes note of the store's era. A coordinator stops, or claims the role
+  // again with its next renewal.
+  void ObserveEra(instant now);
+  // Claims the role again in the present era of the store, and asserts this
+  // daemon's tables.
+  boost::asio::awaitable<claim_outcome> ReclaimInEra();
   // Renews the lease until the term ends or the daemon leaves.
   boost::asio::awaitable<void> KeepLease();
   void StopCoordinating(const std::string& reason);
@@ -183,6 +198,14 @@
   // another number of the term.
   order_authority authority_;
   role_lease lease_;
+  era_succession succession_;
+  // The store's era to which this coordinator's claim and the revisions of its
+  // tables belong. It writes no table in another one.
+  store_era asserted_era_;
+  // Until when this daemon, as the coordinator, sends no orders because the
+  // tables in the store may be older than grants in force.
+  std::optional<instant> silent_until_;
+  bool ending_silence_ = false;
   // The clients of the releases in flight.
   std::vector<std::weak_ptr<http_client>> releases_in_flight_;
   former_coordinators former_coordinators_;
--- a/bluebell/gateway/former_coordinators.h
+++ b/bluebell/gateway/former_coordinators.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/coordinator_record.h"
 
@@ -30,7 +31,9 @@
   // A later process has announced itself under its daemon id.
   kProcessEnded,
   // The latest end of its authority has passed.
-  kAuthorityEnded
+  kAuthorityEnded,
+  // The grants of all coordinators of a lost history have ended.
+  kHistoryEnded
 };
 
 // A clause for log lines.
@@ -67,9 +70,22 @@
       store_version revision,
       const daemon_instance& self);
 
-  // The authority of every former coordinator ends at `until` at the latest.
+  // The store came back in `era` from an older copy, whose history may lack
+  // coordinators. Adds a record that stands for them, which successors of this
+  // daemon find in the history, too. It is excluded only by time.
+  void AddLostHistory(const store_era& era);
+  // True while the record of a lost history is pending.
+  bool has_lost_history() const;
+
+  // The authority of every former coordinator ends at `until` at the latest,
+  // and grants that were sent before their end last for `grant_lifetime`.
   // Before this call no end is known.
-  void SetAuthorityUntil(instant until) { authority_until_ = until; }
+  void SetAuthorityUntil(instant until, duration grant_lifetime = duration(0)) {
+    authority_until_ = until;
+    history_until_ = until + grant_lifetime;
+  }
+  // The latest end of the authority of every former coordinator.
+  instant authority_until() const { return authority_until_; }
 
   // Excludes the daemons under whose id a later process is announced, and all
   // of them once their authority has ended. Returns the new exclusions. A
@@ -89,6 +105,10 @@
  private:
   std::vector<coordinator_record> pending_;
   instant authority_until_ = instant::max();
+  // When the record of a lost history is excluded: later than the others, since
+  // a successor must not assign keys before its coordinators' grants have
+  // ended.
+  instant history_until_ = instant::max();
 };
 
 }  // namespace bluebell
--- a/bluebell/gateway/former_coordinators_test.cc
+++ b/bluebell/gateway/former_coordinators_test.cc
@@ -131,5 +131,35 @@
   CHECK(!formers.OnYield(Daemon(1, 1)));
 }
 
+// Failure: an older copy of the store shows the entry of an earlier process,
+// and the present process, which may still send orders, counts as ended.
+TEST_CASE("an entry of another era of the store excludes no coordinator") {
+  const store_version copied = VersionIn(store_era(1), 90);
+  former_coordinators formers = FromHistory({Daemon(1, 4)});
+  CHECK(formers.Advance({{Daemon(1).id, {incarnation(2), copied}}}, kStart)
+            .empty());
+}
+
+// Failure: a successor in the new era waits only for the coordinators that the
+// store knows, while others of the lost history send grants.
+TEST_CASE("coordinators of a lost history are excluded by time only") {
+  former_coordinators formers = FromHistory({Daemon(1)});
+  formers.AddLostHistory(store_era(1));
+  formers.AddLostHistory(store_era(2));
+  formers.SetAuthorityUntil(kAuthorityEnds, seconds(2));
+  CHECK(formers.pending().size() == 2);
+  // Also as its successor reads it.
+  formers = former_coordinators::FromHistory(
+      formers.pending(), VersionIn(store_era(2), 7), Daemon(8));
+  formers.SetAuthorityUntil(kAuthorityEnds, seconds(2));
+  CHECK(formers.OnYield(Daemon(1)));
+  CHECK(formers.has_lost_history());
+  CHECK(formers.Advance({}, kAuthorityEnds).empty());
+  const auto excluded = formers.Advance({}, kAuthorityEnds + seconds(2));
+  REQUIRE(excluded.size() == 1);
+  CHECK(excluded.front().reason == exclusion_reason::kHistoryEnded);
+  CHECK(formers.all_excluded());
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/role_claim.cc
+++ b/bluebell/gateway/role_claim.cc
@@ -10,7 +10,7 @@
                     const daemon_instance& self,
                     const std::vector<coordinator_record>& formers,
                     kv_lease lease) {
-  std::vector<coordinator_record> history{{self, store_version()}};
+  std::vector<coordinator_record> history{{self, VersionIn(lease.era(), 0)}};
   history.insert(history.end(), formers.begin(), formers.end());
   return {{{std::string(kCoordinatorKey), expected.coordinator},
            {std::string(kCoordinatorHistoryKey), expected.history}},
--- a/bluebell/gateway/role_claim_test.cc
+++ b/bluebell/gateway/role_claim_test.cc
@@ -147,5 +147,15 @@
   CHECK(!FindOwnClaim(store.Items(), Daemon(2)));
 }
 
+// Failure: a claim in a new era can't be told from one that only the older copy
+// of the store shows.
+TEST_CASE("a claim names the era of its lease") {
+  store_model store;
+  const kv_lease lease(7, store_era(3));
+  REQUIRE(store.Write(ClaimWrite({}, Daemon(1), {Record(5)}, lease)));
+  CHECK(store.History().front() ==
+        coordinator_record{Daemon(1), VersionIn(store_era(3), 0)});
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -60,6 +60,10 @@
   if (ended_) {
     co_return claim_outcome::kLost;
   }
+  if (claim_.lease.era() != store_.era()) {
+    // The lease is lost with its era. Only Reclaim() may follow.
+    co_return claim_outcome::kUnknown;
+  }
   const role_versions vacant{store_version(), claim_.versions.history};
   const claim_outcome outcome =
       co_await WriteClaim(claim_kind::kReclaim, vacant, std::move(formers));
@@ -76,6 +80,18 @@
   co_return outcome;
 }
 
+asio::awaitable<claim_outcome> role_lease::Reclaim(
+    role_versions present,
+    std::vector<coordinator_record> formers) {
+  claim_outcome outcome =
+      co_await WriteClaim(claim_kind::kFirst, present, std::move(formers));
+  if (outcome == claim_outcome::kClaimed && ended_) {
+    co_await End();
+    outcome = claim_outcome::kLost;
+  }
+  co_return outcome;
+}
+
 asio::awaitable<claim_outcome> role_lease::WriteClaim(
     claim_kind kind,
     role_versions expected,
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -50,6 +50,12 @@
   // the role again.
   boost::asio::awaitable<claim_outcome> Renew(
       std::vector<coordinator_record> formers);
+  // Claims the role again in a later era of the store than that of the last
+  // claim, whatever its older copy shows. `present` are the revisions that were
+  // read in that era.
+  boost::asio::awaitable<claim_outcome> Reclaim(
+      role_versions present,
+      std::vector<coordinator_record> formers);
   // Removes the former coordinators from the history in the store, when all of
   // them are excluded. Has no effect if the history names none.
   boost::asio::awaitable<void> TrimHistory();
