--- a/bluebell/gateway/store_rollback_random_test.cc
+++ b/bluebell/gateway/store_rollback_random_test.cc
@@ -431,12 +431,16 @@
       around.store.RollBack(milliseconds(100) + around.Delay(9'900));
       // Sometimes another one follows soon.
       rolled_back = !rolled_back && around.Chance(0.4);
-      if (around.Chance(0.3)) {
-        any().Kill();
+      for (model_coordinator& each : coordinators) {
+        if (around.Chance(each.has_role() ? 0.4 : 0.1)) {
+          each.Kill();
+        } else if (around.Chance(0.5)) {
+          each.Cut(around.now + around.Delay(1'000));
+        }
       }
     }
     if (around.Chance(0.004)) {
-      any().Cut(around.now + around.Delay(14'000));
+      any().Cut(around.now + around.Delay(25'000));
     }
     if (around.Chance(0.001)) {
       any().Kill();
--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -63,6 +63,8 @@
     DoEndpointFault();
   } else if (selection_ == fault_selection::kKeyFaults) {
     DoKeyFault();
+  } else if (selection_ == fault_selection::kStoreRollbacks) {
+    DoStoreRollback();
   } else {
     DoFault();
   }
@@ -160,6 +162,31 @@
   }
 }
 
+void fault_schedule::DoStoreRollback() {
+  const std::size_t kind = Pick(4);
+  if (kind == 0) {
+    DisturbLink();
+    return;
+  }
+  // The store is away for a moment; without a coordinator that has authority,
+  // keys aren't served for up to 14 s after it.
+  constexpr milliseconds kLongestRecovery{14'000};
+  const milliseconds away = PickTime(100, 600);
+  Begin("store rollback", away + kLongestRecovery);
+  world_.store().SetFault(store_down{false, true});
+  if (kind == 1) {
+    KillGateway(world_.Coordinator().value_or(Pick(world_.gateways())));
+  }
+  const milliseconds age = PickTime(100, 10'000);
+  const milliseconds rewritten = PickTime(0, 1'500);
+  world_.After(away, [this, age, rewritten] {
+    world_.store().SetFault(store_well());
+    world_.store().RollBack(age);
+    // The operator writes again what the store may have lost.
+    world_.After(rewritten, [this] { world_.ChangeConfig(); });
+  });
+}
+
 void fault_schedule::DoKeyFault() {
   switch (Pick(16)) {
     case 0:
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -34,6 +34,8 @@
   // Keys that move away and back at once, work that fails or takes long, and
   // pauses and ends of the coordinator.
   kKeyFaults,
+  // Rollbacks of the store, cuts, and ends of the coordinator.
+  kStoreRollbacks,
 };
 
 class fault_schedule {
@@ -59,6 +61,7 @@
   void DoFault();
   void DoEndpointFault();
   void DoKeyFault();
+  void DoStoreRollback();
 
   void StopGateway(std::size_t index);
   void ReplaceWhenEnded(std::size_t index);
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -33,7 +33,8 @@
 Usage:
   fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
              [--seconds=N] [--logs=FOLDER] [--port=N]
-             [--endpoint-faults | --all-endpoint-faults | --key-faults]
+             [--endpoint-faults | --all-endpoint-faults | --key-faults |
+              --store-rollbacks]
 
 Options:
   --program=FILE  The program bluebellgw.
@@ -46,6 +47,7 @@
   --endpoint-faults      Planned changes and faulty responses only.
   --all-endpoint-faults  Those, and all other faults of endpoints.
   --key-faults           Keys that move away and back, and what disturbs that.
+  --store-rollbacks      Rollbacks of the store, beside cuts and kills.
 )";
 
 using bluebell::milliseconds;
@@ -53,6 +55,8 @@
 constexpr milliseconds kStart{3'000};
 // After the faults: time to recover, and then to be seen serving.
 constexpr milliseconds kHealed{7'000};
+// Without a coordinator that has authority, keys wait for 14 s.
+constexpr milliseconds kHealedAfterRollback{19'000};
 // Every third seed has planned changes only.
 constexpr std::uint64_t kPlannedOnlyEach = 3;
 // Every second seed of key faults has endpoints that end work late.
@@ -97,6 +101,9 @@
   if (options.at("--key-faults").asBool()) {
     return bluebell::fault_selection::kKeyFaults;
   }
+  if (options.at("--store-rollbacks").asBool()) {
+    return bluebell::fault_selection::kStoreRollbacks;
+  }
   return std::nullopt;
 }
 
@@ -130,7 +137,9 @@
   faults.Start(soak.length);
   world.RunFor(soak.length);
   faults.Heal();
-  world.RunFor(kHealed);
+  world.RunFor(selection == bluebell::fault_selection::kStoreRollbacks
+                   ? kHealedAfterRollback
+                   : kHealed);
   world.StopCallers();
   bluebell::soak_record& record = world.record();
   const std::vector<std::string>& shared = world.holders().violations();
--- a/testing/gateway/kv_standin.cc
+++ b/testing/gateway/kv_standin.cc
@@ -24,6 +24,7 @@
 namespace json = boost::json;
 
 constexpr milliseconds kTick{20};
+constexpr milliseconds kMaxCopyAge{10'000};
 constexpr double kMillisPerSecond = 1'000;
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
@@ -111,6 +112,51 @@
   forgotten_ = revision_;
 }
 
+void kv_standin::RememberItem(const std::string& key) {
+  const auto found = items_.find(key);
+  undo_.push_back(
+      {BootNow(), revision_ - 1, key,
+       found == items_.end() ? std::nullopt : std::optional(found->second), 0,
+       std::nullopt});
+}
+
+void kv_standin::RememberLease(std::uint64_t id) {
+  const auto found = leases_.find(id);
+  undo_.push_back(
+      {BootNow(),
+       revision_,
+       {},
+       std::nullopt,
+       id,
+       found == leases_.end() ? std::nullopt : std::optional(found->second)});
+}
+
+void kv_standin::RollBack(milliseconds age) {
+  const instant now = BootNow();
+  for (; !undo_.empty() && undo_.back().at > now - age; undo_.pop_back()) {
+    const undo& last = undo_.back();
+    revision_ = last.revision;
+    if (last.item_before) {
+      items_[last.key] = *last.item_before;
+    } else if (!last.key.empty()) {
+      items_.erase(last.key);
+    }
+    if (last.lease_before) {
+      // Nobody could renew it while the store was away.
+      leases_[last.lease_id] = {last.lease_before->term,
+                                now + last.lease_before->term};
+    } else if (last.lease_id != 0) {
+      leases_.erase(last.lease_id);
+      last_lease_ = last.lease_id - 1;
+    }
+  }
+  while (!history_.empty() && history_.back().revision > revision_) {
+    history_.pop_back();
+  }
+  ++era_;
+  Notify();
+}
+
 bool kv_standin::Put(const std::string& key, const std::string& value) {
   if (std::holds_alternative<store_down>(fault_)) {
     return false;
@@ -137,7 +183,15 @@
                                : std::optional(found->second.value);
 }
 
-void kv_standin::Serve(const http_request& request, http_responder respond) {
+void kv_standin::Serve(const http_request& request, http_responder send) {
+  const http_responder respond =
+      [send = std::move(send),
+       weak = weak_from_this()](http_response response) {
+        if (const auto self = weak.lock()) {
+          response.set("Store-Era", std::to_string(self->era_));
+        }
+        send(std::move(response));
+      };
   const auto carry_out = [this, request](const http_responder& done) {
     if (std::string(request.target()).starts_with("/kv-watch")) {
       Watch(std::string(request.target()), done);
@@ -273,6 +327,7 @@
 void kv_standin::Write(const std::string& key,
                        const std::string& value,
                        std::uint64_t id) {
+  RememberItem(key);
   item& stored = items_[key];
   stored.value = value;
   stored.revision = revision_;
@@ -282,6 +337,7 @@
 }
 
 void kv_standin::Erase(const std::string& key) {
+  RememberItem(key);
   if (items_.erase(key) > 0) {
     history_.push_back({key, revision_, std::nullopt});
   }
@@ -304,7 +360,8 @@
 http_response kv_standin::StartLease(const std::string& body) {
   const double term = json::parse(body).at("TtlS_time").to_number<double>();
   const milliseconds granted(static_cast<int>(term * kMillisPerSecond));
-  leases_[++last_lease_] = {granted, BootNow() + granted};
+  RememberLease(++last_lease_);
+  leases_[last_lease_] = {granted, BootNow() + granted};
   return Reply({{"Lease", last_lease_}, {"TtlS_time", term}});
 }
 
@@ -318,9 +375,11 @@
 }
 
 http_response kv_standin::EndLease(std::uint64_t id) {
-  if (leases_.erase(id) == 0) {
+  if (!leases_.contains(id)) {
     return JsonResponse(kNotFound, "{}");
   }
+  RememberLease(id);
+  leases_.erase(id);
   EraseOf(id);
   return Reply({});
 }
@@ -338,7 +397,7 @@
 }
 
 std::optional<http_response> kv_standin::Changes(const watch& waiting) const {
-  if (waiting.after < forgotten_) {
+  if (waiting.after < forgotten_ || waiting.after > revision_) {
     return JsonResponse(kGone, "{}");
   }
   json::array events;
@@ -390,7 +449,11 @@
       ended.push_back(id);
     }
   }
+  while (!undo_.empty() && undo_.front().at < now - kMaxCopyAge) {
+    undo_.pop_front();
+  }
   for (const std::uint64_t id : ended) {
+    RememberLease(id);
     leases_.erase(id);
     EraseOf(id);
   }
--- a/testing/gateway/kv_standin.h
+++ b/testing/gateway/kv_standin.h
@@ -81,6 +81,12 @@
   bool is_well() const { return std::holds_alternative<store_well>(fault_); }
   // Watches from before now get 410.
   void ForgetHistory();
+  // The store comes back from a copy that is `age` old, 10 s at most, in the
+  // next era: later writes are undone, also those of the operator and of
+  // endpoints, and revisions and leases go on from those of the copy.
+  void RollBack(milliseconds age);
+  // The number of rollbacks, which every response states as Store-Era.
+  std::uint64_t era() const { return era_; }
 
  private:
   struct item {
@@ -99,6 +105,15 @@
     milliseconds term{0};
     instant ends;
   };
+  // What a change has replaced.
+  struct undo {
+    instant at;
+    std::uint64_t revision = 0;
+    std::string key;
+    std::optional<item> item_before;
+    std::uint64_t lease_id = 0;
+    std::optional<lease> lease_before;
+  };
   struct watch {
     std::string prefix;
     std::uint64_t after = 0;
@@ -124,6 +139,9 @@
              std::uint64_t id);
   void Erase(const std::string& key);
   void EraseOf(std::uint64_t id);
+  // Both keep what they replace for RollBack().
+  void RememberItem(const std::string& key);
+  void RememberLease(std::uint64_t id);
   void Notify();
   void Tick();
 
@@ -138,6 +156,9 @@
   std::uint64_t forgotten_ = 0;
   std::uint64_t revision_ = 1;
   std::uint64_t last_lease_ = 0;
+  std::uint64_t era_ = 0;
+  // In the order of the changes.
+  std::deque<undo> undo_;
   instant last_tick_;
   std::vector<watch> watches_;
 };
