Drain endpoints more often in the random test of rollbacks

With more moves it also fails when the ranges of unknown writes keep their owner. Not noticed: a coordinator whose authority has ended claims again.

--- a/bluebell/gateway/store_rollback_random_test.cc
+++ b/bluebell/gateway/store_rollback_random_test.cc
@@ -445,10 +445,10 @@
     if (around.Chance(0.001)) {
       any().Kill();
     }
-    if (around.Chance(0.01)) {
+    if (around.Chance(0.005)) {
       around.Replace(static_cast<int>(around.random() % kEndpoints));
     }
-    if (around.Chance(0.02)) {
+    if (around.Chance(0.1)) {
       bool& draining = around.entries[around.random() % kEndpoints].draining;
       draining = !draining;
     }
