--- a/bluebell/kv/kv_client.h
+++ b/bluebell/kv/kv_client.h
@@ -106,8 +106,8 @@
   awaitable_result<std::optional<kv_listing>> ListOnce(
       const std::string& prefix);
   // The changes in the response to a watch after `after`.
-  result<kv_changes> ChangesIn(const result<http_response>& response,
-                               const store_version& after);
+  static result<kv_changes> ChangesIn(const result<http_response>& response,
+                                      const store_version& after);
 
   std::optional<store_era> era_;
   std::vector<std::function<void(store_era era)>> era_handlers_;
