--- a/bluebell/fleet/fleet_state.cc
+++ b/bluebell/fleet/fleet_state.cc
@@ -185,6 +185,18 @@
       std::move(table).value());
 }
 
+bool fleet_state::RecordOwnTable(const service_name& service,
+                                 const key_table& table,
+                                 const store_version& revision) {
+  const std::string key = TableKey(service);
+  if (revision <= RevisionOf(key)) {
+    return false;
+  }
+  revisions_.insert_or_assign(key, revision);
+  current_.tables.insert_or_assign(service, table);
+  return true;
+}
+
 void fleet_state::PutEndpoint(const kv_item& item, instant now) {
   result<fleet_endpoint> entry = decoders_.endpoint(item.key, item.value);
   const endpoint_id id(item.key.substr(decoders_.endpoint_prefix.size()));
--- a/bluebell/fleet/fleet_state.h
+++ b/bluebell/fleet/fleet_state.h
@@ -91,6 +91,12 @@
   // When RemoveLapsed() is to be called next; no value if nothing is lapsing.
   std::optional<instant> NextLapseTime() const;
 
+  // This daemon has written the key table, which the store has at `revision`.
+  // Returns true if the state had an older one.
+  bool RecordOwnTable(const service_name& service,
+                      const key_table& table,
+                      const store_version& revision);
+
   // The endpoint process has stated in a response that it is leaving. It counts
   // as draining from then on, whatever its entry says; a later process under
   // the same id doesn't. Returns true if the snapshot has changed.
--- a/bluebell/fleet/fleet_state_test.cc
+++ b/bluebell/fleet/fleet_state_test.cc
@@ -364,6 +364,22 @@
   }
 }
 
+// Guards against a dispatcher that goes back to the owners of an older table
+// when the watch delivers the table that this daemon has written.
+TEST_CASE("a table that this daemon has written is known before the watch") {
+  const key_table table =
+      key_table().With(key_range(), {endpoint_id("a"), incarnation(1)});
+  const key_table next = table.With({0, 9}, {endpoint_id("b"), incarnation(1)});
+  fleet_state state(TestDecoders());
+  state.Apply(Item(TableKey(kService), table.ToJson(), 3), kStart);
+  CHECK(state.RecordOwnTable(kService, next, store_version(5)));
+  CHECK(state.snapshot().tables.at(kService) == next);
+  state.Apply(Item(TableKey(kService), table.ToJson(), 4), kStart);
+  state.Apply(Item(TableKey(kService), next.ToJson(), 5), kStart);
+  CHECK(state.snapshot().tables.at(kService) == next);
+  CHECK(!state.RecordOwnTable(kService, table, store_version(5)));
+}
+
 // Operators of earlier deployments request no evacuations.
 TEST_CASE("no failure domain is evacuated without the operators' prefix") {
   fleet_decoders decoders = TestDecoders();
--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -20,6 +20,7 @@
 #include "bluebell/gateway/order_clients.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/http/http_client.h"
+#include "bluebell/keyspace/rebalance_policy.h"
 #include "bluebell/kv/async_call.h"
 #include "bluebell/kv/kv_client.h"
 #include "bluebell/net/task.h"
@@ -242,6 +243,8 @@
                        .With("highest_fence", order.table.highest_fence())
                        .With("revision", done.revision)
                        .Write();
+                   // Calls this class again, through the new view.
+                   PublishTable(service, order.table, done.revision);
                  },
                  [&](const kv_conflict& conflict) {
                    OnTableConflict(service, *coordinated, order, conflict);
@@ -251,6 +254,18 @@
   TickAsCoordinator(now);
 }
 
+void coordinator_role::PublishTable(const service_name& service,
+                                    const key_table& table,
+                                    const store_version& revision) {
+  // Until the dispatcher knows the new owners, it sends requests to the former
+  // ones, which turn them away. With few moves, waiting for the watch costs
+  // less than a view more for each write.
+  if (std::holds_alternative<complete_rebalance>(
+          RebalancePolicyFor(view_->EndpointsOf(service).size()))) {
+    watcher_.OnTableWritten(service, table, revision);
+  }
+}
+
 void coordinator_role::OnWriteWithoutResult(coordinated_service& coordinated,
                                             instant now) {
   coordinated.write_in_flight = false;
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -158,6 +158,10 @@
   static void OnWriteWithoutResult(coordinated_service& coordinated,
                                    instant now);
   // The store holds another revision of the table than the write expected.
+  // Gives the table that was written to this daemon's dispatcher at once.
+  void PublishTable(const service_name& service,
+                    const key_table& table,
+                    const store_version& revision);
   void OnTableConflict(const service_name& service,
                        coordinated_service& coordinated,
                        const write_key_table& order,
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -532,6 +532,14 @@
   });
 }
 
+void store_watcher::OnTableWritten(const service_name& service,
+                                   const key_table& table,
+                                   const store_version& revision) {
+  if (state_.RecordOwnTable(service, table, revision)) {
+    NotifyChanged("own write");
+  }
+}
+
 void store_watcher::RecordLeaving(const endpoint_instance& endpoint) {
   if (state_.RecordLeaving(endpoint, BootNow())) {
     log_event(log_level::kInfo, "endpoint is leaving")
--- a/bluebell/gateway/store_watcher.h
+++ b/bluebell/gateway/store_watcher.h
@@ -29,6 +29,7 @@
 #include "bluebell/fleet/state_follower.h"
 #include "bluebell/gateway/expected_revisions.h"
 #include "bluebell/gateway/watch_guard.h"
+#include "bluebell/keyspace/key_table.h"
 #include "bluebell/wire/wire_message.h"
 
 namespace boost::asio {
@@ -99,6 +100,12 @@
   // When the last successful call to the store ended.
   instant last_success_at() const { return last_success_at_; }
 
+  // This daemon has written the key table, which the store has at `revision`.
+  // The watch returns it only later.
+  void OnTableWritten(const service_name& service,
+                      const key_table& table,
+                      const store_version& revision);
+
   // The endpoint has stated that it is leaving; see fleet_state.
   void RecordLeaving(const endpoint_instance& endpoint);
   // Another daemon has seen the store's `revision`. Reads the whole store again
--- a/bluebell/keyspace/complete_planner.cc
+++ b/bluebell/keyspace/complete_planner.cc
@@ -32,7 +32,7 @@
 // While the use is below this, moves interrupt next to no work, and keys are
 // spread evenly whatever their load.
 constexpr double kIdleUse = 0.01;
-constexpr double kMaxIdleUseFactor = 1.1;
+constexpr double kMaxIdleUseFactor = 1.02;
 // The load that each key counts in addition to its measured load, so that keys
 // without requests are divided evenly.
 constexpr double kIdleKeyLoadSlots = 1e-5;
@@ -140,7 +140,7 @@
       const std::size_t from = donors_.top().second;
       donors_.pop();
       if (MoveFrom(owners_[from]) &&
-          owners_[from].use() > mean_use_ * kKeptUseFactor) {
+          owners_[from].use() > mean_use_ * kept_use_factor()) {
         donors_.emplace(owners_[from].use(), from);
       }
     }
@@ -158,6 +158,7 @@
   }
 
   bool is_idle() const { return mean_use_ < kIdleUse; }
+  double kept_use_factor() const { return is_idle() ? 1 : kKeptUseFactor; }
 
   bool IsOverloaded(const owner_state& state) const {
     if (is_idle()) {
@@ -186,7 +187,7 @@
     }
     owner_state& receiver = owners_[*to];
     const double excess =
-        donor.load - mean_use_ * kKeptUseFactor * donor.capacity;
+        donor.load - mean_use_ * kept_use_factor() * donor.capacity;
     std::optional<piece> best =
         BestPiece(donor, std::min(excess, RoomOf(receiver, use_factor)));
     if (!best) {
