Fewer ranges and moves where complete plans are made

Plans leave at most two ranges for each owner, three where keys have just become busy, and start at most 16 moves that can wait.

Tests: bluebell_keyspace_test, all but the known red passed.

--- a/bluebell/keyspace/complete_planner.cc
+++ b/bluebell/keyspace/complete_planner.cc
@@ -43,8 +43,13 @@
 constexpr double kMaxUrgentMovingShare = 0.3;
 constexpr std::size_t kMaxMovingRangesPerOwner = 64;
 // Limits the number of ranges in the table, because each range is renewed by
-// its own call.
-constexpr std::size_t kMaxRangesPerOwner = 4;
+// its own call, and the coordinator also dispatches the requests. The second
+// limit is for keys that have just become busy.
+constexpr std::size_t kMaxRangesPerOwner = 2;
+constexpr std::size_t kMaxUrgentRangesPerOwner = 3;
+// Limits the moves of a plan whose keys haven't just become busy, for the same
+// reason.
+constexpr std::size_t kMaxOrdinaryMoves = 16;
 // A piece is moved only if its load is more than this share of the load that
 // could be moved.
 constexpr double kMinPieceShare = 0.15;
@@ -182,20 +187,25 @@
                         .Top([&](std::size_t owner) {
                           return RoomOf(owners_[owner], use_factor);
                         });
-    if (!to || donor.releases >= kMaxMovingRangesPerOwner) {
+    const bool has_enough_moves =
+        !is_urgent && !is_idle() && ordinary_moves_ >= kMaxOrdinaryMoves;
+    if (!to || donor.releases >= kMaxMovingRangesPerOwner || has_enough_moves) {
       return false;
     }
     owner_state& receiver = owners_[*to];
     const double excess =
         donor.load - mean_use_ * kept_use_factor() * donor.capacity;
-    std::optional<piece> best =
-        BestPiece(donor, std::min(excess, RoomOf(receiver, use_factor)));
+    const bool may_split = MaySplit(is_urgent);
+    std::optional<piece> best = BestPiece(
+        donor, std::min(excess, RoomOf(receiver, use_factor)), may_split);
     if (!best) {
-      best = BestPiece(donor, LargerLoadFor(donor, receiver, is_urgent));
+      best = BestPiece(donor, LargerLoadFor(donor, receiver, is_urgent),
+                       may_split);
     }
     if (!best || ExceedsMovingShare(best->load, is_urgent)) {
       return false;
     }
+    ordinary_moves_ += is_urgent ? 0 : 1;
     Take(donor, *best);
     moving_load_ += best->load;
     donor.load -= best->load;
@@ -224,10 +234,16 @@
            moving_load_ + load > share * total_;
   }
 
+  bool MaySplit(bool is_urgent) const {
+    return range_count_ < owners_.size() * (is_urgent ? kMaxUrgentRangesPerOwner
+                                                      : kMaxRangesPerOwner);
+  }
+
   // The best part of the owner's movable ranges with at most `max_load`. No
   // value if none is worth a move.
   std::optional<piece> BestPiece(const owner_state& donor,
-                                 double max_load) const {
+                                 double max_load,
+                                 bool may_split) const {
     std::optional<piece> best;
     double best_worth = std::max(0.0, max_load * kMinPieceShare);
     const auto consider = [&](const key_range& range, std::size_t source,
@@ -238,7 +254,6 @@
         best_worth = load * preference;
       }
     };
-    const bool may_split = range_count_ < owners_.size() * kMaxRangesPerOwner;
     for (std::size_t i = 0; i < donor.movable.size(); ++i) {
       const key_range& range = donor.movable[i];
       consider(range, i, kWholeRangePreference);
@@ -272,6 +287,7 @@
   double total_ = 0;
   double mean_use_ = 0;
   double moving_load_ = 0;
+  std::size_t ordinary_moves_ = 0;
   // By use.
   std::priority_queue<std::pair<double, std::size_t>> donors_;
   receiver_queue receivers_;
--- a/bluebell/keyspace/key_coordinator.cc
+++ b/bluebell/keyspace/key_coordinator.cc
@@ -32,7 +32,7 @@
 // on the dispatcher issues no permits for its keys, and the release: requests
 // with an earlier permit would be turned away by the owner.
 constexpr milliseconds kPermitUseTime{40};
-constexpr milliseconds kMinTableWriteInterval{50};
+constexpr milliseconds kMinTableWriteInterval{80};
 // The usual time from the start of a move to the answer to its release.
 constexpr milliseconds kExpectedReleaseTime{300};
 
@@ -597,8 +597,8 @@
 }
 
 write_key_table key_coordinator::JoinRanges(instant now) const {
-  const std::vector<key_range> joinable =
-      joiner_.JoinableRanges(granted_ranges_, now);
+  const std::vector<key_range> joinable = joiner_.JoinableRanges(
+      granted_ranges_, RebalancePolicyFor(endpoints_.size()), now);
   if (joinable.empty()) {
     return {};
   }
--- a/bluebell/keyspace/range_joiner.cc
+++ b/bluebell/keyspace/range_joiner.cc
@@ -1,7 +1,10 @@
 #include "bluebell/keyspace/range_joiner.h"
 
 #include <algorithm>
+#include <variant>
+
 #include <cstddef>
+#include "bluebell/core/overloaded.h"
 
 #include "bluebell/keyspace/grant_record.h"
 
@@ -9,10 +12,16 @@
 
 std::vector<key_range> range_joiner::JoinableRanges(
     const std::vector<granted_range>& granted,
+    const rebalance_policy& policy,
     instant now) const {
+  const milliseconds join_delay = std::visit(
+      overloaded{
+          [&](const gradual_rebalance&) { return timing_.join_delay; },
+          [&](const complete_rebalance&) { return timing_.short_join_delay; }},
+      policy);
   std::vector<key_range> joinable;
   for (std::size_t i = 1; i < granted.size(); ++i) {
-    if (!CanJoin(granted[i - 1], granted[i], now)) {
+    if (!CanJoin(granted[i - 1], granted[i], join_delay, now)) {
       continue;
     }
     if (!joinable.empty() &&
@@ -27,12 +36,13 @@
 
 bool range_joiner::CanJoin(const granted_range& a,
                            const granted_range& b,
-                           instant now) const {
+                           milliseconds join_delay,
+                           instant now) {
   const instant assigned_at =
       std::max(a.grants.assigned_at(), b.grants.assigned_at());
   return a.owner == b.owner && a.range.last + 1 == b.range.first &&
          grant_record::CanMerge(a.grants, b.grants) &&
-         assigned_at + timing_.join_delay <= now;
+         assigned_at + join_delay <= now;
 }
 
 }  // namespace bluebell
--- a/bluebell/keyspace/range_joiner.h
+++ b/bluebell/keyspace/range_joiner.h
@@ -6,7 +6,8 @@
 // others.
 //
 //   range_joiner joiner(timing);
-//   for (const key_range& range : joiner.JoinableRanges(granted, now)) ...
+//   for (const key_range& range :
+//        joiner.JoinableRanges(granted, policy, now)) ...
 
 #ifndef BLUEBELL_KEYSPACE_RANGE_JOINER_H_
 #define BLUEBELL_KEYSPACE_RANGE_JOINER_H_
@@ -17,6 +18,7 @@
 #include "bluebell/keyspace/granted_range.h"
 #include "bluebell/keyspace/key_range.h"
 #include "bluebell/keyspace/key_timing.h"
+#include "bluebell/keyspace/rebalance_policy.h"
 
 namespace bluebell {
 
@@ -26,15 +28,17 @@
 
   // The ranges, in ascending order, that each cover at least two of `granted`,
   // which is in ascending order too. Their parts have one owner, their grants
-  // can be merged, and none was assigned in the last `join_delay`.
+  // can be merged, and none was assigned in the last `join_delay` of `policy`.
   std::vector<key_range> JoinableRanges(
       const std::vector<granted_range>& granted,
+      const rebalance_policy& policy,
       instant now) const;
 
  private:
-  bool CanJoin(const granted_range& a,
-               const granted_range& b,
-               instant now) const;
+  static bool CanJoin(const granted_range& a,
+                      const granted_range& b,
+                      milliseconds join_delay,
+                      instant now);
 
   key_timing timing_;
 };
