Make no complete plans for more than 256 owners

Such services keep the gradual rebalancing until their coordination is divided among several daemons.

Tests: bluebell_keyspace_test, all but the known red passed.

--- a/bluebell/keyspace/rebalance_policy.h
+++ b/bluebell/keyspace/rebalance_policy.h
@@ -28,8 +28,14 @@
 // each 300 ms.
 inline constexpr std::size_t kMinOwnersForCompleteRebalance = 160;
 
+// The coordinator renews each range and mostly dispatches the service as well.
+// With more owners it has no processor time left for the moves of complete
+// plans.
+inline constexpr std::size_t kMaxOwnersForCompleteRebalance = 256;
+
 inline rebalance_policy RebalancePolicyFor(std::size_t owner_count) {
-  if (owner_count >= kMinOwnersForCompleteRebalance) {
+  if (owner_count >= kMinOwnersForCompleteRebalance &&
+      owner_count <= kMaxOwnersForCompleteRebalance) {
     return complete_rebalance();
   }
   return gradual_rebalance();
