--- a/bluebell/settings/gateway_settings.cc
+++ b/bluebell/settings/gateway_settings.cc
@@ -27,6 +27,22 @@
 constexpr number_range kRetryShareThousandthsRange{0, 1'000};
 constexpr number_range kRetryReserveRange{0, 1'000'000};
 constexpr std::int64_t kThousandthsPerPercent = 10;
+constexpr number_range kWarmupOverageThousandthsRange{0, 1'000'000};
+constexpr number_range kWarmupSlackThousandthsRange{0, 1'000'000'000};
+
+// Reads a number with a fraction; nullopt if the field is missing or invalid.
+std::optional<double> ReadFraction(object_reader& reader,
+                                   std::string_view name,
+                                   number_range range) {
+  constexpr std::int64_t kMissing = -1;
+  constexpr double kThousand = 1'000;
+  std::int64_t thousandths = kMissing;
+  reader.Thousandths(name, range, thousandths);
+  if (thousandths == kMissing) {
+    return std::nullopt;
+  }
+  return static_cast<double>(thousandths) / kThousand;
+}
 
 gateway_settings ReadAll(object_reader& reader) {
   gateway_settings settings;
@@ -59,6 +75,10 @@
   settings.retry_percent =
       static_cast<std::uint32_t>(retry_thousandths / kThousandthsPerPercent);
   reader.Number("retry_reserve", kRetryReserveRange, settings.retry_reserve);
+  settings.warmup_overage =
+      ReadFraction(reader, "warmup_overage", kWarmupOverageThousandthsRange);
+  settings.warmup_slack =
+      ReadFraction(reader, "warmup_slack", kWarmupSlackThousandthsRange);
   reader.Choice("log_level", kLogLevels, settings.log_level);
   return settings;
 }
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -6,6 +6,7 @@
 #define BLUEBELL_SETTINGS_GATEWAY_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -43,6 +44,11 @@
   // this percentage of the requests of the service, and `retry_reserve` more.
   std::uint32_t retry_percent = 20;
   std::uint32_t retry_reserve = 60;
+  // Limits the requests that a cold endpoint gets in any second: the rate that
+  // it can sustain times `warmup_overage`, and `warmup_slack` more. There is no
+  // limit if neither is given. If one is given, the other counts as 1 or 0.
+  std::optional<double> warmup_overage;
+  std::optional<double> warmup_slack;
   // One of "trace", "debug", "info", "warn", "error".
   std::string log_level = "info";
 
--- a/bluebell/settings/gateway_settings_test.cc
+++ b/bluebell/settings/gateway_settings_test.cc
@@ -39,6 +39,21 @@
   CHECK(settings->retry_reserve == 62);
 }
 
+// Guards against a limit of cold endpoints on platforms that state none, and
+// against one that is dropped.
+TEST_CASE("the limit of cold endpoints is read only if it is given") {
+  const auto read = [](const std::string& text) {
+    return std::get<gateway_settings>(gateway_settings::Parse(text));
+  };
+  CHECK(!read(kSettings).warmup_overage);
+  CHECK(!read(kSettings).warmup_slack);
+  const gateway_settings limited =
+      read(Replaced(kSettings, R"("grace_s")",
+                    R"("warmup_overage": 1.5, "warmup_slack": 8, "grace_s")"));
+  CHECK(limited.warmup_overage == 1.5);
+  CHECK(limited.warmup_slack == 8);
+}
+
 TEST_CASE("all problems in the settings of a gateway daemon are reported") {
   std::string text =
       Replaced(kSettings, R"("cpu_share": 0.2)", R"("cpu_share": 0)");
