Limit requests to cold endpoints, and use the slowdown that endpoints report

The daemons sent a cold endpoint as many requests as it has slots for, and the coordinator gave it as many keys as a warm one. The fourth value of X-Server-Load, the current time of work on the endpoint's machine, made the whole header unreadable.

The dispatcher issues permits for cold endpoints within cold_start_limit and prefers warm ones. A keyed request waits for a cold owner if it can still be answered in time, and is refused with the time of the next permit otherwise. Forecasts and the capacity for keys use at most the rate of the endpoint times the mean work. A reported slowdown counts for 300 ms in the choice of an endpoint and in forecasts, and never for keys. Without the settings nothing changes.

--- a/bluebell/permits/cold_start_limit.cc
+++ b/bluebell/permits/cold_start_limit.cc
@@ -100,8 +100,8 @@
   return NextPermit(endpoint, static_cast<std::size_t>(ahead), now) - now;
 }
 
-duration cold_start_limit::RetryAfter(duration wait, instant now) const {
-  return IsIssuing(now) ? wait : std::min<duration>(wait, kFirstWait);
+duration cold_start_limit::RetryAfter(duration wait) const {
+  return first_since_ ? wait : std::min<duration>(wait, kFirstWait);
 }
 
 std::optional<double> cold_start_limit::CapacityLimit(
--- a/bluebell/permits/cold_start_limit.h
+++ b/bluebell/permits/cold_start_limit.h
@@ -81,9 +81,9 @@
                       duration work_before,
                       instant now) const;
   // When a refused request should be repeated: after the wait that WaitBehind()
-  // returned. A daemon that doesn't issue can't know how long that is for the
-  // one that does; there it is at most kFirstWait.
-  duration RetryAfter(duration wait, instant now) const;
+  // returned. A daemon that isn't first doesn't know the wait at the one that
+  // is; it is at most kFirstWait until that one issues permits.
+  duration RetryAfter(duration wait) const;
   // The capacity of the endpoint in slots of an average endpoint: the rate that
   // it can sustain times the mean work. nullopt if it isn't limited or the mean
   // work isn't known.
--- a/bluebell/permits/endpoint_load.h
+++ b/bluebell/permits/endpoint_load.h
@@ -15,12 +15,15 @@
   std::uint32_t waiting = 0;
   // Requests that the endpoint can run at the same time.
   std::uint32_t slots = 0;
+  // The time of work on the endpoint's machine at the moment, in percent of the
+  // usual.
+  std::uint32_t slowdown_percent = 100;
 
   friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(running, waiting, slots);
+    archive(running, waiting, slots, slowdown_percent);
   }
 };
 
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -71,6 +71,9 @@
   std::int64_t time_left_ms = 0;
   // Endpoints that the requester can't reach or has tried already.
   std::vector<endpoint_id> excluded_endpoints;
+  // When this message was sent, by the requester's own clock. Only the
+  // requester compares it with other times; see permit_granted.
+  std::int64_t sent_at_ms = 0;
 
   friend bool operator==(const permit_request&,
                          const permit_request&) = default;
@@ -78,7 +81,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, service, route, domain, rank, key, objective_left_ms,
-            time_left_ms, excluded_endpoints);
+            time_left_ms, excluded_endpoints, sent_at_ms);
   }
 };
 
@@ -101,6 +104,13 @@
   // True if the endpoint's entry is missing from the store, which may be due to
   // an outage of the store.
   bool lapsing = false;
+  // If not zero, the permit may be used for this long after its issue; see
+  // permit_use.h.
+  std::uint32_t use_within_ms = 0;
+  // The earliest time at which the permit can have been issued, by the holder's
+  // clock: the time that its permit_request states, and how long the dispatcher
+  // held that.
+  std::int64_t issued_at_ms = 0;
 
   friend bool operator==(const permit_granted&,
                          const permit_granted&) = default;
@@ -108,7 +118,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, service, endpoint, where, fence, table_fence, expected_ms,
-            endpoints_revision, lapsing);
+            endpoints_revision, lapsing, use_within_ms, issued_at_ms);
   }
 };
 
--- a/bluebell/permits/scheduled_endpoint.cc
+++ b/bluebell/permits/scheduled_endpoint.cc
@@ -13,6 +13,13 @@
 // How long requests count that a load report shows and that the scheduler
 // issued no permit for.
 constexpr milliseconds kExternalLoadLifetime{300};
+// How long a reported slowdown counts. It changes several times a second, and
+// an endpoint that gets fewer requests for it reports again only then.
+constexpr milliseconds kSlowdownLifetime{300};
+constexpr double kPercent = 100;
+// A report beyond this is taken for this, so that one wrong number doesn't make
+// the wait for the endpoint look endless.
+constexpr double kMaxSlowdown = 20;
 
 }  // namespace
 
@@ -49,7 +56,28 @@
   const bool has_external = load.waiting > 0 && reported > own_requests;
   external_requests_ = has_external ? reported - own_requests : 0;
   external_until_ = now + kExternalLoadLifetime;
-  return has_external ? std::optional(external_until_) : std::nullopt;
+  slowdown_ = std::clamp(load.slowdown_percent / kPercent, 1.0, kMaxSlowdown);
+  slowdown_until_ = now + kSlowdownLifetime;
+  return has_external || slowdown_ > 1
+             ? std::optional(std::max(external_until_, slowdown_until_))
+             : std::nullopt;
+}
+
+double scheduled_endpoint::current_slowness(instant now) const {
+  if (now >= slowdown_until_ || slowdown_ <= 1) {
+    return slowness_;
+  }
+  // The measured slowness may include the slowdown already, the long-term one
+  // hardly does.
+  return std::max(slowness_, long_term_slowness() * slowdown_);
+}
+
+double scheduled_endpoint::current_capacity(instant now) const {
+  return LimitedCapacity(entry_.slots / current_slowness(now));
+}
+
+double scheduled_endpoint::LimitedCapacity(double capacity) const {
+  return std::min(capacity, capacity_limit_.value_or(capacity));
 }
 
 void scheduled_endpoint::Refresh(instant now) {
--- a/bluebell/permits/scheduled_endpoint.h
+++ b/bluebell/permits/scheduled_endpoint.h
@@ -38,7 +38,8 @@
   void OnNoResponse(std::uint64_t holder, instant now);
   // Counts the requests at the endpoint that this scheduler issued no permit
   // for, if the report says that requests wait there. Returns until when they
-  // count, or nullopt if there are none.
+  // count, or nullopt if there are none. Also records the slowdown of the
+  // machine, which counts for as long.
   std::optional<instant> OnLoadReport(const endpoint_load& load, instant now);
 
   // Recomputes slowness() and success_ratio(), which change slowly with time
@@ -57,8 +58,20 @@
   }
   // The share of requests that the endpoint answers without a failure.
   double success_ratio() const { return success_ratio_; }
-  // The number of slots of an average endpoint that would do the same work.
-  double capacity() const { return entry_.slots / slowness_; }
+  // As slowness(), including a slowdown that the endpoint has reported within
+  // the last few hundred milliseconds. For decisions that hold as long; key
+  // moves take longer.
+  double current_slowness(instant now) const;
+  // The number of slots of an average endpoint that would do the same work at
+  // the moment.
+  double current_capacity(instant now) const;
+  // Limits the capacity of a cold endpoint, in slots of an average endpoint;
+  // nullopt if it isn't limited.
+  void SetCapacityLimit(std::optional<double> limit) {
+    capacity_limit_ = limit;
+  }
+  // `capacity`, or the limit if that is lower.
+  double LimitedCapacity(double capacity) const;
 
   bool IsSuspended(instant now) const { return performance_.IsSuspended(now); }
   bool IsInService(instant now) const;
@@ -87,6 +100,11 @@
   // until when they count.
   std::uint32_t external_requests_ = 0;
   instant external_until_;
+  // The reported time of work, as a ratio to the usual, and until when it
+  // counts.
+  double slowdown_ = 1;
+  instant slowdown_until_;
+  std::optional<double> capacity_limit_;
   instant warm_up_end_;
   wait_queue queue_;
 };
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -9,6 +9,7 @@
 
 #include "bluebell/core/overloaded.h"
 #include "bluebell/keyspace/rebalance_policy.h"
+#include "bluebell/permits/permit_use.h"
 
 namespace bluebell {
 
@@ -117,6 +118,17 @@
   MarkAllQueuesChanged();
 }
 
+void slot_scheduler::SetColdStart(std::optional<cold_start_bound> bound,
+                                  bool is_first,
+                                  instant now) {
+  cold_start_.SetBound(bound);
+  cold_start_.SetFirst(is_first, now);
+}
+
+std::vector<cold_start_hold> slot_scheduler::TakeColdStartHolds() {
+  return cold_start_.TakeHolds();
+}
+
 const unserved_range* slot_scheduler::FindUnservedRange(
     const permit_request& message) const {
   if (!message.key) {
@@ -172,7 +184,8 @@
     return;
   }
   RefreshEndpoints(now);
-  if (const queue_state waiting_in = FindQueue(message.id); waiting_in.queue) {
+  if (const queue_state waiting_in = FindQueue(message.id, now);
+      waiting_in.queue) {
     if (ShortenDeadline(waiting_in, message, now)) {
       replies_.emplace_back(permit_queued{message.id});
     }
@@ -180,11 +193,13 @@
   }
   waiting_request request;
   request.message = message;
+  request.received = now;
   request.objective = now + milliseconds(message.objective_left_ms);
   request.deadline = now + milliseconds(message.time_left_ms);
   request.work = work_estimate_.Expected(
       message.route, milliseconds(message.objective_left_ms));
   demand_.Add(message.rank, request.work, now);
+  cold_start_.AddWork(request.work);
   const permit_id id = message.id;
   const duration work = request.work;
   const bool is_queued = EnqueueOrRefuse(std::move(request), now);
@@ -211,13 +226,14 @@
   return is_queued ? work : refused_work;
 }
 
-slot_scheduler::queue_state slot_scheduler::FindQueue(const permit_id& id) {
+slot_scheduler::queue_state slot_scheduler::FindQueue(const permit_id& id,
+                                                      instant now) {
   if (shared_queue_.Contains(id)) {
     return {&shared_queue_, shared_capacity_};
   }
   for (auto& [name, endpoint_state] : endpoints_) {
     if (endpoint_state.queue().Contains(id)) {
-      return {&endpoint_state.queue(), endpoint_state.capacity()};
+      return {&endpoint_state.queue(), endpoint_state.current_capacity(now)};
     }
   }
   return {};
@@ -252,6 +268,7 @@
   }
   duration wait(0);
   wait_queue* queue = &shared_queue_;
+  const scheduled_endpoint* key_owner_state = nullptr;
   if (keyed_ && request.message.key) {
     const key_owner owner = FindOwner(request.message, now);
     if (owner.endpoint == nullptr) {
@@ -279,17 +296,23 @@
     request.fence = owner.fence;
     wait = ExpectedOwnerWait(*owner.endpoint, request.message.rank, now);
     queue = &owner.endpoint->queue();
+    key_owner_state = owner.endpoint;
     changed_owner_queues_.insert(owner.endpoint->entry().instance.endpoint);
   } else {
     if (!HasCandidate(request.message)) {
       Refuse(id, permit_refusal::kNoEndpoint, kNoEndpointRetryAfter);
       return false;
     }
-    wait = ExpectedSharedWait(request.message.rank);
+    wait = ExpectedSharedWait(request.message.rank, now);
     shared_queue_changed_ = true;
   }
   if (now + wait + request.work > request.deadline) {
-    RefuseOverloaded(id, wait);
+    if (key_owner_state != nullptr &&
+        cold_start_.IsLimited(key_owner_state->entry(), now)) {
+      RefuseForLimit(id, *key_owner_state, wait, now);
+    } else {
+      RefuseOverloaded(id, wait);
+    }
     return false;
   }
   next_infeasible_ = std::min(next_infeasible_, request.InfeasibleAt());
@@ -322,10 +345,25 @@
          std::chrono::duration_cast<milliseconds>(retry));
 }
 
+void slot_scheduler::RefuseForLimit(const permit_id& id,
+                                    const scheduled_endpoint& owner,
+                                    duration wait,
+                                    instant now) {
+  if (!cold_start_.MayIssue(owner.entry(), now)) {
+    cold_start_.OnHold(owner.entry(), now);
+  }
+  // The limit states exactly when the next permit may be issued. An earlier
+  // repetition would be refused again.
+  const auto retry = std::clamp<duration>(cold_start_.RetryAfter(wait),
+                                          kMinRetryAfter, kMaxRetryAfter);
+  Refuse(id, permit_refusal::kOverloaded,
+         std::chrono::ceil<milliseconds>(retry));
+}
+
 duration slot_scheduler::ExpectedWait(const permit_request& message,
                                       instant now) {
   if (!keyed_ || !message.key) {
-    return ExpectedSharedWait(message.rank);
+    return ExpectedSharedWait(message.rank, now);
   }
   const key_owner owner = FindOwner(message, now);
   return owner.endpoint == nullptr
@@ -481,9 +519,31 @@
 
 void slot_scheduler::UpdateSharedCapacity(instant now) {
   shared_capacity_ = 0;
+  shared_limited_until_.reset();
+  bool is_any_warm = false;
+  for (auto& [id, endpoint_state] : endpoints_) {
+    endpoint_state.SetCapacityLimit(
+        cold_start_.CapacityLimit(endpoint_state.entry(), now));
+    if (!endpoint_state.IsInService(now)) {
+      continue;
+    }
+    if (!cold_start_.IsLimited(endpoint_state.entry(), now)) {
+      is_any_warm = true;
+    } else if (!cold_start_.IsIssuing(now)) {
+      continue;
+    }
+    shared_capacity_ += endpoint_state.current_capacity(now);
+  }
+  if (is_any_warm || !cold_start_.is_on()) {
+    return;
+  }
   for (const auto& [id, endpoint_state] : endpoints_) {
-    shared_capacity_ +=
-        endpoint_state.IsInService(now) ? endpoint_state.capacity() : 0;
+    if (endpoint_state.IsInService(now)) {
+      const instant next =
+          cold_start_.NextPermit(endpoint_state.entry(), 0, now);
+      shared_limited_until_ =
+          std::min(next, shared_limited_until_.value_or(next));
+    }
   }
 }
 
@@ -502,6 +562,8 @@
   granted.table_fence = running.table_fence;
   granted.expected_ms = static_cast<std::uint32_t>(expected.count());
   granted.lapsing = endpoint_state.entry().lapsing;
+  granted.use_within_ms = running.use_within_ms;
+  granted.issued_at_ms = running.issued_at_ms;
   return granted;
 }
 
@@ -516,28 +578,36 @@
 
 duration slot_scheduler::ExpectedOwnerWait(const scheduled_endpoint& owner,
                                            std::uint32_t rank,
-                                           instant now) {
+                                           instant now) const {
   const duration work_before = owner.queue().WorkBefore(rank);
+  const duration limit_wait =
+      cold_start_.WaitBehind(owner.entry(), work_before, now);
   if (owner.HasFreeSlot(now) && work_before == duration(0)) {
-    return duration(0);
+    return limit_wait;
   }
-  return WaitFor(work_before, owner.capacity());
+  return std::max(limit_wait,
+                  WaitFor(work_before, owner.current_capacity(now)));
 }
 
-duration slot_scheduler::ExpectedSharedWait(std::uint32_t rank) const {
-  return WaitFor(shared_queue_.WorkBefore(rank), shared_capacity_);
+duration slot_scheduler::ExpectedSharedWait(std::uint32_t rank,
+                                            instant now) const {
+  const duration wait =
+      WaitFor(shared_queue_.WorkBefore(rank), shared_capacity_);
+  return shared_limited_until_ ? std::max(wait, *shared_limited_until_ - now)
+                               : wait;
 }
 
 double slot_scheduler::Cost(const scheduled_endpoint& endpoint_state,
-                            const domain_name& domain) {
+                            const domain_name& domain,
+                            instant now) {
   const bool is_other_domain = endpoint_state.entry().domain != domain;
-  return endpoint_state.slowness() / endpoint_state.success_ratio() *
+  return endpoint_state.current_slowness(now) / endpoint_state.success_ratio() *
          (is_other_domain ? kOtherDomainCostFactor : 1);
 }
 
 void slot_scheduler::GrantFromOwnerQueue(scheduled_endpoint& owner,
                                          instant now) {
-  while (!owner.queue().empty() && owner.HasFreeSlot(now)) {
+  while (!owner.queue().empty() && MayStart(owner, now)) {
     const auto next = owner.queue().TakeNext(
         now, [](std::uint32_t /*rank*/) { return true; },
         [&](const waiting_request& request) {
@@ -548,6 +618,35 @@
     }
     GrantPermit(*next, owner, now);
   }
+  if (!owner.queue().empty()) {
+    HoldForLimit(owner, now);
+  }
+}
+
+bool slot_scheduler::MayStart(const scheduled_endpoint& endpoint_state,
+                              instant now) const {
+  return endpoint_state.HasFreeSlot(now) &&
+         cold_start_.MayIssue(endpoint_state.entry(), now);
+}
+
+void slot_scheduler::HoldForLimit(const scheduled_endpoint& endpoint_state,
+                                  instant now) {
+  const fleet_endpoint& entry = endpoint_state.entry();
+  if (!endpoint_state.HasFreeSlot(now) || cold_start_.MayIssue(entry, now)) {
+    return;
+  }
+  cold_start_.OnHold(entry, now);
+  next_recheck_ =
+      std::min(next_recheck_, cold_start_.NextPermit(entry, 0, now));
+}
+
+void slot_scheduler::HoldSharedQueue(instant now) {
+  if (!cold_start_.is_on() || shared_queue_.empty()) {
+    return;
+  }
+  for (const auto& [id, endpoint_state] : endpoints_) {
+    HoldForLimit(endpoint_state, now);
+  }
 }
 
 void slot_scheduler::GrantFromSharedQueue(instant now) {
@@ -577,15 +676,16 @@
         },
         [&](const waiting_request& each) {
           choice = choose(each.message);
-          return choice.best != nullptr && !ShouldWait(each, choice);
+          return choice.best != nullptr && !ShouldWait(each, choice, now);
         });
     if (!next) {
-      return;
+      break;
     }
     // `choice` belongs to this request, because it was the last one considered.
     GrantPermit(*next, *choice.best, now);
     --free;
   }
+  HoldSharedQueue(now);
 }
 
 slot_scheduler::endpoint_choice slot_scheduler::ChooseEndpoint(
@@ -600,32 +700,47 @@
             excluded_endpoints.end()) {
       continue;
     }
-    const double cost = Cost(endpoint_state, domain);
+    const bool is_limited = cold_start_.IsLimited(endpoint_state.entry(), now);
+    if (is_limited && cold_start_.Allowed(endpoint_state.entry(), now) == 0) {
+      continue;
+    }
+    const double cost = Cost(endpoint_state, domain, now);
     choice.least_cost = std::min(choice.least_cost, cost);
+    // Warm endpoints are preferred, so that the permits for cold ones are left
+    // for the requests that find no other slot.
     if (endpoint_state.HasFreeSlot(now) &&
-        (choice.best == nullptr || cost < choice.cost)) {
+        (choice.best == nullptr ||
+         std::pair(is_limited, cost) <
+             std::pair(choice.is_limited, choice.cost))) {
       choice.best = &endpoint_state;
       choice.cost = cost;
+      choice.is_limited = is_limited;
     }
   }
   return choice;
 }
 
 bool slot_scheduler::ShouldWait(const waiting_request& request,
-                                const endpoint_choice& choice) const {
+                                const endpoint_choice& choice,
+                                instant now) const {
   if (choice.cost <= kMaxCostRatio * choice.least_cost) {
     return false;
   }
   const double extra_time = (choice.cost - choice.least_cost) *
                             static_cast<double>(request.work.count());
   return extra_time >
-         static_cast<double>(ExpectedSharedWait(request.message.rank).count());
+         static_cast<double>(
+             ExpectedSharedWait(request.message.rank, now).count());
 }
 
 std::uint32_t slot_scheduler::FreeSlots(instant now) const {
   std::uint32_t free = 0;
   for (const auto& [id, endpoint_state] : endpoints_) {
-    free += endpoint_state.FreeSlots(now);
+    const std::uint32_t slots = endpoint_state.FreeSlots(now);
+    free += cold_start_.IsLimited(endpoint_state.entry(), now)
+                ? static_cast<std::uint32_t>(std::min<std::size_t>(
+                      slots, cold_start_.Allowed(endpoint_state.entry(), now)))
+                : slots;
   }
   return free;
 }
@@ -642,6 +757,13 @@
   running.started = now;
   running.expires = request.deadline + kExpiryMargin;
   running.work = request.work;
+  const fleet_endpoint& entry = target.entry();
+  if (cold_start_.IsLimited(entry, now)) {
+    running.use_within_ms =
+        static_cast<std::uint32_t>(cold_start_limit::kUseWithin.count());
+    running.issued_at_ms = IssuedAtMs(request.message, now - request.received);
+  }
+  cold_start_.OnPermit(entry.instance.endpoint, now);
   target.OnRequestStarted();
   ++running_by_rank_[request.message.rank];
   // A permit that is granted at once needs no preceding permit_queued.
@@ -655,17 +777,23 @@
 
 void slot_scheduler::RefuseInfeasible(instant now) {
   next_infeasible_ = instant::max();
-  const auto refuse_from = [&](wait_queue& queue) {
+  const auto refuse_from = [&](wait_queue& queue,
+                               const scheduled_endpoint* owner) {
     for (const waiting_request& each : queue.TakeInfeasible(now)) {
-      RefuseOverloaded(each.message.id, ExpectedWait(each.message, now));
+      const duration wait = ExpectedWait(each.message, now);
+      if (owner != nullptr && cold_start_.IsLimited(owner->entry(), now)) {
+        RefuseForLimit(each.message.id, *owner, wait, now);
+      } else {
+        RefuseOverloaded(each.message.id, wait);
+      }
     }
     if (const auto next = queue.NextInfeasible()) {
       next_infeasible_ = std::min(next_infeasible_, *next);
     }
   };
-  refuse_from(shared_queue_);
+  refuse_from(shared_queue_, nullptr);
   for (auto& [id, endpoint_state] : endpoints_) {
-    refuse_from(endpoint_state.queue());
+    refuse_from(endpoint_state.queue(), &endpoint_state);
   }
 }
 
@@ -720,8 +848,8 @@
         policy);
     // Requests at a slow endpoint are late more often, even if it is idle, so
     // it gets less work than its slowness alone would allow.
-    capacities[id] =
-        endpoint_state.entry().slots / std::pow(slowness, kSlownessExponent);
+    capacities[id] = endpoint_state.LimitedCapacity(
+        endpoint_state.entry().slots / std::pow(slowness, kSlownessExponent));
   }
   return capacities;
 }
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -32,6 +32,9 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
+#include "bluebell/permits/cold_start_bound.h"
+#include "bluebell/permits/cold_start_hold.h"
+#include "bluebell/permits/cold_start_limit.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
 #include "bluebell/permits/scheduled_endpoint.h"
@@ -56,6 +59,13 @@
   // if an endpoint is expected to serve them soon, and are refused otherwise.
   void SetUnservedRanges(std::vector<unserved_range> unserved, instant now);
 
+  // Sets what cold endpoints may get, nullopt if they aren't limited, and
+  // whether this daemon is first in its own dispatcher order for the service.
+  // Call it before SetEndpoints().
+  void SetColdStart(std::optional<cold_start_bound> bound,
+                    bool is_first,
+                    instant now);
+
   // Requests a permit. The reply is permit_granted or permit_refused, possibly
   // after a permit_queued. Repeating the request for a permit that waits or was
   // granted repeats that reply and takes no further slot. If the repetition
@@ -75,6 +85,10 @@
   // if there is none.
   std::optional<instant> NextWakeup() const;
 
+  // Returns the endpoints whose limit has held requests back since the last
+  // call, at most once a second for each.
+  std::vector<cold_start_hold> TakeColdStartHolds();
+
   // The recent load of each key, for a keyed service. Refused requests count
   // too, with half of their work where RebalancePolicyFor() asks for complete
   // plans.
@@ -100,6 +114,9 @@
     instant expires;
     // The expected response time at an average endpoint.
     duration work{0};
+    // See permit_granted.
+    std::uint32_t use_within_ms = 0;
+    std::int64_t issued_at_ms = 0;
   };
   // A time during which no requests are sent for an assignment of keys, because
   // its owner answered that it doesn't serve them.
@@ -112,7 +129,10 @@
     scheduled_endpoint* best = nullptr;
     // The cost of `best`.
     double cost = 0;
-    // The lowest cost of all endpoints in service, with or without a free slot.
+    // True if the requests of `best` are limited because it is cold.
+    bool is_limited = false;
+    // The lowest cost of all endpoints in service that may get a permit now or
+    // when they have a free slot.
     double least_cost = 0;
   };
   // A queue and the capacity that serves it, in slots of an average endpoint.
@@ -144,7 +164,7 @@
   // The work by which a request counts in the load of its key.
   duration CountedWork(duration work, bool is_queued) const;
   // The queue in which the request waits; null if it doesn't wait.
-  queue_state FindQueue(const permit_id& id);
+  queue_state FindQueue(const permit_id& id, instant now);
   // Moves the deadline of a waiting request forward to that of its repetition,
   // or refuses it. Returns false in the latter case.
   bool ShortenDeadline(const queue_state& waiting_in,
@@ -154,15 +174,21 @@
   bool HasCandidate(const permit_request& message) const;
   void Refuse(const permit_id& id, permit_refusal reason, milliseconds retry);
   void RefuseOverloaded(const permit_id& id, duration wait);
+  // Refuses a request that can't wait until the limit of its cold owner allows
+  // it.
+  void RefuseForLimit(const permit_id& id,
+                      const scheduled_endpoint& owner,
+                      duration wait,
+                      instant now);
   // The expected wait of a request that arrives now; zero if its key has no
   // owner.
   duration ExpectedWait(const permit_request& message, instant now);
   // The expected wait of a request of `rank` that arrives now, in the queue of
   // `owner` or in the shared queue.
-  static duration ExpectedOwnerWait(const scheduled_endpoint& owner,
-                                    std::uint32_t rank,
-                                    instant now);
-  duration ExpectedSharedWait(std::uint32_t rank) const;
+  duration ExpectedOwnerWait(const scheduled_endpoint& owner,
+                             std::uint32_t rank,
+                             instant now) const;
+  duration ExpectedSharedWait(std::uint32_t rank, instant now) const;
   // Refreshes the endpoints' slowness and success ratio, at most once in an
   // interval.
   void RefreshEndpoints(instant now);
@@ -178,12 +204,21 @@
   // True if waiting for a faster endpoint is expected to give an earlier
   // response than the chosen one.
   bool ShouldWait(const waiting_request& request,
-                  const endpoint_choice& choice) const;
+                  const endpoint_choice& choice,
+                  instant now) const;
   // The relative time that a request from `domain` takes at the endpoint,
   // increased for failures and for other failure domains.
   static double Cost(const scheduled_endpoint& endpoint_state,
-                     const domain_name& domain);
+                     const domain_name& domain,
+                     instant now);
+  // True if the endpoint has a free slot that its limit, if it is cold, allows
+  // to use.
+  bool MayStart(const scheduled_endpoint& endpoint_state, instant now) const;
   std::uint32_t FreeSlots(instant now) const;
+  // Examines the queues again when the limit of a cold endpoint with a free
+  // slot, for which requests wait, allows the next permit.
+  void HoldForLimit(const scheduled_endpoint& endpoint_state, instant now);
+  void HoldSharedQueue(instant now);
   void GrantPermit(const waiting_request& request,
                    scheduled_endpoint& target,
                    instant now);
@@ -210,6 +245,7 @@
   work_estimate work_estimate_;
   rank_demand demand_;
   shard_load_meter key_loads_;
+  cold_start_limit cold_start_;
   // By the fencing token of the assignment.
   std::map<epoch, pause> paused_assignments_;
   // In ascending order.
@@ -222,11 +258,14 @@
   // The sum of the capacities of all endpoints in service, in slots of an
   // average endpoint.
   double shared_capacity_ = 0;
+  // When the limits of cold endpoints allow the next permit, if no endpoint in
+  // service is warm.
+  std::optional<instant> shared_limited_until_;
   instant next_refresh_;
   instant next_infeasible_ = instant::max();
   instant next_expiry_check_;
   // The next time at which a pause of an assignment or the effect of an
-  // endpoint's load report ends.
+  // endpoint's load report ends, or a cold endpoint may get a permit.
   instant next_recheck_ = instant::max();
 };
 
--- a/bluebell/permits/waiting_request.h
+++ b/bluebell/permits/waiting_request.h
@@ -11,6 +11,8 @@
 
 struct waiting_request {
   permit_request message;
+  // When the dispatcher received `message`.
+  instant received;
   // The response-time objective of the caller. A later response is worth less.
   instant objective;
   // A response after this time is of no use.
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -224,6 +224,10 @@
     }
     SetSocketOptions(link->stream.socket());
   }
+  if (options.send_by && BootNow() > *options.send_by) {
+    co_return exchange_unsent{
+        error(errc::kTimeout, step::kConnect, peer, "the permit has expired")};
+  }
   link->history.Begin(options.attempt);
   // If this coroutine ends early, the connection is reset, so that the endpoint
   // stops its work.
--- a/bluebell/proxy/endpoint_connection_pool.h
+++ b/bluebell/proxy/endpoint_connection_pool.h
@@ -46,6 +46,9 @@
   // An exchange without a complete response by then ends; as exchange_lost with
   // errc::kTimeout if the request was sent.
   instant deadline;
+  // The request isn't sent later than this; the exchange then ends as
+  // exchange_unsent with errc::kTimeout. nullopt: there is no such bound.
+  std::optional<instant> send_by;
   // A connection that was idle for longer isn't reused. The endpoint may close
   // an idle connection while the request is written to it, and it is then
   // unknown whether the request ran.
--- a/bluebell/proxy/endpoint_connection_pool_test.cc
+++ b/bluebell/proxy/endpoint_connection_pool_test.cc
@@ -160,15 +160,16 @@
   explicit client(std::shared_ptr<byte_budget> memory = nullptr)
       : connection_pool(io, std::move(memory)) {}
 
-  exchange_result Send(
-      const fleet_endpoint& entry,
-      const std::string& attempt,
-      std::optional<milliseconds> abandon_after = std::nullopt) {
+  exchange_result Send(const fleet_endpoint& entry,
+                       const std::string& attempt,
+                       std::optional<milliseconds> abandon_after = std::nullopt,
+                       std::optional<instant> send_by = std::nullopt) {
     http_request request(boost::beast::http::verb::get, "/x", 11);
     exchange_options options;
     options.attempt = attempt;
     options.deadline = BootNow() + seconds(2);
     options.max_idle_time = seconds(5);
+    options.send_by = send_by;
     if (abandon_after) {
       options.abandon_check_at = BootNow() + *abandon_after;
       options.may_abandon = [] { return true; };
@@ -204,6 +205,20 @@
   CHECK(caller.connection_pool.opened_count() == 1);
 }
 
+// Guards against a request to a cold endpoint that is sent after the time of
+// its permit, because connecting took long.
+TEST_CASE("a request isn't sent after the time of its permit") {
+  scripted_server server({SampleResponse("1", "one")});
+  client caller;
+  const exchange_result late =
+      caller.Send(server.entry(), "1", std::nullopt, BootNow());
+  const auto* unsent = std::get_if<exchange_unsent>(&late);
+  REQUIRE(unsent != nullptr);
+  CHECK(unsent->cause.code() == errc::kTimeout);
+  CHECK(BodyOf(caller.Send(server.entry(), "1", std::nullopt,
+                           BootNow() + seconds(2))) == "one");
+}
+
 TEST_CASE("a late response to an earlier request is skipped") {
   scripted_server server(
       {SampleResponse("old", "stale") + SampleResponse("1", "one")});
--- a/bluebell/proxy/permit_client.cc
+++ b/bluebell/proxy/permit_client.cc
@@ -11,6 +11,7 @@
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
 #include "bluebell/permits/dispatcher_order.h"
+#include "bluebell/permits/permit_use.h"
 #include "bluebell/proxy/peer_socket.h"
 #include "bluebell/proxy/permit_dispatcher.h"
 #include "bluebell/telemetry/log_event.h"
@@ -126,6 +127,7 @@
         std::chrono::duration_cast<milliseconds>(target_time - now).count();
     request.time_left_ms =
         std::chrono::duration_cast<milliseconds>(wait_limit - now).count();
+    request.sent_at_ms = ToSentAtMs(now);
     const milliseconds wait_time =
         pending->queued || !to ? kQueuedCheckInterval : kRequestRetryInterval;
     pending->timer.expires_after(
--- a/bluebell/proxy/permit_dispatcher.cc
+++ b/bluebell/proxy/permit_dispatcher.cc
@@ -7,7 +7,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/permits/cold_start_bound.h"
+#include "bluebell/permits/dispatcher_order.h"
 #include "bluebell/telemetry/log_event.h"
+#include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
 
@@ -19,7 +22,14 @@
 
 }  // namespace
 
-permit_dispatcher::permit_dispatcher(boost::asio::io_context& io) : io_(io) {}
+permit_dispatcher::permit_dispatcher(boost::asio::io_context& io,
+                                     daemon_instance self,
+                                     warmup_allowance allowance,
+                                     metrics_registry& metrics)
+    : io_(io),
+      self_(std::move(self)),
+      allowance_(allowance),
+      metrics_(metrics) {}
 
 void permit_dispatcher::SetView(const fleet_view& view, instant now) {
   if (!view->config) {
@@ -37,11 +47,41 @@
     if (service.keyed) {
       owners = table == view->tables.end() ? &no_owners : &table->second;
     }
+    SetColdStart(*queue, service, *view, now);
     queue->scheduler.SetEndpoints(view->EndpointsOf(service.name), owners, now);
     DeliverReplies(*queue, now);
   }
 }
 
+void permit_dispatcher::SetColdStart(service_queue& queue,
+                                     const fleet_service& service,
+                                     const fleet_snapshot& view,
+                                     instant now) {
+  const auto bound = cold_start_bound::For(service, allowance_);
+  bool is_first = false;
+  if (bound) {
+    const std::vector<fleet_member> order = DispatcherOrder(view, service.name);
+    // An entry of an earlier run of this daemon doesn't count.
+    is_first = !order.empty() && order.front().instance == self_;
+  }
+  queue.scheduler.SetColdStart(bound, is_first, now);
+}
+
+void permit_dispatcher::ReportColdStartHolds(service_queue& queue) {
+  for (const cold_start_hold& hold : queue.scheduler.TakeColdStartHolds()) {
+    const service_name& service = queue.scheduler.service();
+    metrics_.Add(metric::kColdStartHolds, {service.value()});
+    log_event(log_level::kInfo, "requests held back from cold endpoint")
+        .With("service", service)
+        .With("endpoint", hold.endpoint)
+        .With("wait_ms",
+              std::chrono::duration_cast<milliseconds>(hold.wait).count())
+        .With("issuing", hold.is_issuing)
+        .With("waiting", queue.scheduler.waiting_count())
+        .Write();
+  }
+}
+
 permit_dispatcher::service_queue* permit_dispatcher::FindQueue(
     const service_name& service) {
   const auto found = queues_.find(service);
@@ -109,6 +149,7 @@
     }
     sink(reply);
   }
+  ReportColdStartHolds(queue);
   ScheduleWakeup(queue, now);
 }
 
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -23,6 +23,7 @@
 #include "bluebell/keyspace/unserved_range.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/slot_scheduler.h"
+#include "bluebell/permits/warmup_allowance.h"
 
 namespace boost::asio {
 class io_context;
@@ -30,11 +31,17 @@
 
 namespace bluebell {
 
+class metrics_registry;
+
 class permit_dispatcher {
  public:
   using reply_sink = std::function<void(const permit_reply& reply)>;
 
-  explicit permit_dispatcher(boost::asio::io_context& io);
+  // `allowance` limits the requests to cold endpoints.
+  permit_dispatcher(boost::asio::io_context& io,
+                    daemon_instance self,
+                    warmup_allowance allowance,
+                    metrics_registry& metrics);
   permit_dispatcher(const permit_dispatcher&) = delete;
   permit_dispatcher& operator=(const permit_dispatcher&) = delete;
   ~permit_dispatcher() = default;
@@ -81,10 +88,19 @@
   service_queue* FindQueue(const service_name& service);
   // Passes the replies that are due to their sinks and sets the timer.
   void DeliverReplies(service_queue& queue, instant now);
+  // Sets the limit of the service's cold endpoints.
+  void SetColdStart(service_queue& queue,
+                    const fleet_service& service,
+                    const fleet_snapshot& view,
+                    instant now);
+  void ReportColdStartHolds(service_queue& queue);
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
 
   boost::asio::io_context& io_;
+  daemon_instance self_;
+  warmup_allowance allowance_;
+  metrics_registry& metrics_;
   // Of the newest view; stated in granted permits and in the log.
   store_version endpoints_revision_;
   std::map<service_name, std::unique_ptr<service_queue>> queues_;
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -11,6 +11,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/permits/permit_use.h"
 #include "bluebell/permits/permitted_endpoint.h"
 #include "bluebell/proxy/endpoint_connection_pool.h"
 #include "bluebell/proxy/internal/request_context.h"
@@ -176,6 +177,10 @@
     co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
                             std::nullopt);
   }
+  if (const auto use_by = UseBy(granted); use_by && replied_at > *use_by) {
+    co_return ReturnPermit(context, granted, "the permit came too late",
+                           replied_at);
+  }
   const std::optional<fleet_endpoint> endpoint =
       EndpointOf(granted, replied_at);
   if (!endpoint) {
@@ -188,10 +193,19 @@
     request_context& context,
     const permit_granted& granted,
     instant now) {
+  context.excluded_endpoints.push_back(granted.endpoint.endpoint);
+  return ReturnPermit(context, granted, "the endpoint is not in service here",
+                      now);
+}
+
+std::optional<served_response> request_server::ReturnPermit(
+    request_context& context,
+    const permit_granted& granted,
+    std::string_view reason,
+    instant now) {
   permits_.Release(UnusedRelease(context.service, granted));
   context.progress = WithAttempt(context.progress, attempt_result::kUnsent);
-  context.excluded_endpoints.push_back(granted.endpoint.endpoint);
-  context.reason = "the endpoint is not in service here";
+  context.reason = std::string(reason);
   const attempt_decision next =
       DecideAfterAttempt(context.progress, attempt_result::kUnsent, now);
   if (const auto* failed = std::get_if<fail_request>(&next)) {
@@ -209,6 +223,7 @@
   exchange_options options;
   options.attempt = context.call.attempt;
   options.deadline = progress.deadline;
+  options.send_by = UseBy(granted);
   options.max_idle_time =
       progress.idempotent ? kIdempotentMaxIdleTime : kNonIdempotentMaxIdleTime;
   if (!MayAbandon(progress)) {
@@ -275,6 +290,12 @@
   permit_release release = UnusedRelease(context.service, granted);
   release.outcome =
       caller_left ? permit_outcome::kAbandoned : OutcomeOf(exchange, result);
+  const auto* unsent = std::get_if<exchange_unsent>(&exchange);
+  if (unsent != nullptr && unsent->cause.code() == errc::kTimeout) {
+    // The time of the permit passed before the request was sent, which says
+    // nothing about the endpoint.
+    release.outcome = permit_outcome::kUnused;
+  }
   release.took_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(context.elapsed).count());
   context.endpoint_status = 0;
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -85,6 +85,12 @@
   std::optional<served_response> PassOver(request_context& context,
                                           const permit_granted& granted,
                                           instant now);
+  // Gives back a permit unused. Returns nullopt if another attempt has to
+  // follow.
+  std::optional<served_response> ReturnPermit(request_context& context,
+                                              const permit_granted& granted,
+                                              std::string_view reason,
+                                              instant now);
   // Sends the request with a permit. Returns nullopt if another attempt has to
   // follow.
   boost::asio::awaitable<std::optional<served_response>> SendAttempt(
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -133,6 +133,12 @@
      metric_kind::kGauge,
      {},
      "Failure domains that this daemon sends no requests to."},
+    {metric::kColdStartHolds,
+     "bluebell_cold_start_holds_total",
+     metric_kind::kCounter,
+     {"service"},
+     "Times the limit of a cold endpoint held requests back, at most one a "
+     "second for each."},
 });
 
 consteval bool RowsFollowEnum() {
