Admit requests by forecast and reserve capacity for refused callers

A refused caller was told half of the expected wait, and nothing recorded how many had been told to return when. A caller that returned got a new objective from its daemon and was served before those that could still meet theirs; a burst of one route took the slots of another in the same queue; the forecast left out running requests and counted requests that endpoints shed as if they ran.

With a route for uploads in the configuration, the dispatcher now uses scheduled admission: refused requests are recognized by their deadline when they return and keep their first objective; each refusal books capacity in an interval of 50 ms if there is some within a third of the caller's time; a route that has had more than its share of a queue gives way to others of its rank; an overloaded queue gives up an objective earlier. Without such a route nothing changes.

--- a/bluebell/fleet/route_config.cc
+++ b/bluebell/fleet/route_config.cc
@@ -73,6 +73,17 @@
   return found == host_routes->second.end() ? nullptr : &*found;
 }
 
+bool route_config::TakesUploads() const {
+  const auto takes_uploads = [](const service_route& route) {
+    return route.kind == request_kind::kUpload;
+  };
+  return std::any_of(routes_by_host_.begin(), routes_by_host_.end(),
+                     [&](const auto& entry) {
+                       return std::any_of(entry.second.begin(),
+                                          entry.second.end(), takes_uploads);
+                     });
+}
+
 const fleet_service* route_config::FindService(const service_name& name) const {
   const auto found = std::find_if(
       services_.begin(), services_.end(),
--- a/bluebell/fleet/route_config.h
+++ b/bluebell/fleet/route_config.h
@@ -37,6 +37,8 @@
   // and the letter case of `host` are ignored. `path` has no query part.
   const service_route* FindRoute(std::string_view host,
                                  std::string_view path) const;
+  // True if the requests of a route have large bodies.
+  bool TakesUploads() const;
   // Null if there is no service of this name.
   const fleet_service* FindService(const service_name& name) const;
 
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -145,6 +145,9 @@
   permit_refusal reason = permit_refusal::kOverloaded;
   // Time until the dispatcher expects that it can issue a permit.
   std::uint32_t retry_after_ms = 0;
+  // True if capacity is reserved for the requester at that time. Not sent in
+  // messages.
+  bool promised = false;
 
   friend bool operator==(const permit_refused&,
                          const permit_refused&) = default;
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "bluebell/core/overloaded.h"
+#include "bluebell/core/time_scale.h"
 #include "bluebell/keyspace/rebalance_policy.h"
 
 namespace bluebell {
@@ -46,6 +47,8 @@
 // The deadlines that are computed from the repetitions of a request differ by
 // the time that the messages travel.
 constexpr milliseconds kDeadlineTolerance{100};
+// Names the queue that all endpoints serve.
+const endpoint_id kSharedQueueName;
 
 // The time in which `capacity`, in slots of an average endpoint, does the work.
 duration WaitFor(duration work, double capacity) {
@@ -59,6 +62,20 @@
 slot_scheduler::slot_scheduler(service_name service)
     : service_(std::move(service)) {}
 
+void slot_scheduler::SetAdmission(const admission_policy& policy) {
+  std::visit(overloaded{[&](const simple_admission&) { admission_.reset(); },
+                        [&](const scheduled_admission&) {
+                          if (!admission_) {
+                            admission_.emplace();
+                          }
+                        }},
+             policy);
+}
+
+admission_counts slot_scheduler::promise_counts() const {
+  return admission_ ? admission_->counts() : admission_counts();
+}
+
 void slot_scheduler::SetEndpoints(const std::vector<fleet_endpoint>& endpoints,
                                   const key_table* table,
                                   instant now) {
@@ -185,6 +202,9 @@
   request.work = work_estimate_.Expected(
       message.route, milliseconds(message.objective_left_ms));
   demand_.Add(message.rank, request.work, now);
+  if (admission_) {
+    route_shares_.AddDemand(message.route, request.work, now);
+  }
   const permit_id id = message.id;
   const duration work = request.work;
   const bool is_queued = EnqueueOrRefuse(std::move(request), now);
@@ -252,6 +272,7 @@
   }
   duration wait(0);
   wait_queue* queue = &shared_queue_;
+  const scheduled_endpoint* owner_endpoint = nullptr;
   if (keyed_ && request.message.key) {
     const key_owner owner = FindOwner(request.message, now);
     if (owner.endpoint == nullptr) {
@@ -279,6 +300,7 @@
     request.fence = owner.fence;
     wait = ExpectedOwnerWait(*owner.endpoint, request.message.rank, now);
     queue = &owner.endpoint->queue();
+    owner_endpoint = owner.endpoint;
     changed_owner_queues_.insert(owner.endpoint->entry().instance.endpoint);
   } else {
     if (!HasCandidate(request.message)) {
@@ -288,15 +310,74 @@
     wait = ExpectedSharedWait(request.message.rank);
     shared_queue_changed_ = true;
   }
-  if (now + wait + request.work > request.deadline) {
+  if (admission_ && !request.is_admitted) {
+    const admission_verdict verdict =
+        DecideAdmission(request, owner_endpoint, now);
+    if (const auto* refused = std::get_if<refused_until>(&verdict)) {
+      Refuse(id, permit_refusal::kOverloaded,
+             std::chrono::ceil<milliseconds>(refused->retry_after));
+      std::get<permit_refused>(replies_.back()).promised = refused->promised;
+      return false;
+    }
+    const auto& accepted = std::get<admitted>(verdict);
+    request.objective = accepted.objective;
+    request.on_time_work_factor = accepted.on_time_work_factor;
+  } else if (now + wait + request.work > request.deadline) {
     RefuseOverloaded(id, wait);
     return false;
   }
+  request.is_admitted = true;
   next_infeasible_ = std::min(next_infeasible_, request.InfeasibleAt());
   queue->Push(std::move(request));
   return true;
 }
 
+admission_verdict slot_scheduler::DecideAdmission(
+    const waiting_request& request,
+    const scheduled_endpoint* owner,
+    instant now) {
+  const permit_request& message = request.message;
+  admission_control::arrival arrival;
+  arrival.identity = {message.route, message.key, request.deadline};
+  arrival.rank = message.rank;
+  arrival.objective = request.objective;
+  arrival.work = request.work;
+  arrival.response_time = request.work;
+  const wait_queue& queue = owner == nullptr ? shared_queue_ : owner->queue();
+  const double share = route_shares_.ShareOf(message.route, now);
+  // A request that is shed leaves its slot at once.
+  const double accepted = shed_ratio_.AcceptedShare(now);
+  // A route that has less work than its share passes the others.
+  const duration on_time =
+      queue.UrgentWorkBefore(message.rank) +
+      std::min(queue.OnTimeWork(message.rank),
+               Scale(queue.OnTimeWork(message.rank, message.route), 1 / share));
+  const duration before = Scale(on_time, accepted);
+  const duration late_before = Scale(queue.WorkBefore(message.rank), accepted);
+  admission_control::forecast expected;
+  if (owner == nullptr) {
+    expected.wait = WaitFor(before, shared_capacity_);
+    expected.late_wait = WaitFor(late_before, shared_capacity_);
+    expected.capacity = shared_capacity_;
+    return admission_->Decide(arrival, expected, now);
+  }
+  arrival.queue = owner->entry().instance.endpoint;
+  arrival.response_time = Scale(request.work, owner->slowness());
+  // Requests for keys that aren't served yet wait at least until they are.
+  duration blocked(0);
+  if (const unserved_range* unserved = FindUnservedRange(message)) {
+    blocked = std::max(blocked, unserved->until - now);
+  }
+  if (const auto paused = paused_assignments_.find(request.fence);
+      paused != paused_assignments_.end()) {
+    blocked = std::max(blocked, paused->second.until - now);
+  }
+  expected.wait = std::max(blocked, owner->WaitAfter(before, now));
+  expected.late_wait = std::max(blocked, owner->WaitAfter(late_before, now));
+  expected.capacity = owner->capacity();
+  return admission_->Decide(arrival, expected, now);
+}
+
 bool slot_scheduler::HasCandidate(const permit_request& message) const {
   const auto& excluded = message.excluded_endpoints;
   return excluded.empty() ||
@@ -357,6 +438,7 @@
   scheduled_endpoint& endpoint_state = found->second;
   const bool was_in_service = endpoint_state.IsInService(now);
   const milliseconds response_time(release.took_ms);
+  shed_ratio_.Add(release.outcome, now);
   switch (release.outcome) {
     case permit_outcome::kAnswered:
       work_estimate_.Add(ended.route, response_time,
@@ -419,8 +501,9 @@
     adopted.started = now;
     adopted.expires = now + kUnreportedPermitTimeout + kExpiryMargin;
     adopted.work = work_estimate_.Expected(open.route, duration(0));
+    adopted.length = adopted.work;
+    endpoint_state->second.OnRequestStarted(now, adopted.length);
     running_.emplace(open.id, std::move(adopted));
-    endpoint_state->second.OnRequestStarted();
     ++running_by_rank_[open.rank];
   }
   std::vector<permit_id> unused;
@@ -537,15 +620,18 @@
 
 void slot_scheduler::GrantFromOwnerQueue(scheduled_endpoint& owner,
                                          instant now) {
+  const endpoint_id queue_name = owner.entry().instance.endpoint;
   while (!owner.queue().empty() && owner.HasFreeSlot(now)) {
     const auto next = owner.queue().TakeNext(
         now, [](std::uint32_t /*rank*/) { return true; },
-        [&](const waiting_request& request) {
-          return !IsPaused(request, now);
-        });
+        [&](const waiting_request& request) { return !IsPaused(request, now); },
+        DeferredRoutes(queue_name, now));
     if (!next) {
       return;
     }
+    if (admission_) {
+      route_shares_.AddServed(queue_name, next->message.route, next->work, now);
+    }
     GrantPermit(*next, owner, now);
   }
 }
@@ -578,16 +664,28 @@
         [&](const waiting_request& each) {
           choice = choose(each.message);
           return choice.best != nullptr && !ShouldWait(each, choice);
-        });
+        },
+        DeferredRoutes(kSharedQueueName, now));
     if (!next) {
       return;
     }
+    if (admission_) {
+      route_shares_.AddServed(kSharedQueueName, next->message.route, next->work,
+                              now);
+    }
     // `choice` belongs to this request, because it was the last one considered.
     GrantPermit(*next, *choice.best, now);
     --free;
   }
 }
 
+std::vector<std::string> slot_scheduler::DeferredRoutes(
+    const endpoint_id& queue_name,
+    instant now) const {
+  return admission_ ? route_shares_.RoutesOverShare(queue_name, now)
+                    : std::vector<std::string>();
+}
+
 slot_scheduler::endpoint_choice slot_scheduler::ChooseEndpoint(
     const domain_name& domain,
     const std::vector<endpoint_id>& excluded_endpoints,
@@ -642,7 +740,8 @@
   running.started = now;
   running.expires = request.deadline + kExpiryMargin;
   running.work = request.work;
-  target.OnRequestStarted();
+  running.length = Scale(request.work, target.slowness());
+  target.OnRequestStarted(now, running.length);
   ++running_by_rank_[request.message.rank];
   // A permit that is granted at once needs no preceding permit_queued.
   std::erase_if(replies_, [&](const permit_reply& reply) {
@@ -686,7 +785,8 @@
   const auto found = running_.find(id);
   const auto endpoint_state = endpoints_.find(found->second.endpoint);
   if (endpoint_state != endpoints_.end()) {
-    endpoint_state->second.OnRequestEnded();
+    endpoint_state->second.OnRequestEnded(found->second.started,
+                                          found->second.length);
   }
   changed_owner_queues_.insert(found->second.endpoint);
   shared_queue_changed_ = true;
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -32,9 +32,15 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
+#include "bluebell/permits/admission_control.h"
+#include "bluebell/permits/admission_counts.h"
+#include "bluebell/permits/admission_policy.h"
+#include "bluebell/permits/admission_verdict.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
+#include "bluebell/permits/route_shares.h"
 #include "bluebell/permits/scheduled_endpoint.h"
+#include "bluebell/permits/shed_ratio.h"
 #include "bluebell/permits/wait_queue.h"
 #include "bluebell/permits/waiting_request.h"
 #include "bluebell/permits/work_estimate.h"
@@ -45,6 +51,10 @@
  public:
   explicit slot_scheduler(service_name service);
 
+  // Sets how requests are admitted; simple_admission at first. A change of the
+  // policy drops the promises made so far.
+  void SetAdmission(const admission_policy& policy);
+
   // Sets the endpoints of the service. `table` names the owners of its keys;
   // null if the service isn't keyed. Waiting requests with a key are moved to
   // the queue of its current owner, or refused.
@@ -83,6 +93,9 @@
   // an average endpoint.
   std::map<endpoint_id, double> Capacities() const;
 
+  // The promises made to refused callers; all zero with simple_admission.
+  admission_counts promise_counts() const;
+
   const service_name& service() const { return service_; }
   std::size_t waiting_count() const;
   std::size_t running_count() const { return running_.size(); }
@@ -100,6 +113,8 @@
     instant expires;
     // The expected response time at an average endpoint.
     duration work{0};
+    // The expected response time at this endpoint.
+    duration length{0};
   };
   // A time during which no requests are sent for an assignment of keys, because
   // its owner answered that it doesn't serve them.
@@ -141,6 +156,11 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
+  // Decides about a new request for the queue of `owner`, or for the shared
+  // queue if it is null.
+  admission_verdict DecideAdmission(const waiting_request& request,
+                                    const scheduled_endpoint* owner,
+                                    instant now);
   // The work by which a request counts in the load of its key.
   duration CountedWork(duration work, bool is_queued) const;
   // The queue in which the request waits; null if it doesn't wait.
@@ -170,6 +190,9 @@
 
   void GrantFromOwnerQueue(scheduled_endpoint& owner, instant now);
   void GrantFromSharedQueue(instant now);
+  // Routes that have taken more than their share of the queue.
+  std::vector<std::string> DeferredRoutes(const endpoint_id& queue_name,
+                                          instant now) const;
   // Chooses the endpoint with the lowest cost for requests from `domain`.
   endpoint_choice ChooseEndpoint(
       const domain_name& domain,
@@ -209,6 +232,10 @@
   std::map<std::uint32_t, std::uint32_t> running_by_rank_;
   work_estimate work_estimate_;
   rank_demand demand_;
+  // Set with scheduled_admission.
+  std::optional<admission_control> admission_;
+  shed_ratio shed_ratio_;
+  route_shares route_shares_;
   shard_load_meter key_loads_;
   // By the fencing token of the assignment.
   std::map<epoch, pause> paused_assignments_;
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -9,6 +9,7 @@
   const sequence number = ++last_sequence_;
   const permit_id id = request.message.id;
   queue.work += request.work;
+  queue.on_time_work[request.message.route] += request.work;
   queue.by_late_time.emplace(request.LateAt(), number);
   by_infeasible_time_.emplace(std::pair(request.InfeasibleAt(), number), id);
   positions_[id] = {request.message.rank, number};
@@ -20,6 +21,7 @@
   auto node = queue.on_time.extract(position.number);
   if (node) {
     queue.by_late_time.erase({node.mapped().LateAt(), position.number});
+    queue.on_time_work[node.mapped().message.route] -= node.mapped().work;
   } else {
     node = queue.late.extract(position.number);
   }
@@ -76,8 +78,9 @@
 void wait_queue::MoveLate(rank_queue& queue, instant now) {
   while (!queue.by_late_time.empty() &&
          queue.by_late_time.begin()->first < now) {
-    queue.late.insert(
-        queue.on_time.extract(queue.by_late_time.begin()->second));
+    auto node = queue.on_time.extract(queue.by_late_time.begin()->second);
+    queue.on_time_work[node.mapped().message.route] -= node.mapped().work;
+    queue.late.insert(std::move(node));
     queue.by_late_time.erase(queue.by_late_time.begin());
   }
 }
@@ -85,7 +88,8 @@
 std::optional<waiting_request> wait_queue::TakeNext(
     instant now,
     const std::function<bool(std::uint32_t rank)>& rank_may_start,
-    const std::function<bool(const waiting_request&)>& is_eligible) {
+    const std::function<bool(const waiting_request&)>& is_eligible,
+    const std::vector<std::string>& deferred_routes) {
   const auto is_next = [&](const auto& entry) {
     return is_eligible(entry.second);
   };
@@ -95,6 +99,18 @@
       continue;
     }
     MoveLate(queue, now);
+    if (!deferred_routes.empty()) {
+      const auto next = std::find_if(
+          queue.on_time.begin(), queue.on_time.end(), [&](const auto& entry) {
+            return std::find(deferred_routes.begin(), deferred_routes.end(),
+                             entry.second.message.route) ==
+                       deferred_routes.end() &&
+                   is_next(entry);
+          });
+      if (next != queue.on_time.end()) {
+        return Take({rank, next->first});
+      }
+    }
     for (const requests_by_sequence* each : {&queue.on_time, &queue.late}) {
       const auto next = std::find_if(each->begin(), each->end(), is_next);
       if (next != each->end()) {
@@ -146,6 +162,31 @@
   return work;
 }
 
+duration wait_queue::UrgentWorkBefore(std::uint32_t rank) const {
+  return rank == 0 ? duration(0) : WorkBefore(rank - 1);
+}
+
+duration wait_queue::OnTimeWork(std::uint32_t rank) const {
+  duration work(0);
+  const auto own = rank_queues_.find(rank);
+  if (own != rank_queues_.end()) {
+    for (const auto& [route, part] : own->second.on_time_work) {
+      work += part;
+    }
+  }
+  return work;
+}
+
+duration wait_queue::OnTimeWork(std::uint32_t rank,
+                                const std::string& route) const {
+  const auto own = rank_queues_.find(rank);
+  if (own == rank_queues_.end()) {
+    return duration(0);
+  }
+  const auto part = own->second.on_time_work.find(route);
+  return part == own->second.on_time_work.end() ? duration(0) : part->second;
+}
+
 duration wait_queue::WorkBefore(const permit_id& id) const {
   const auto& [own_rank, number] = positions_.at(id);
   duration work(0);
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -40,11 +41,14 @@
 
   // Removes and returns the first request whose rank and which itself satisfies
   // the predicates; nullopt if there is none. Other requests are skipped and
-  // keep their positions. `now` must not decrease from call to call.
+  // keep their positions. `now` must not decrease from call to call. Of the
+  // requests of a rank that can be answered within their objective, those of
+  // routes other than `deferred_routes` go first.
   std::optional<waiting_request> TakeNext(
       instant now,
       const std::function<bool(std::uint32_t rank)>& rank_may_start,
-      const std::function<bool(const waiting_request&)>& is_eligible);
+      const std::function<bool(const waiting_request&)>& is_eligible,
+      const std::vector<std::string>& deferred_routes = {});
   // Removes and returns all requests.
   std::vector<waiting_request> TakeAll();
   // Removes and returns the requests that can no longer be answered before
@@ -56,6 +60,12 @@
 
   // The sum of the work of all requests that go before a new request of `rank`.
   duration WorkBefore(std::uint32_t rank) const;
+  // The same for more urgent ranks only.
+  duration UrgentWorkBefore(std::uint32_t rank) const;
+  // The sum of the work of those requests of `rank` that can still be answered
+  // within their objective: of all routes, and of one.
+  duration OnTimeWork(std::uint32_t rank) const;
+  duration OnTimeWork(std::uint32_t rank, const std::string& route) const;
   // The sum of the work of all requests that go before the request `id`, which
   // must be in the queue. Takes time in proportion to the length of its rank.
   duration WorkBefore(const permit_id& id) const;
@@ -73,6 +83,8 @@
     std::set<std::pair<instant, sequence>> by_late_time;
     // The sum of the work of all requests of the rank.
     duration work{0};
+    // The part of `work` that belongs to the requests in `on_time`, by route.
+    std::map<std::string, duration> on_time_work;
   };
   // Where the queue keeps a request.
   struct queue_position {
--- a/bluebell/permits/waiting_request.cc
+++ b/bluebell/permits/waiting_request.cc
@@ -1,25 +1,18 @@
 #include "bluebell/permits/waiting_request.h"
 
-#include <cstdint>
+#include "bluebell/core/time_scale.h"
 
 namespace bluebell {
 
 namespace {
 
-// Most requests of a route take no longer than this multiple of the mean.
-constexpr double kOnTimeWorkFactor = 1.5;
 // The share of the mean that must fit between the start and the deadline.
 constexpr double kMinWorkFactor = 0.5;
 
-duration Scale(duration work, double factor) {
-  return duration(
-      static_cast<std::int64_t>(static_cast<double>(work.count()) * factor));
-}
-
 }  // namespace
 
 instant waiting_request::LateAt() const {
-  return objective - Scale(work, kOnTimeWorkFactor);
+  return objective - Scale(work, on_time_work_factor);
 }
 
 instant waiting_request::InfeasibleAt() const {
--- a/bluebell/permits/waiting_request.h
+++ b/bluebell/permits/waiting_request.h
@@ -20,6 +20,12 @@
   // The fencing token of the assignment of its key; zero for a request without
   // a key.
   epoch fence;
+  // True once it has been admitted to a queue. It then stays admitted when it
+  // moves to another one.
+  bool is_admitted = false;
+  // The multiple of the mean work that must fit between the start and the
+  // objective. Most requests of a route take no longer than 1.5 times the mean.
+  double on_time_work_factor = 1.5;
 
   // A request that starts after this time will probably miss its objective.
   instant LateAt() const;
--- a/bluebell/proxy/internal/request_context.h
+++ b/bluebell/proxy/internal/request_context.h
@@ -41,6 +41,9 @@
   unsigned endpoint_status = 0;
   std::string_view match;
   std::string reason;
+  // True if a dispatcher with scheduled admission gave the retry time. It has
+  // spread the times of its callers already.
+  bool is_retry_scheduled = false;
   permit_id permit;
   // The dispatcher's revision of the endpoints when it granted the permit.
   std::uint64_t permit_revision = 0;
--- a/bluebell/proxy/permit_dispatcher.cc
+++ b/bluebell/proxy/permit_dispatcher.cc
@@ -1,13 +1,17 @@
 #include "bluebell/proxy/permit_dispatcher.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/permits/admission_policy.h"
 #include "bluebell/telemetry/log_event.h"
+#include "bluebell/telemetry/metric.h"
+#include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
 
@@ -19,13 +23,16 @@
 
 }  // namespace
 
-permit_dispatcher::permit_dispatcher(boost::asio::io_context& io) : io_(io) {}
+permit_dispatcher::permit_dispatcher(boost::asio::io_context& io,
+                                     metrics_registry& metrics)
+    : io_(io), metrics_(metrics) {}
 
 void permit_dispatcher::SetView(const fleet_view& view, instant now) {
   if (!view->config) {
     return;
   }
   endpoints_revision_ = view->endpoints_revision;
+  const admission_policy policy = AdmissionPolicyFor(*view->config);
   for (const fleet_service& service : view->config->services()) {
     std::unique_ptr<service_queue>& queue = queues_[service.name];
     if (!queue) {
@@ -37,6 +44,7 @@
     if (service.keyed) {
       owners = table == view->tables.end() ? &no_owners : &table->second;
     }
+    queue->scheduler.SetAdmission(policy);
     queue->scheduler.SetEndpoints(view->EndpointsOf(service.name), owners, now);
     DeliverReplies(*queue, now);
   }
@@ -109,6 +117,7 @@
     }
     sink(reply);
   }
+  CountPromises(queue);
   ScheduleWakeup(queue, now);
 }
 
@@ -124,12 +133,34 @@
       .With("service", queue.scheduler.service())
       .With("reason", Describe(refused->reason))
       .With("retry_after_ms", refused->retry_after_ms)
+      .With("promised", refused->promised)
       .With("waiting", queue.scheduler.waiting_count())
       .With("running", queue.scheduler.running_count())
       .With("endpoints_revision", endpoints_revision_)
       .Write();
 }
 
+void permit_dispatcher::CountPromises(service_queue& queue) {
+  const admission_counts counts = queue.scheduler.promise_counts();
+  if (counts == queue.counted) {
+    return;
+  }
+  const admission_counts before = std::exchange(queue.counted, counts);
+  const auto count = [&](std::string_view result, auto member) {
+    // A change of the policy resets the counts of the scheduler.
+    if (counts.*member > before.*member) {
+      metrics_.Add(metric::kReturnPromises,
+                   {queue.scheduler.service().value(), result},
+                   counts.*member - before.*member);
+    }
+  };
+  count("promised", &admission_counts::promised);
+  count("kept", &admission_counts::kept);
+  count("expired", &admission_counts::expired);
+  count("refused_again", &admission_counts::refused_again);
+  count("unpromised", &admission_counts::unpromised);
+}
+
 void permit_dispatcher::ScheduleWakeup(service_queue& queue, instant now) {
   const auto next = queue.scheduler.NextWakeup();
   if (!next || (queue.wakeup_at && *queue.wakeup_at <= *next)) {
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -2,7 +2,7 @@
 // and passes the scheduler's replies to the requesters, in this process or on
 // other daemons. Used on the traffic thread only.
 //
-//   permit_dispatcher dispatcher(io);
+//   permit_dispatcher dispatcher(io, metrics);
 //   dispatcher.SetView(view, now);
 //   dispatcher.RequestPermit(request, reply_sink, now);
 
@@ -21,6 +21,7 @@
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/keyspace/unserved_range.h"
+#include "bluebell/permits/admission_counts.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/slot_scheduler.h"
 
@@ -30,11 +31,13 @@
 
 namespace bluebell {
 
+class metrics_registry;
+
 class permit_dispatcher {
  public:
   using reply_sink = std::function<void(const permit_reply& reply)>;
 
-  explicit permit_dispatcher(boost::asio::io_context& io);
+  permit_dispatcher(boost::asio::io_context& io, metrics_registry& metrics);
   permit_dispatcher(const permit_dispatcher&) = delete;
   permit_dispatcher& operator=(const permit_dispatcher&) = delete;
   ~permit_dispatcher() = default;
@@ -75,6 +78,8 @@
     std::optional<instant> wakeup_at;
     // For requests without a final reply.
     std::map<permit_id, reply_sink> sinks;
+    // The promises that are in the metrics already.
+    admission_counts counted;
   };
 
   // Null for an unknown service.
@@ -83,8 +88,11 @@
   void DeliverReplies(service_queue& queue, instant now);
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
+  // Adds the new promises to the metrics.
+  void CountPromises(service_queue& queue);
 
   boost::asio::io_context& io_;
+  metrics_registry& metrics_;
   // Of the newest view; stated in granted permits and in the log.
   store_version endpoints_revision_;
   std::map<service_name, std::unique_ptr<service_queue>> queues_;
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -11,6 +11,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/overloaded.h"
+#include "bluebell/permits/admission_policy.h"
 #include "bluebell/permits/permitted_endpoint.h"
 #include "bluebell/proxy/endpoint_connection_pool.h"
 #include "bluebell/proxy/internal/request_context.h"
@@ -158,6 +159,10 @@
       acquired.dispatcher ? acquired.dispatcher->ToString() : "self";
   if (const auto* refused = std::get_if<permit_refused>(&acquired.reply)) {
     context.reason = std::string(Describe(refused->reason));
+    context.is_retry_scheduled =
+        refused->reason == permit_refusal::kOverloaded &&
+        std::holds_alternative<scheduled_admission>(
+            AdmissionPolicyFor(*context.view->config));
     co_return RefuseAttempt(context, FinalStatus(progress, replied_at),
                             RetryAfterOf(*refused, progress.deadline));
   }
--- a/bluebell/proxy/request_server.cc
+++ b/bluebell/proxy/request_server.cc
@@ -85,8 +85,10 @@
   if (retry_after) {
     std::uniform_int_distribution<std::int64_t> spread_percent(
         0, kRetrySpreadPercent);
+    const std::int64_t added_percent =
+        context.is_retry_scheduled ? 0 : spread_percent(random_);
     auto suggested_wait =
-        *retry_after + *retry_after * spread_percent(random_) / kPercent;
+        *retry_after + *retry_after * added_percent / kPercent;
     if (context.call.time_left) {
       const auto left =
           std::chrono::duration_cast<milliseconds>(
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -133,6 +133,11 @@
      metric_kind::kGauge,
      {},
      "Failure domains that this daemon sends no requests to."},
+    {metric::kReturnPromises,
+     "bluebell_return_promises_total",
+     metric_kind::kCounter,
+     {"service", "result"},
+     "Times that refused callers were told to return at, by result."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -37,6 +37,7 @@
   kInvariantViolations,  // label invariant
   kSilentWatches,        // labels watch, shown_by
   kEvacuatedDomains,     // gauge
+  kReturnPromises,       // labels service, result
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
