--- a/bluebell/permits/admission_test.cc
+++ b/bluebell/permits/admission_test.cc
@@ -17,7 +17,6 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/permits/admission_policy.h"
 #include "bluebell/permits/return_schedule.h"
-#include "bluebell/permits/running_work.h"
 #include "bluebell/permits/slot_scheduler.h"
 
 static const double HOT =
@@ -367,9 +366,9 @@
 }
 
 // Load: all endpoints shed 55% for 8 s with reads at 1.5 times their rate.
-// Guards against forecasts that count the work of requests that are shed, which
-// make requests late that can be answered in time.
-TEST_CASE("shedding endpoints make the forecast no longer than the queue") {
+// Guards against more requests to endpoints that shed, and against answers that
+// are lost because callers who return keep their first objective.
+TEST_CASE("shedding endpoints get no more requests and answer no fewer") {
   load scenario;
   scenario.keyed = true;
   scenario.kinds = {Reads(Burst(90, 1.5))};
@@ -460,19 +459,5 @@
         duration(0));
 }
 
-// Guards against forecasts without the requests that run.
-TEST_CASE("the forecast counts running requests and the work in line") {
-  running_work running;
-  CHECK(running.WaitAfter(duration(0), 2, kStart) == duration(0));
-  running.Start(kStart, milliseconds(100));
-  CHECK(running.WaitAfter(duration(0), 2, kStart) == duration(0));
-  running.Start(kStart, milliseconds(300));
-  CHECK(running.WaitAfter(duration(0), 2, kStart) == milliseconds(100));
-  CHECK(running.WaitAfter(milliseconds(150), 2, kStart) == milliseconds(250));
-  CHECK(running.WaitAfter(milliseconds(400), 2, kStart) == milliseconds(400));
-  running.End(kStart, milliseconds(100));
-  CHECK(running.WaitAfter(duration(0), 2, kStart) == duration(0));
-}
-
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/permits/queue_overload.cc
+++ b/bluebell/permits/queue_overload.cc
@@ -15,9 +15,7 @@
   if (wait > allowed && !above_since_) {
     above_since_ = now;
     // A burst that is worked off within the time that requests may wait delays
-    // few others. With half of that time, the extra margin of an overloaded
-    // queue costs more answers within the objective than it saves when
-    // endpoints shed.
+    // few others.
     delay_ = allowed;
   } else if (wait < allowed / kEndDivisor) {
     above_since_.reset();
--- a/bluebell/permits/scheduled_endpoint.cc
+++ b/bluebell/permits/scheduled_endpoint.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "bluebell/core/time_scale.h"
-
 namespace bluebell {
 
 namespace {
@@ -62,22 +60,6 @@
   success_ratio_ = performance_.SuccessRatioAt(now);
 }
 
-void scheduled_endpoint::OnRequestStarted(instant started, duration length) {
-  ++running_;
-  running_work_.Start(started, length);
-}
-
-void scheduled_endpoint::OnRequestEnded(instant started, duration length) {
-  running_ -= running_ > 0 ? 1 : 0;
-  running_work_.End(started, length);
-}
-
-duration scheduled_endpoint::WaitAfter(duration work, instant now) const {
-  const duration work_here(
-      static_cast<std::int64_t>(static_cast<double>(work.count()) * slowness_));
-  return running_work_.WaitAfter(work_here, entry_.slots, now);
-}
-
 bool scheduled_endpoint::IsInService(instant now) const {
   return entry_.TakesRequests() && !performance_.IsSuspended(now);
 }
--- a/bluebell/permits/scheduled_endpoint.h
+++ b/bluebell/permits/scheduled_endpoint.h
@@ -18,7 +18,6 @@
 #include "bluebell/fleet/fleet_endpoint.h"
 #include "bluebell/permits/endpoint_load.h"
 #include "bluebell/permits/endpoint_performance.h"
-#include "bluebell/permits/running_work.h"
 #include "bluebell/permits/wait_queue.h"
 
 namespace bluebell {
@@ -70,16 +69,10 @@
   // false.
   std::uint32_t FreeSlots(instant now) const;
 
-  // A request starts that is expected to take `length`, or one that was started
-  // with these arguments has ended.
-  void OnRequestStarted(instant started, duration length);
-  void OnRequestEnded(instant started, duration length);
+  void OnRequestStarted() { ++running_; }
+  void OnRequestEnded() { running_ -= running_ > 0 ? 1 : 0; }
   std::uint32_t running() const { return running_; }
 
-  // The time until a slot is free for a request that `work` goes before it, in
-  // the time of an average endpoint.
-  duration WaitAfter(duration work, instant now) const;
-
   // Requests for keys that this endpoint owns.
   wait_queue& queue() { return queue_; }
   const wait_queue& queue() const { return queue_; }
@@ -90,7 +83,6 @@
   double slowness_ = 1;
   double success_ratio_ = 1;
   std::uint32_t running_ = 0;
-  running_work running_work_;
   // Requests at the endpoint that this scheduler issued no permit for, and
   // until when they count.
   std::uint32_t external_requests_ = 0;
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -345,20 +345,17 @@
   arrival.response_time = request.work;
   const wait_queue& queue = owner == nullptr ? shared_queue_ : owner->queue();
   const double share = route_shares_.ShareOf(message.route, now);
-  // A request that is shed leaves its slot at once.
-  const double accepted = shed_ratio_.AcceptedShare(now);
   // A route that has less work than its share passes the others.
-  const duration on_time =
+  const duration before =
       queue.UrgentWorkBefore(message.rank) +
       std::min(queue.OnTimeWork(message.rank),
                Scale(queue.OnTimeWork(message.rank, message.route), 1 / share));
-  const duration before = Scale(on_time, accepted);
-  const duration late_before = Scale(queue.WorkBefore(message.rank), accepted);
   admission_control::forecast expected;
+  expected.capacity = owner == nullptr ? shared_capacity_ : owner->capacity();
+  expected.wait = WaitFor(before, expected.capacity);
+  expected.late_wait =
+      WaitFor(queue.WorkBefore(message.rank), expected.capacity);
   if (owner == nullptr) {
-    expected.wait = WaitFor(before, shared_capacity_);
-    expected.late_wait = WaitFor(late_before, shared_capacity_);
-    expected.capacity = shared_capacity_;
     return admission_->Decide(arrival, expected, now);
   }
   arrival.queue = owner->entry().instance.endpoint;
@@ -372,9 +369,8 @@
       paused != paused_assignments_.end()) {
     blocked = std::max(blocked, paused->second.until - now);
   }
-  expected.wait = std::max(blocked, owner->WaitAfter(before, now));
-  expected.late_wait = std::max(blocked, owner->WaitAfter(late_before, now));
-  expected.capacity = owner->capacity();
+  expected.wait = std::max(blocked, expected.wait);
+  expected.late_wait = std::max(blocked, expected.late_wait);
   return admission_->Decide(arrival, expected, now);
 }
 
@@ -438,7 +434,6 @@
   scheduled_endpoint& endpoint_state = found->second;
   const bool was_in_service = endpoint_state.IsInService(now);
   const milliseconds response_time(release.took_ms);
-  shed_ratio_.Add(release.outcome, now);
   switch (release.outcome) {
     case permit_outcome::kAnswered:
       work_estimate_.Add(ended.route, response_time,
@@ -501,9 +496,8 @@
     adopted.started = now;
     adopted.expires = now + kUnreportedPermitTimeout + kExpiryMargin;
     adopted.work = work_estimate_.Expected(open.route, duration(0));
-    adopted.length = adopted.work;
-    endpoint_state->second.OnRequestStarted(now, adopted.length);
     running_.emplace(open.id, std::move(adopted));
+    endpoint_state->second.OnRequestStarted();
     ++running_by_rank_[open.rank];
   }
   std::vector<permit_id> unused;
@@ -740,8 +734,7 @@
   running.started = now;
   running.expires = request.deadline + kExpiryMargin;
   running.work = request.work;
-  running.length = Scale(request.work, target.slowness());
-  target.OnRequestStarted(now, running.length);
+  target.OnRequestStarted();
   ++running_by_rank_[request.message.rank];
   // A permit that is granted at once needs no preceding permit_queued.
   std::erase_if(replies_, [&](const permit_reply& reply) {
@@ -785,8 +778,7 @@
   const auto found = running_.find(id);
   const auto endpoint_state = endpoints_.find(found->second.endpoint);
   if (endpoint_state != endpoints_.end()) {
-    endpoint_state->second.OnRequestEnded(found->second.started,
-                                          found->second.length);
+    endpoint_state->second.OnRequestEnded();
   }
   changed_owner_queues_.insert(found->second.endpoint);
   shared_queue_changed_ = true;
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -40,7 +40,6 @@
 #include "bluebell/permits/rank_demand.h"
 #include "bluebell/permits/route_shares.h"
 #include "bluebell/permits/scheduled_endpoint.h"
-#include "bluebell/permits/shed_ratio.h"
 #include "bluebell/permits/wait_queue.h"
 #include "bluebell/permits/waiting_request.h"
 #include "bluebell/permits/work_estimate.h"
@@ -113,8 +112,6 @@
     instant expires;
     // The expected response time at an average endpoint.
     duration work{0};
-    // The expected response time at this endpoint.
-    duration length{0};
   };
   // A time during which no requests are sent for an assignment of keys, because
   // its owner answered that it doesn't serve them.
@@ -234,7 +231,6 @@
   rank_demand demand_;
   // Set with scheduled_admission.
   std::optional<admission_control> admission_;
-  shed_ratio shed_ratio_;
   route_shares route_shares_;
   shard_load_meter key_loads_;
   // By the fencing token of the assignment.
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -138,7 +138,8 @@
                      const exchange_result& exchange,
                      instant now);
   // Makes a response of the router itself. `retry_after` is lengthened at
-  // random and limited by the time that the caller has left.
+  // random, unless a dispatcher has spread it, and limited by the time that the
+  // caller has left.
   http_response Refuse(const request_context& context,
                        unsigned status,
                        std::string_view reason,
