Leave shares of routes out of the forecast; say what each load test guards

It is removed, and with it the work in line by route.

The comments of three load tests named mechanisms whose removal they don't show.

--- a/bluebell/permits/admission_test.cc
+++ b/bluebell/permits/admission_test.cc
@@ -337,9 +337,9 @@
 }
 
 // Load: simultaneous retries: 30% of the refused callers return at once, three
-// times, while the rate is twice the usual for 8 s. Guards against callers that
-// return with a new objective and displace those that can still be answered
-// within theirs.
+// times, while the rate is twice the usual for 8 s. Guards against a queue in
+// which requests wait as long as their objectives allow, so that all those with
+// more work than most are late.
 TEST_CASE("an overloaded queue answers more requests within their objective") {
   load scenario;
   scenario.kinds = {Corrections(Burst(100, 2))};
@@ -366,8 +366,8 @@
 }
 
 // Load: all endpoints shed 55% for 8 s with reads at 1.5 times their rate.
-// Guards against more requests to endpoints that shed, and against answers that
-// are lost because callers who return keep their first objective.
+// Guards against rules that send more requests to endpoints that shed, or
+// answer fewer requests. No rule handles this load itself.
 TEST_CASE("shedding endpoints get no more requests and answer no fewer") {
   load scenario;
   scenario.keyed = true;
@@ -382,8 +382,9 @@
 }
 
 // Load: 40% of the reads go to the keys of one owner, of another one every 3 s.
-// Guards against late requests at the busiest owner that make the following
-// ones late.
+// Guards against callers that return with a new objective and displace those
+// that can still be answered within theirs, and against late requests in line
+// because of which such a request is refused.
 TEST_CASE("an owner of hot keys answers more requests within their objective") {
   load scenario;
   scenario.keyed = true;
--- a/bluebell/permits/route_shares.cc
+++ b/bluebell/permits/route_shares.cc
@@ -1,6 +1,5 @@
 #include "bluebell/permits/route_shares.h"
 
-#include <algorithm>
 #include <chrono>
 
 namespace bluebell {
@@ -39,15 +38,6 @@
   served_[queue][route].Add(work, kServedTime, now);
 }
 
-double route_shares::ShareOf(const std::string& route, instant now) const {
-  const double total = Total(demand_, kDemandTime, now);
-  const auto own = demand_.find(route);
-  return own == demand_.end() || total <= 0
-             ? 1
-             : std::max(kMinShare,
-                        own->second.SlotsAt(kDemandTime, now) / total);
-}
-
 std::vector<std::string> route_shares::RoutesOverShare(const endpoint_id& queue,
                                                        instant now) const {
   std::vector<std::string> over;
@@ -55,9 +45,13 @@
   if (served == served_.end() || demand_.size() < 2) {
     return over;
   }
-  const double total = Total(served->second, kServedTime, now);
+  const double total_served = Total(served->second, kServedTime, now);
+  const double total_demand = Total(demand_, kDemandTime, now);
   for (const auto& [route, load] : served->second) {
-    if (load.SlotsAt(kServedTime, now) > ShareOf(route, now) * total) {
+    const auto demand = demand_.find(route);
+    if (demand != demand_.end() &&
+        load.SlotsAt(kServedTime, now) * total_demand >
+            demand->second.SlotsAt(kDemandTime, now) * total_served) {
       over.push_back(route);
     }
   }
--- a/bluebell/permits/route_shares.h
+++ b/bluebell/permits/route_shares.h
@@ -31,14 +31,11 @@
                  duration work,
                  instant now);
 
-  // The part of the slots that the route may use while others have work, at
-  // least kMinShare; 1 for the only route.
-  double ShareOf(const std::string& route, instant now) const;
+  // The routes that have recently taken more of the queue than their part of
+  // the demand; none if there is only one route.
   std::vector<std::string> RoutesOverShare(const endpoint_id& queue,
                                            instant now) const;
 
-  static constexpr double kMinShare = 0.01;
-
  private:
   using load_by_route = std::map<std::string, decaying_load>;
 
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -344,15 +344,10 @@
   arrival.work = request.work;
   arrival.response_time = request.work;
   const wait_queue& queue = owner == nullptr ? shared_queue_ : owner->queue();
-  const double share = route_shares_.ShareOf(message.route, now);
-  // A route that has less work than its share passes the others.
-  const duration before =
-      queue.UrgentWorkBefore(message.rank) +
-      std::min(queue.OnTimeWork(message.rank),
-               Scale(queue.OnTimeWork(message.rank, message.route), 1 / share));
   admission_control::forecast expected;
   expected.capacity = owner == nullptr ? shared_capacity_ : owner->capacity();
-  expected.wait = WaitFor(before, expected.capacity);
+  expected.wait =
+      WaitFor(queue.OnTimeWorkBefore(message.rank), expected.capacity);
   expected.late_wait =
       WaitFor(queue.WorkBefore(message.rank), expected.capacity);
   if (owner == nullptr) {
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -9,7 +9,6 @@
   const sequence number = ++last_sequence_;
   const permit_id id = request.message.id;
   queue.work += request.work;
-  queue.on_time_work[request.message.route] += request.work;
   queue.by_late_time.emplace(request.LateAt(), number);
   by_infeasible_time_.emplace(std::pair(request.InfeasibleAt(), number), id);
   positions_[id] = {request.message.rank, number};
@@ -21,9 +20,9 @@
   auto node = queue.on_time.extract(position.number);
   if (node) {
     queue.by_late_time.erase({node.mapped().LateAt(), position.number});
-    queue.on_time_work[node.mapped().message.route] -= node.mapped().work;
   } else {
     node = queue.late.extract(position.number);
+    queue.late_work -= node.mapped().work;
   }
   waiting_request taken = std::move(node.mapped());
   queue.work -= taken.work;
@@ -79,7 +78,7 @@
   while (!queue.by_late_time.empty() &&
          queue.by_late_time.begin()->first < now) {
     auto node = queue.on_time.extract(queue.by_late_time.begin()->second);
-    queue.on_time_work[node.mapped().message.route] -= node.mapped().work;
+    queue.late_work += node.mapped().work;
     queue.late.insert(std::move(node));
     queue.by_late_time.erase(queue.by_late_time.begin());
   }
@@ -162,29 +161,11 @@
   return work;
 }
 
-duration wait_queue::UrgentWorkBefore(std::uint32_t rank) const {
-  return rank == 0 ? duration(0) : WorkBefore(rank - 1);
-}
-
-duration wait_queue::OnTimeWork(std::uint32_t rank) const {
-  duration work(0);
-  const auto own = rank_queues_.find(rank);
-  if (own != rank_queues_.end()) {
-    for (const auto& [route, part] : own->second.on_time_work) {
-      work += part;
-    }
-  }
-  return work;
-}
-
-duration wait_queue::OnTimeWork(std::uint32_t rank,
-                                const std::string& route) const {
+duration wait_queue::OnTimeWorkBefore(std::uint32_t rank) const {
   const auto own = rank_queues_.find(rank);
-  if (own == rank_queues_.end()) {
-    return duration(0);
-  }
-  const auto part = own->second.on_time_work.find(route);
-  return part == own->second.on_time_work.end() ? duration(0) : part->second;
+  const duration late =
+      own == rank_queues_.end() ? duration(0) : own->second.late_work;
+  return WorkBefore(rank) - late;
 }
 
 duration wait_queue::WorkBefore(const permit_id& id) const {
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -60,12 +60,8 @@
 
   // The sum of the work of all requests that go before a new request of `rank`.
   duration WorkBefore(std::uint32_t rank) const;
-  // The same for more urgent ranks only.
-  duration UrgentWorkBefore(std::uint32_t rank) const;
-  // The sum of the work of those requests of `rank` that can still be answered
-  // within their objective: of all routes, and of one.
-  duration OnTimeWork(std::uint32_t rank) const;
-  duration OnTimeWork(std::uint32_t rank, const std::string& route) const;
+  // The same without the late requests of `rank` itself.
+  duration OnTimeWorkBefore(std::uint32_t rank) const;
   // The sum of the work of all requests that go before the request `id`, which
   // must be in the queue. Takes time in proportion to the length of its rank.
   duration WorkBefore(const permit_id& id) const;
@@ -83,8 +79,8 @@
     std::set<std::pair<instant, sequence>> by_late_time;
     // The sum of the work of all requests of the rank.
     duration work{0};
-    // The part of `work` that belongs to the requests in `on_time`, by route.
-    std::map<std::string, duration> on_time_work;
+    // The part of `work` that belongs to the requests in `late`.
+    duration late_work{0};
   };
   // Where the queue keeps a request.
   struct queue_position {
--- a/bluebell/permits/wait_queue_test.cc
+++ b/bluebell/permits/wait_queue_test.cc
@@ -34,6 +34,27 @@
   return request ? request->message.id.number : 0;
 }
 
+// Guards against a route that passes more urgent ranks because another one has
+// exceeded its share, and against slots that stay free while it has work.
+TEST_CASE("a deferred route goes after the other routes of its rank only") {
+  wait_queue queue;
+  for (const std::uint64_t number : {1, 2, 3, 4}) {
+    waiting_request request =
+        MakeRequest(number, number == 4 ? 2 : 1,
+                    number == 3 ? milliseconds(10) : milliseconds(5'000));
+    request.message.route = number == 1 ? "uploads" : "corrections";
+    queue.Push(request);
+  }
+  CHECK(queue.OnTimeWorkBefore(1) == milliseconds(300));
+  const instant now = kStart + milliseconds(50);
+  for (const std::uint64_t expected : {2, 1, 3, 4}) {
+    CHECK(NumberOf(queue.TakeNext(now, AnyRank, AnyRequest, {"uploads"})) ==
+          expected);
+    CHECK(queue.OnTimeWorkBefore(1) ==
+          (expected == 2 ? milliseconds(100) : milliseconds(0)));
+  }
+}
+
 TEST_CASE(
     "requests are ordered by rank, then on time before late, then arrival") {
   wait_queue queue;
