--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "bluebell/core/overloaded.h"
+#include "bluebell/core/time_scale.h"
 #include "bluebell/keyspace/rebalance_policy.h"
 #include "bluebell/permits/permit_use.h"
 
@@ -47,6 +48,8 @@
 // The deadlines that are computed from the repetitions of a request differ by
 // the time that the messages travel.
 constexpr milliseconds kDeadlineTolerance{100};
+// Names the queue that all endpoints serve.
+const endpoint_id kSharedQueueName;
 
 // The time in which `capacity`, in slots of an average endpoint, does the work.
 duration WaitFor(duration work, double capacity) {
@@ -60,6 +63,20 @@
 slot_scheduler::slot_scheduler(service_name service)
     : service_(std::move(service)) {}
 
+void slot_scheduler::SetAdmission(const admission_policy& policy) {
+  std::visit(overloaded{[&](const simple_admission&) { admission_.reset(); },
+                        [&](const scheduled_admission&) {
+                          if (!admission_) {
+                            admission_.emplace();
+                          }
+                        }},
+             policy);
+}
+
+admission_counts slot_scheduler::promise_counts() const {
+  return admission_ ? admission_->counts() : admission_counts();
+}
+
 void slot_scheduler::SetEndpoints(const std::vector<fleet_endpoint>& endpoints,
                                   const key_table* table,
                                   instant now) {
@@ -200,6 +217,9 @@
       message.route, milliseconds(message.objective_left_ms));
   demand_.Add(message.rank, request.work, now);
   cold_start_.AddWork(request.work);
+  if (admission_) {
+    route_shares_.AddDemand(message.route, request.work, now);
+  }
   const permit_id id = message.id;
   const duration work = request.work;
   const bool is_queued = EnqueueOrRefuse(std::move(request), now);
@@ -268,7 +288,7 @@
   }
   duration wait(0);
   wait_queue* queue = &shared_queue_;
-  const scheduled_endpoint* key_owner_state = nullptr;
+  const scheduled_endpoint* owner_endpoint = nullptr;
   if (keyed_ && request.message.key) {
     const key_owner owner = FindOwner(request.message, now);
     if (owner.endpoint == nullptr) {
@@ -296,7 +316,7 @@
     request.fence = owner.fence;
     wait = ExpectedOwnerWait(*owner.endpoint, request.message.rank, now);
     queue = &owner.endpoint->queue();
-    key_owner_state = owner.endpoint;
+    owner_endpoint = owner.endpoint;
     changed_owner_queues_.insert(owner.endpoint->entry().instance.endpoint);
   } else {
     if (!HasCandidate(request.message)) {
@@ -306,20 +326,70 @@
     wait = ExpectedSharedWait(request.message.rank, now);
     shared_queue_changed_ = true;
   }
-  if (now + wait + request.work > request.deadline) {
-    if (key_owner_state != nullptr &&
-        cold_start_.IsLimited(key_owner_state->entry(), now)) {
-      RefuseForLimit(id, *key_owner_state, wait, now);
+  if (admission_ && !request.is_admitted) {
+    const admission_verdict verdict =
+        DecideAdmission(request, owner_endpoint, now);
+    if (const auto* refused = std::get_if<refused_until>(&verdict)) {
+      Refuse(id, permit_refusal::kOverloaded,
+             std::chrono::ceil<milliseconds>(refused->retry_after));
+      std::get<permit_refused>(replies_.back()).promised = refused->promised;
+      return false;
+    }
+    const auto& accepted = std::get<admitted>(verdict);
+    request.objective = accepted.objective;
+    request.on_time_work_factor = accepted.on_time_work_factor;
+  } else if (now + wait + request.work > request.deadline) {
+    if (owner_endpoint != nullptr &&
+        cold_start_.IsLimited(owner_endpoint->entry(), now)) {
+      RefuseForLimit(id, *owner_endpoint, wait, now);
     } else {
       RefuseOverloaded(id, wait);
     }
     return false;
   }
+  request.is_admitted = true;
   next_infeasible_ = std::min(next_infeasible_, request.InfeasibleAt());
   queue->Push(std::move(request));
   return true;
 }
 
+admission_verdict slot_scheduler::DecideAdmission(
+    const waiting_request& request,
+    const scheduled_endpoint* owner,
+    instant now) {
+  const permit_request& message = request.message;
+  admission_control::arrival arrival;
+  arrival.identity = {message.route, message.key, request.deadline};
+  arrival.rank = message.rank;
+  arrival.objective = request.objective;
+  arrival.work = request.work;
+  arrival.response_time = request.work;
+  const wait_queue& queue = owner == nullptr ? shared_queue_ : owner->queue();
+  admission_control::forecast expected;
+  expected.capacity = owner == nullptr ? shared_capacity_ : owner->capacity();
+  expected.wait =
+      WaitFor(queue.OnTimeWorkBefore(message.rank), expected.capacity);
+  expected.late_wait =
+      WaitFor(queue.WorkBefore(message.rank), expected.capacity);
+  if (owner == nullptr) {
+    return admission_->Decide(arrival, expected, now);
+  }
+  arrival.queue = owner->entry().instance.endpoint;
+  arrival.response_time = Scale(request.work, owner->slowness());
+  // Requests for keys that aren't served yet wait at least until they are.
+  duration blocked(0);
+  if (const unserved_range* unserved = FindUnservedRange(message)) {
+    blocked = std::max(blocked, unserved->until - now);
+  }
+  if (const auto paused = paused_assignments_.find(request.fence);
+      paused != paused_assignments_.end()) {
+    blocked = std::max(blocked, paused->second.until - now);
+  }
+  expected.wait = std::max(blocked, expected.wait);
+  expected.late_wait = std::max(blocked, expected.late_wait);
+  return admission_->Decide(arrival, expected, now);
+}
+
 bool slot_scheduler::HasCandidate(const permit_request& message) const {
   const auto& excluded = message.excluded_endpoints;
   return excluded.empty() ||
@@ -607,15 +677,18 @@
 
 void slot_scheduler::GrantFromOwnerQueue(scheduled_endpoint& owner,
                                          instant now) {
+  const endpoint_id queue_name = owner.entry().instance.endpoint;
   while (!owner.queue().empty() && MayStart(owner, now)) {
     const auto next = owner.queue().TakeNext(
         now, [](std::uint32_t /*rank*/) { return true; },
-        [&](const waiting_request& request) {
-          return !IsPaused(request, now);
-        });
+        [&](const waiting_request& request) { return !IsPaused(request, now); },
+        DeferredRoutes(queue_name, now));
     if (!next) {
       return;
     }
+    if (admission_) {
+      route_shares_.AddServed(queue_name, next->message.route, next->work, now);
+    }
     GrantPermit(*next, owner, now);
   }
   if (!owner.queue().empty()) {
@@ -677,10 +750,15 @@
         [&](const waiting_request& each) {
           choice = choose(each.message);
           return choice.best != nullptr && !ShouldWait(each, choice, now);
-        });
+        },
+        DeferredRoutes(kSharedQueueName, now));
     if (!next) {
       break;
     }
+    if (admission_) {
+      route_shares_.AddServed(kSharedQueueName, next->message.route, next->work,
+                              now);
+    }
     // `choice` belongs to this request, because it was the last one considered.
     GrantPermit(*next, *choice.best, now);
     --free;
@@ -688,6 +766,13 @@
   HoldSharedQueue(now);
 }
 
+std::vector<std::string> slot_scheduler::DeferredRoutes(
+    const endpoint_id& queue_name,
+    instant now) const {
+  return admission_ ? route_shares_.RoutesOverShare(queue_name, now)
+                    : std::vector<std::string>();
+}
+
 slot_scheduler::endpoint_choice slot_scheduler::ChooseEndpoint(
     const domain_name& domain,
     const std::vector<endpoint_id>& excluded_endpoints,
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -35,8 +35,13 @@
 #include "bluebell/permits/cold_start_bound.h"
 #include "bluebell/permits/cold_start_hold.h"
 #include "bluebell/permits/cold_start_limit.h"
+#include "bluebell/permits/admission_control.h"
+#include "bluebell/permits/admission_counts.h"
+#include "bluebell/permits/admission_policy.h"
+#include "bluebell/permits/admission_verdict.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
+#include "bluebell/permits/route_shares.h"
 #include "bluebell/permits/scheduled_endpoint.h"
 #include "bluebell/permits/wait_queue.h"
 #include "bluebell/permits/waiting_request.h"
@@ -48,6 +53,10 @@
  public:
   explicit slot_scheduler(service_name service);
 
+  // Sets how requests are admitted; simple_admission at first. A change of the
+  // policy drops the promises made so far.
+  void SetAdmission(const admission_policy& policy);
+
   // Sets the endpoints of the service. `table` names the owners of its keys;
   // null if the service isn't keyed. Waiting requests with a key are moved to
   // the queue of its current owner, or refused.
@@ -97,6 +106,9 @@
   // an average endpoint.
   std::map<endpoint_id, double> Capacities() const;
 
+  // The promises made to refused callers; all zero with simple_admission.
+  admission_counts promise_counts() const;
+
   const service_name& service() const { return service_; }
   std::size_t waiting_count() const;
   std::size_t running_count() const { return running_.size(); }
@@ -161,6 +173,11 @@
   // Adds the request to the queue of its owner or to the shared queue. Returns
   // false if the request was refused instead.
   bool EnqueueOrRefuse(waiting_request request, instant now);
+  // Decides about a new request for the queue of `owner`, or for the shared
+  // queue if it is null.
+  admission_verdict DecideAdmission(const waiting_request& request,
+                                    const scheduled_endpoint* owner,
+                                    instant now);
   // The work by which a request counts in the load of its key.
   duration CountedWork(duration work, bool is_queued) const;
   // The queue in which the request waits; null if it doesn't wait.
@@ -196,6 +213,9 @@
 
   void GrantFromOwnerQueue(scheduled_endpoint& owner, instant now);
   void GrantFromSharedQueue(instant now);
+  // Routes that have taken more than their share of the queue.
+  std::vector<std::string> DeferredRoutes(const endpoint_id& queue_name,
+                                          instant now) const;
   // Chooses the endpoint with the lowest cost for requests from `domain`.
   endpoint_choice ChooseEndpoint(
       const domain_name& domain,
@@ -244,6 +264,9 @@
   std::map<std::uint32_t, std::uint32_t> running_by_rank_;
   work_estimate work_estimate_;
   rank_demand demand_;
+  // Set with scheduled_admission.
+  std::optional<admission_control> admission_;
+  route_shares route_shares_;
   shard_load_meter key_loads_;
   cold_start_limit cold_start_;
   // By the fencing token of the assignment.
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -22,6 +22,7 @@
     queue.by_late_time.erase({node.mapped().LateAt(), position.number});
   } else {
     node = queue.late.extract(position.number);
+    queue.late_work -= node.mapped().work;
   }
   waiting_request taken = std::move(node.mapped());
   queue.work -= taken.work;
@@ -76,8 +77,9 @@
 void wait_queue::MoveLate(rank_queue& queue, instant now) {
   while (!queue.by_late_time.empty() &&
          queue.by_late_time.begin()->first < now) {
-    queue.late.insert(
-        queue.on_time.extract(queue.by_late_time.begin()->second));
+    auto node = queue.on_time.extract(queue.by_late_time.begin()->second);
+    queue.late_work += node.mapped().work;
+    queue.late.insert(std::move(node));
     queue.by_late_time.erase(queue.by_late_time.begin());
   }
 }
@@ -85,7 +87,8 @@
 std::optional<waiting_request> wait_queue::TakeNext(
     instant now,
     const std::function<bool(std::uint32_t rank)>& rank_may_start,
-    const std::function<bool(const waiting_request&)>& is_eligible) {
+    const std::function<bool(const waiting_request&)>& is_eligible,
+    const std::vector<std::string>& deferred_routes) {
   const auto is_next = [&](const auto& entry) {
     return is_eligible(entry.second);
   };
@@ -95,6 +98,18 @@
       continue;
     }
     MoveLate(queue, now);
+    if (!deferred_routes.empty()) {
+      const auto next = std::find_if(
+          queue.on_time.begin(), queue.on_time.end(), [&](const auto& entry) {
+            return std::find(deferred_routes.begin(), deferred_routes.end(),
+                             entry.second.message.route) ==
+                       deferred_routes.end() &&
+                   is_next(entry);
+          });
+      if (next != queue.on_time.end()) {
+        return Take({rank, next->first});
+      }
+    }
     for (const requests_by_sequence* each : {&queue.on_time, &queue.late}) {
       const auto next = std::find_if(each->begin(), each->end(), is_next);
       if (next != each->end()) {
@@ -146,6 +161,13 @@
   return work;
 }
 
+duration wait_queue::OnTimeWorkBefore(std::uint32_t rank) const {
+  const auto own = rank_queues_.find(rank);
+  const duration late =
+      own == rank_queues_.end() ? duration(0) : own->second.late_work;
+  return WorkBefore(rank) - late;
+}
+
 duration wait_queue::WorkBefore(const permit_id& id) const {
   const auto& [own_rank, number] = positions_.at(id);
   duration work(0);
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -139,6 +139,11 @@
      {"service"},
      "Times the limit of a cold endpoint held requests back, at most one a "
      "second for each."},
+    {metric::kReturnPromises,
+     "bluebell_return_promises_total",
+     metric_kind::kCounter,
+     {"service", "result"},
+     "Times that refused callers were told to return at, by result."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -38,6 +38,7 @@
   kSilentWatches,        // labels watch, shown_by
   kEvacuatedDomains,     // gauge
   kColdStartHolds,       // label service
+  kReturnPromises,       // labels service, result
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
