--- a/bluebell/permits/scheduled_endpoint.cc
+++ b/bluebell/permits/scheduled_endpoint.cc
@@ -78,7 +78,7 @@
   }
   // The measured slowness may include the slowdown already, the long-term one
   // hardly does.
-  return std::max(slowness_, long_term_slowness() * slowdown_);
+  return std::max(slowness_, performance_.long_term_slowness() * slowdown_);
 }
 
 double scheduled_endpoint::current_capacity(instant now) const {
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -366,18 +366,24 @@
   arrival.response_time = request.work;
   const wait_queue& queue = owner == nullptr ? shared_queue_ : owner->queue();
   admission_control::forecast expected;
-  expected.capacity = owner == nullptr ? shared_capacity_ : owner->capacity();
+  expected.capacity =
+      owner == nullptr ? shared_capacity_ : owner->current_capacity(now);
   expected.wait =
       WaitFor(queue.OnTimeWorkBefore(message.rank), expected.capacity);
   expected.late_wait =
       WaitFor(queue.WorkBefore(message.rank), expected.capacity);
   if (owner == nullptr) {
+    const duration limit_wait =
+        shared_limited_until_ ? *shared_limited_until_ - now : duration(0);
+    expected.wait = std::max(limit_wait, expected.wait);
+    expected.late_wait = std::max(limit_wait, expected.late_wait);
     return admission_->Decide(arrival, expected, now);
   }
   arrival.queue = owner->entry().instance.endpoint;
-  arrival.response_time = Scale(request.work, owner->slowness());
+  arrival.response_time = Scale(request.work, owner->current_slowness(now));
   // Requests for keys that aren't served yet wait at least until they are.
-  duration blocked(0);
+  duration blocked = cold_start_.WaitBehind(
+      owner->entry(), queue.WorkBefore(message.rank), now);
   if (const unserved_range* unserved = FindUnservedRange(message)) {
     blocked = std::max(blocked, unserved->until - now);
   }
