Refuse impossible statuses on every path from an endpoint

An endpoint in trouble sent a response with the status 000, and a caller got it. Statuses below 100 were refused by the gateway's and the HTTP client's reading, but bluebelld's connections to endpoints read responses by another way without any check: 000 with a length and the right instance was an answer. Statuses above 599 were relayed by the gateway, and taken as responses to orders about keys and to store calls.

Every path now refuses a status outside 100 to 599 (http/response_status.h). The attempt counts as lost: idempotent requests are retried or end with 502, others end with 502 and run once; orders and store calls count as unanswered, as after a lost connection. The log says "bad status" instead of "bad Transfer-Encoding".

The coordinator's use of unanswered orders is read, not run: Grant() keeps the verdict empty and the order as sent, Release() passes no handover.

--- a/bluebell/endpoint/endpoint_connection.cc
+++ b/bluebell/endpoint/endpoint_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "bluebell/http/response_status.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/runtime/clock.h"
 
@@ -107,7 +108,13 @@
     return;
   }
   const bool head = message_.method() == bhttp::verb::head;
-  const bool is_interim = parser_->get().result_int() / 100 == 1;
+  const unsigned status = parser_->get().result_int();
+  if (!IsPossibleStatus(status)) {
+    Fail(true, unknown_reason::kConnectionLost,
+         "the answer has the impossible status " + std::to_string(status));
+    return;
+  }
+  const bool is_interim = status / 100 == 1;
   if (is_interim) {
     Read();
     return;
--- a/bluebell/http/internal/framing_samples.h
+++ b/bluebell/http/internal/framing_samples.h
@@ -244,6 +244,9 @@
                    kChunked, false),
       ResponseOnly("a status below 100", "002 Odd", "Content-Length: 0\r\n",
                    false),
+      ResponseOnly("the last status", "599 Odd", "Content-Length: 0\r\n", true),
+      ResponseOnly("a status above 599", "600 Odd", "Content-Length: 0\r\n",
+                   false),
   };
   return samples;
 }
--- a/bluebell/http/message_framing.cc
+++ b/bluebell/http/message_framing.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include "bluebell/http/response_status.h"
+
 namespace bluebell {
 
 namespace {
@@ -15,7 +17,6 @@
 namespace bhttp = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
-constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContent = 204;
 constexpr std::string_view kBlanks = " \t";
@@ -92,10 +93,12 @@
   const bool states_body = head.count(bhttp::field::transfer_encoding) > 0 ||
                            (head.count(bhttp::field::content_length) > 0 &&
                             head[bhttp::field::content_length] != "0");
-  // No status is below 100; readers may take one for an interim response.
-  return status < kFirstStatus || (excludes_body && states_body)
-             ? message_framing::kAmbiguous
-             : FramingOf(head, head.version());
+  // Readers may take a status below 100 for that of an interim response.
+  if (!IsPossibleStatus(status)) {
+    return message_framing::kImpossibleStatus;
+  }
+  return excludes_body && states_body ? message_framing::kAmbiguous
+                                      : FramingOf(head, head.version());
 }
 
 }  // namespace bluebell
--- a/bluebell/http/message_framing.h
+++ b/bluebell/http/message_framing.h
@@ -20,6 +20,8 @@
   // The end is clear, and the body has a transfer coding besides "chunked".
   kUnknownCoding,
   kAmbiguous,
+  // The status of the response is one that no response may have.
+  kImpossibleStatus,
 };
 
 // `version` is 10 for HTTP/1.0 and 11 for HTTP/1.1.
@@ -27,8 +29,7 @@
                           unsigned version);
 
 message_framing FramingOf(const boost::beast::http::request_header<>& head);
-// Ambiguous also if the status is below 100, or excludes a body that the fields
-// state.
+// Ambiguous also if the status excludes a body that the fields state.
 message_framing FramingOf(const boost::beast::http::response_header<>& head);
 
 }  // namespace bluebell
--- a/bluebell/http/message_head.cc
+++ b/bluebell/http/message_head.cc
@@ -39,6 +39,8 @@
           boost::system::errc::not_supported);
     case message_framing::kAmbiguous:
       return bhttp::error::bad_transfer_encoding;
+    case message_framing::kImpossibleStatus:
+      return bhttp::error::bad_status;
   }
   return {};
 }
