Follow the linter in the tests of impossible statuses

clang-tidy reported a C array and a concatenation in a loop. The samples and the checks are the same. bluebell_proxy_test 70 cases, bluebell_endpoint_test 2, bluebell_kv_test 1 and bluebell_platform_test 21 passed.

--- a/bluebell/http/internal/impossible_responses.h
+++ b/bluebell/http/internal/impossible_responses.h
@@ -4,6 +4,7 @@
 #ifndef BLUEBELL_HTTP_INTERNAL_IMPOSSIBLE_RESPONSES_H_
 #define BLUEBELL_HTTP_INTERNAL_IMPOSSIBLE_RESPONSES_H_
 
+#include <array>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,7 +13,7 @@
 
 // Status lines without their end. The status is not one from 100 to 599, or is
 // not three digits between single spaces.
-inline constexpr std::string_view kImpossibleStatusLines[] = {
+inline constexpr auto kImpossibleStatusLines = std::to_array<std::string_view>({
     "HTTP/1.1 000 OK",  "HTTP/1.1 000",     "HTTP/1.1 000 ",
     "HTTP/1.1 001 OK",  "HTTP/1.1 020 OK",  "HTTP/1.1 099 OK",
     "HTTP/1.1 0 OK",    "HTTP/1.1 20 OK",   "HTTP/1.1 0200 OK",
@@ -23,7 +24,7 @@
     "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200OK",
     "HTTP/1.1 600 OK",  "HTTP/1.1 700 OK",  "HTTP/1.1 999 OK",
     "HTTP/1.0 000 OK",  "HTTP/1.0 600 OK",
-};
+});
 
 // All status lines, without and with a body, in a length and in chunks, on a
 // connection that stays open and on one that the server closes.
--- a/bluebell/proxy/impossible_status_test.cc
+++ b/bluebell/proxy/impossible_status_test.cc
@@ -291,9 +291,12 @@
 // Guards against a check that refuses what endpoints may send.
 TEST_CASE("the last possible statuses reach the caller") {
   for (const std::string status : {"404", "599"}) {
-    endpoint_script script{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " +
-                           status + " Odd\r\n" + kFields +
-                           "Content-Length: 0\r\n\r\n"};
+    endpoint_script script;
+    script.bytes = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 ";
+    script.bytes.append(status)
+        .append(" Odd\r\n")
+        .append(kFields)
+        .append("Content-Length: 0\r\n\r\n");
     gateway_path gateway(request_kind::kNonIdempotent, script);
     CHECK(HasStatus(gateway.Call(), status));
     CHECK(script.requests == 1);
