Check changes of the configuration before they are sent

Operators learned of a refused change only when they sent it, of one fault at a time, and never of exceptions that match nothing or have no effect.

bluebellctl config check FILE reads one change or a list of changes in the form that the admin address takes, and prints all faults with the change and its field, duplicates, contradictory limits, scopes that match nothing, exceptions that more specific ones override at each endpoint, and entries without effect; with an admin address also the differences from the version in force. It only reads from the daemon. Exit status 6 means findings, 7 an unreadable file.

--- a/bluebell/ctl/command.h
+++ b/bluebell/ctl/command.h
@@ -45,6 +45,14 @@
                          const config_wait_command&) = default;
 };
 
+// Checks changes before they are sent.
+struct config_check_command {
+  std::string file;
+
+  friend bool operator==(const config_check_command&,
+                         const config_check_command&) = default;
+};
+
 // What all changes of the configuration have in common.
 struct change_options {
   std::string reason;
@@ -135,6 +143,7 @@
                              config_get_command,
                              config_history_command,
                              config_wait_command,
+                             config_check_command,
                              config_set_command,
                              except_add_command,
                              except_remove_command,
--- a/bluebell/ctl/command_line.cc
+++ b/bluebell/ctl/command_line.cc
@@ -53,12 +53,17 @@
   return number;
 }
 
+bool GivesAdmin(const arguments_map& given) {
+  const auto found = given.find("--admin");
+  return found != given.end() && found->second.isStringList() &&
+         !found->second.asStringList().empty();
+}
+
 result<std::vector<address>> AdminAddresses(const arguments_map& given,
                                             const variables& environment) {
   std::vector<std::string> texts;
-  const auto found = given.find("--admin");
-  if (found != given.end() && found->second.isStringList()) {
-    texts = found->second.asStringList();
+  if (GivesAdmin(given)) {
+    texts = given.at("--admin").asStringList();
   }
   if (texts.empty()) {
     std::string_view rest = environment.admin;
@@ -131,6 +136,9 @@
     return command(
         config_wait_command{config_version(version), seconds(limit)});
   }
+  if (Flag(given, "check")) {
+    return command(config_check_command{Text(given, "FILE")});
+  }
   if (Flag(given, "set")) {
     BOOST_OUTCOME_TRY(change_options options,
                       ChangeOptions(given, environment));
@@ -197,7 +205,13 @@
   } else {
     BOOST_OUTCOME_TRY(made.what, ReadCommand(given));
   }
-  BOOST_OUTCOME_TRY(made.admin, AdminAddresses(given, environment));
+  // Without a daemon, changes can be checked in part.
+  const bool needs_daemon =
+      !std::holds_alternative<config_check_command>(made.what) ||
+      !environment.admin.empty() || GivesAdmin(given);
+  if (needs_daemon) {
+    BOOST_OUTCOME_TRY(made.admin, AdminAddresses(given, environment));
+  }
   made.json = Flag(given, "--json");
   return made;
 }
--- a/bluebell/ctl/command_line.h
+++ b/bluebell/ctl/command_line.h
@@ -25,7 +25,8 @@
 
 struct invocation {
   command what;
-  // Admin addresses of daemons, tried in this order. Never empty.
+  // Admin addresses of daemons, tried in this order. Empty only for
+  // config_check_command.
   std::vector<address> admin;
   bool json = false;
 
--- a/bluebell/ctl/command_line_test.cc
+++ b/bluebell/ctl/command_line_test.cc
@@ -31,6 +31,8 @@
         command(config_history_command{}));
   CHECK(Parsed({"config", "wait", "8", "--timeout", "3"}).what ==
         command(config_wait_command{config_version(8), seconds(3)}));
+  CHECK(Parsed({"config", "check", "changes.json"}).what ==
+        command(config_check_command{"changes.json"}));
   CHECK(Parsed({"config", "set", "drain", "true", "--reason", "why", "--base",
                 "7"})
             .what == command(config_set_command{
@@ -69,6 +71,19 @@
   CHECK(given.json);
 }
 
+// Guards against a check that needs a daemon, and against one that is silently
+// made without the daemon that was named.
+TEST_CASE("only the check of a file does without an address") {
+  const auto parsed = ParseCommandLine({"config", "check", "f"}, {"", "ann"});
+  REQUIRE(std::holds_alternative<invocation>(parsed));
+  CHECK(std::get<invocation>(parsed).admin.empty());
+  CHECK(Parsed({"config", "check", "f"}).admin.size() == 2);
+  CHECK(Refused({"config", "check", "f", "--admin", "localhost"}, {"", "ann"})
+            .find("IP:PORT") != std::string::npos);
+  CHECK(Refused({"config", "get"}, {"", "ann"}).find("BLUEBELL_ADMIN") !=
+        std::string::npos);
+}
+
 TEST_CASE("wrong usage is refused with the way it would be right") {
   CHECK(Refused({"drain", "e"}).find("--reason") != std::string::npos);
   CHECK(Refused({"drain", "e", "--reason", " "}).find("write why") !=
--- a/bluebell/ctl/exit_status.h
+++ b/bluebell/ctl/exit_status.h
@@ -16,6 +16,10 @@
   kConflict = 4,
   // The version was not in force everywhere in time.
   kWaitTimedOut = 5,
+  // The check found something wrong.
+  kFindings = 6,
+  // The file can't be read, or isn't JSON.
+  kUnreadableFile = 7,
 };
 
 }  // namespace bluebell::ctl
--- a/bluebell/ctl/help_text.cc
+++ b/bluebell/ctl/help_text.cc
@@ -10,6 +10,7 @@
   bluebellctl config get [SETTING] [--service=S] [--domain=D] [--endpoint=E] [--caller=C] [--json] [--admin=ADDRESS]...
   bluebellctl config history [--json] [--admin=ADDRESS]...
   bluebellctl config wait VERSION [--timeout=SECONDS] [--json] [--admin=ADDRESS]...
+  bluebellctl config check FILE [--json] [--admin=ADDRESS]...
   bluebellctl config set SETTING VALUE --reason=TEXT [--base=VERSION] [--operator=NAME] [--json] [--admin=ADDRESS]...
   bluebellctl except add NAME [--service=S] [--domain=D] [--endpoint=E] [--caller=C] SETTING VALUE --reason=TEXT [--base=VERSION] [--operator=NAME] [--json] [--admin=ADDRESS]...
   bluebellctl except remove NAME --reason=TEXT [--base=VERSION] [--operator=NAME] [--json] [--admin=ADDRESS]...
@@ -47,6 +48,9 @@
     bluebellctl config get moves_per_minute
     bluebellctl config set moves_per_minute 0 --reason "stocktaking tonight"
     bluebellctl config wait 8
+  Check changes in a file before they are sent, against the version in force if
+  a daemon is given:
+    bluebellctl config check changes.json --admin 127.0.0.1:8081
   Let one endpoint have a shorter queue than the others:
     bluebellctl except add small-disk --endpoint lk-west-a-tracker-3 \
         queue_limit.normal 20 --reason "slow disk, ticket 4711"
@@ -60,7 +64,8 @@
     bluebellctl domain-lost lk-west-c --reason "site confirms power is off"
 
 Exit status: 0 done, 1 refused by the daemon, 2 wrong usage, 3 no daemon
-reachable, 4 somebody else changed the configuration first, 5 waited in vain.
+reachable, 4 somebody else changed the configuration first, 5 waited in vain,
+6 the check found something, 7 the file can't be read.
 )";
 }
 
--- a/bluebell/ctl/run_command.h
+++ b/bluebell/ctl/run_command.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <ostream>
+#include <string>
 
+#include "bluebell/core/result.h"
 #include "bluebell/core/time.h"
 #include "bluebell/ctl/admin_channel.h"
 #include "bluebell/ctl/command_line.h"
@@ -20,10 +22,15 @@
   admin_channel channel;
   std::function<instant()> now;
   std::function<void(milliseconds)> sleep;
+  // The content of a file. The error names the path.
+  std::function<result<std::string>(const std::string& path)> read_file;
   std::ostream& out;
   std::ostream& err;
 };
 
+// For surroundings::read_file.
+result<std::string> ReadWholeFile(const std::string& path);
+
 exit_status RunCommand(const invocation& wanted, const surroundings& world);
 
 }  // namespace bluebell::ctl
--- a/bluebell/ctl/run_command_test.cc
+++ b/bluebell/ctl/run_command_test.cc
@@ -54,9 +54,17 @@
           }
           return std::get<admin_reply>(reply);
         },
-        [this] { return now; }, [this](milliseconds pause) { now += pause; },
-        out, err};
-    return RunCommand({what, {}, json}, world);
+        [this] { return now; },
+        [this](milliseconds pause) { now += pause; },
+        [this](const std::string& path) -> result<std::string> {
+          if (path != "changes.json") {
+            return error(errc::kNotFound, step::kParseConfig, path, "");
+          }
+          return file;
+        },
+        out,
+        err};
+    return RunCommand({what, admin, json}, world);
   }
 
   bool Said(const std::string& text) const {
@@ -68,6 +76,8 @@
 
   std::vector<admin_request> seen;
   instant now;
+  std::vector<address> admin;
+  std::string file;
   std::ostringstream out;
   std::ostringstream err;
 
@@ -164,6 +174,54 @@
             .drain);
 }
 
+const config_check_command kCheck{"changes.json"};
+constexpr const char* kClean = R"({"base":0,"operator":"ann","reason":"why",
+    "add_exception":{"name":"x","scope":{"endpoint":"e-1"},
+    "setting":"warm_up_ms","value":5}})";
+
+// Guards against scripts that send changes in which something was found, or a
+// file that wasn't read.
+TEST_CASE("the check of a file has an exit status for each outcome") {
+  scripted_daemon alone;
+  alone.file = kClean;
+  CHECK(alone.Run(kCheck) == exit_status::kOk);
+  CHECK(alone.Said("nothing found"));
+  CHECK(alone.Said("built-in defaults"));
+  alone.file = Replaced(kClean, ":5", ":-5");
+  CHECK(alone.Run(kCheck) == exit_status::kFindings);
+  CHECK(alone.Said("change 1, add_exception.value: invalid: \"-5\""));
+  alone.file = Replaced(kClean, "\"why\",", "\"why\"");
+  CHECK(alone.Run(kCheck) == exit_status::kUnreadableFile);
+  CHECK(alone.Complained("changes.json, line 2"));
+  CHECK(alone.Run(config_check_command{"none"}) ==
+        exit_status::kUnreadableFile);
+  CHECK(alone.seen.empty());
+}
+
+// Guards against a check that sends a change, or that leaves out what the
+// daemon knows.
+TEST_CASE("the check of a file only reads from the daemon") {
+  scripted_daemon daemon;
+  daemon.admin.push_back(address::Parse("127.0.0.1:1").value());
+  daemon.file = kClean;
+  daemon.Expect(200, fleet_config().ToJson());
+  daemon.Expect(200, kWell);
+  CHECK(daemon.Run(kCheck) == exit_status::kOk);
+  CHECK(daemon.Said("VERSION 0"));
+  CHECK(daemon.Said("warm_up_ms = 5 for endpoint=e-1"));
+  daemon.file = Replaced(kClean, "e-1", "e-2");
+  daemon.Expect(200, fleet_config().ToJson());
+  daemon.Expect(200, kWell);
+  CHECK(daemon.Run(kCheck, true) == exit_status::kFindings);
+  CHECK(daemon.Said(R"("kind":"unknown_name","change":1)"));
+  CHECK(daemon.Said(R"("what":"exception x","before":"","after":)"));
+  daemon.Expect(error(errc::kUnavailable, step::kConnect, "127.0.0.1:1", ""));
+  CHECK(daemon.Run(kCheck) == exit_status::kUnreachable);
+  for (const admin_request& each : daemon.seen) {
+    CHECK(each.method == "GET");
+  }
+}
+
 TEST_CASE("a failure domain with a live daemon can't be declared lost") {
   scripted_daemon daemon;
   const domain_lost_command lost{domain_name("b"), "why", "ann"};
--- a/programs/bluebellctl.cc
+++ b/programs/bluebellctl.cc
@@ -32,7 +32,9 @@
       bluebell::ctl::MakeHttpChannel(wanted.admin, kReplyTimeout),
       [] { return std::chrono::steady_clock::now(); },
       [](bluebell::milliseconds pause) { std::this_thread::sleep_for(pause); },
-      std::cout, std::cerr};
+      bluebell::ctl::ReadWholeFile,
+      std::cout,
+      std::cerr};
   return RunCommand(wanted, world);
 }
 
