Keep small responses and endpoints apart from callers that don't read

A response keeps its part of the memory until its caller has read it, for at most 20 s. Four callers that asked for the largest response and didn't read it used up all of it: each other request then ended with 502, and each counted as a request that the endpoint hadn't answered, so that after the tenth of 100 such callers no endpoint was left in service.

Responses larger than a 1024th of the memory now leave a 64th of it to smaller ones. An attempt that ends for lack of memory counts as abandoned by this daemon, not against the endpoint; the log names the cause. Slots aren't affected: the permit is released when the response has been read, before it is written to the caller.

Left: another large response still ends with 502 while three unread ones are kept.

--- a/bluebell/core/byte_budget.h
+++ b/bluebell/core/byte_budget.h
@@ -20,9 +20,11 @@
   byte_budget& operator=(const byte_budget&) = delete;
   ~byte_budget() = default;
 
-  // False, without any effect, if `bytes` more would exceed the limit.
-  bool TryTake(std::size_t bytes) {
-    if (bytes > limit_ - used_) {
+  // False, without any effect, if `bytes` more would exceed the limit, or would
+  // leave less than `reserve` of it.
+  bool TryTake(std::size_t bytes, std::size_t reserve = 0) {
+    const std::size_t left = limit_ - used_;
+    if (bytes > left || reserve > left - bytes) {
       return false;
     }
     used_ += bytes;
--- a/bluebell/core/byte_reservation.cc
+++ b/bluebell/core/byte_reservation.cc
@@ -26,11 +26,11 @@
   }
 }
 
-bool byte_reservation::GrowTo(std::size_t bytes) {
+bool byte_reservation::GrowTo(std::size_t bytes, std::size_t reserve) {
   if (bytes <= bytes_) {
     return true;
   }
-  if (budget_ && !budget_->TryTake(bytes - bytes_)) {
+  if (budget_ && !budget_->TryTake(bytes - bytes_, reserve)) {
     return false;
   }
   bytes_ = bytes;
--- a/bluebell/core/byte_reservation.h
+++ b/bluebell/core/byte_reservation.h
@@ -24,8 +24,9 @@
   ~byte_reservation();
 
   // Raises the reservation to `bytes`; a smaller number has no effect. False,
-  // without any effect, if the budget doesn't allow it.
-  bool GrowTo(std::size_t bytes);
+  // without any effect, if the budget doesn't allow it or would have less than
+  // `reserve` left.
+  bool GrowTo(std::size_t bytes, std::size_t reserve = 0);
 
   std::size_t bytes() const { return bytes_; }
 
--- a/bluebell/core/byte_reservation_test.cc
+++ b/bluebell/core/byte_reservation_test.cc
@@ -23,6 +23,19 @@
   CHECK(budget->used() == 100);
 }
 
+// Guards against large reservations that leave nothing to small ones.
+TEST_CASE("a reservation leaves the reserve to others") {
+  const auto budget = std::make_shared<byte_budget>(100);
+  byte_reservation large(budget);
+  byte_reservation small(budget);
+  CHECK_FALSE(large.GrowTo(91, 10));
+  CHECK(large.GrowTo(90, 10));
+  CHECK_FALSE(large.GrowTo(91, 10));
+  CHECK(small.GrowTo(10));
+  CHECK_FALSE(small.GrowTo(11, 200));
+  CHECK(budget->used() == 100);
+}
+
 // Guards against bytes that are counted twice, or never given back.
 TEST_CASE("a reservation gives its bytes back once") {
   const auto budget = std::make_shared<byte_budget>(100);
--- a/bluebell/proxy/attempt_result.cc
+++ b/bluebell/proxy/attempt_result.cc
@@ -22,6 +22,13 @@
          status == kTooManyRequests || status == kUnavailable;
 }
 
+// True if this daemon ended the exchange for lack of memory, which says nothing
+// about the endpoint.
+bool IsOutOfMemory(const exchange_result& exchange) {
+  const auto* lost = std::get_if<exchange_lost>(&exchange);
+  return lost != nullptr && lost->cause.code() == errc::kTooLarge;
+}
+
 }  // namespace
 
 std::string_view Describe(attempt_result result) {
@@ -89,7 +96,8 @@
     case attempt_result::kUnsent:
       return permit_outcome::kUnreachable;
     case attempt_result::kLost:
-      return permit_outcome::kNoResponse;
+      return IsOutOfMemory(exchange) ? permit_outcome::kAbandoned
+                                     : permit_outcome::kNoResponse;
   }
   return permit_outcome::kUnused;
 }
--- a/bluebell/proxy/attempt_result_test.cc
+++ b/bluebell/proxy/attempt_result_test.cc
@@ -56,6 +56,18 @@
         attempt_result::kUnconfirmed);
 }
 
+// Guards against endpoints that are taken out of service because this daemon
+// has no memory for their responses.
+TEST_CASE("a response without memory isn't the endpoint's failure") {
+  const auto outcome = [](errc code) {
+    return OutcomeOf(exchange_lost{error(code, step::kReadReply, "i-1", "")},
+                     attempt_result::kLost);
+  };
+  CHECK(outcome(errc::kTooLarge) == permit_outcome::kAbandoned);
+  CHECK(outcome(errc::kConnectionLost) == permit_outcome::kNoResponse);
+  CHECK(outcome(errc::kTimeout) == permit_outcome::kNoResponse);
+}
+
 // Guards against a caller that gets an answer of another request.
 TEST_CASE("a response that nothing ties to the attempt is never relayed") {
   const unsigned status = GENERATE(200U, 404U, 500U, 503U);
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -49,6 +49,13 @@
 // The part of the memory of all responses that one may use, so that a single
 // endless response doesn't make the others fail.
 constexpr std::size_t kMaxResponsesPerBudget = 4;
+// Large responses leave this part of the memory to small ones, which most
+// responses are. Four callers that don't read would otherwise make all requests
+// fail until they are disconnected.
+constexpr std::size_t kReservesPerBudget = 64;
+// A response is small up to this part of the memory, so that many of them fit
+// into the reserve.
+constexpr std::size_t kSmallResponsesPerBudget = 1'024;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64U << 10U;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -68,6 +75,12 @@
          (is_success && !reply.has_receipt);
 }
 
+// The responses that are being read or written leave no room for another.
+boost::system::error_code NoMemory() {
+  return boost::system::errc::make_error_code(
+      boost::system::errc::not_enough_memory);
+}
+
 }  // namespace
 
 struct endpoint_connection_pool::connection {
@@ -153,6 +166,13 @@
                  : kMaxResponseBytes;
 }
 
+bool endpoint_connection_pool::Reserve(byte_reservation& memory,
+                                       std::size_t bytes) const {
+  const std::size_t limit = memory_ ? memory_->limit() : 0;
+  const bool is_small = bytes <= limit / kSmallResponsesPerBudget;
+  return memory.GrowTo(bytes, is_small ? 0 : limit / kReservesPerBudget);
+}
+
 asio::awaitable<boost::system::error_code>
 endpoint_connection_pool::ReadResponse(connection& link,
                                        response_parser& parser,
@@ -173,8 +193,8 @@
   // The parser allocates the stated length of a body at once.
   std::size_t received = head.size;
   if (const auto length = parser.content_length()) {
-    if (!memory.GrowTo(received + static_cast<std::size_t>(*length))) {
-      co_return bhttp::error::body_limit;
+    if (!Reserve(memory, received + static_cast<std::size_t>(*length))) {
+      co_return NoMemory();
     }
   }
   while (!parser.is_done()) {
@@ -188,9 +208,12 @@
     // A body without a stated length occupies up to twice its size.
     const std::size_t occupied =
         std::max(received, head.size + parser.get().body().capacity());
-    if (received > max_bytes || !memory.GrowTo(occupied)) {
+    if (received > max_bytes) {
       co_return bhttp::error::body_limit;
     }
+    if (!Reserve(memory, occupied)) {
+      co_return NoMemory();
+    }
   }
   if (header) {
     static_cast<bhttp::fields&>(parser.get()) = std::move(*header);
@@ -234,7 +257,9 @@
   bool abandoned = false;
   const auto lost = [&](const boost::system::error_code& cause) {
     const bool timeout = abandoned || cause == beast::error::timeout;
-    const errc code = timeout ? errc::kTimeout : errc::kConnectionLost;
+    const errc code = timeout               ? errc::kTimeout
+                      : cause == NoMemory() ? errc::kTooLarge
+                                            : errc::kConnectionLost;
     return exchange_lost{error(code, step::kReadReply, peer, cause.message()),
                          BootNow() - started};
   };
--- a/bluebell/proxy/endpoint_connection_pool.h
+++ b/bluebell/proxy/endpoint_connection_pool.h
@@ -98,6 +98,8 @@
       byte_reservation& memory);
   // The longest response that is accepted.
   std::size_t MaxResponseBytes() const;
+  // Raises the reservation of one response. False if the memory is used up.
+  bool Reserve(byte_reservation& memory, std::size_t bytes) const;
   // Adds a connection to the idle ones, to be closed after `keep_alive` or a
   // fixed maximum if that is shorter.
   void AddIdle(const endpoint_instance& endpoint,
--- a/bluebell/proxy/exchange_result.h
+++ b/bluebell/proxy/exchange_result.h
@@ -33,7 +33,8 @@
 };
 
 // The request was sent, at least in part, and no complete response arrived. It
-// may have run.
+// may have run. The code of the cause is errc::kTooLarge if this daemon had no
+// memory left for the response.
 struct exchange_lost {
   error cause;
   // From the call of Send() to the failure.
