Inputs of the routing between failure domains

A dispatcher can't weigh the bytes that cross domains: it knows neither the size of a request's body nor what the operators pay, and nothing counts requests by domains.

- route_config::takes_uploads(), computed once when a configuration is made
- the setting cross_domain_price_ms_per_mb (0 to 1000000, 1000 by default)
- permit_request::body_bytes, set from the caller's request
- bluebell_domain_requests_total by service and the domains of daemon and endpoint

--- a/bluebell/fleet/route_config.cc
+++ b/bluebell/fleet/route_config.cc
@@ -48,6 +48,8 @@
     if (total_weight == 0) {
       return Invalid(route, "no service with a positive weight");
     }
+    config.takes_uploads_ =
+        config.takes_uploads_ || route.kind == request_kind::kUpload;
     config.routes_by_host_[LowerHost(route.host)].push_back(std::move(route));
   }
   for (auto& [host, host_routes] : config.routes_by_host_) {
--- a/bluebell/fleet/route_config.h
+++ b/bluebell/fleet/route_config.h
@@ -43,6 +43,8 @@
   const config_version& version() const { return version_; }
   const std::vector<fleet_service>& services() const { return services_; }
   const caller_bounds& bounds() const { return bounds_; }
+  // True if a route takes uploads.
+  bool takes_uploads() const { return takes_uploads_; }
 
   friend bool operator==(const route_config&, const route_config&) = default;
 
@@ -53,6 +55,7 @@
       routes_by_host_;
   std::vector<fleet_service> services_;
   caller_bounds bounds_;
+  bool takes_uploads_ = false;
 };
 
 }  // namespace bluebell
--- a/bluebell/fleet/route_config_test.cc
+++ b/bluebell/fleet/route_config_test.cc
@@ -33,6 +33,20 @@
   CHECK(config.value().FindRoute("c.example", "/x/") == nullptr);
 }
 
+// Guards against a policy for uploads in a fleet without them, and without it
+// in one with them.
+TEST_CASE("a configuration says whether a route takes uploads") {
+  service_route upload = Route("upload", "b.example", "/x/");
+  upload.kind = request_kind::kUpload;
+  const service_route other = Route("other", "a.example", "/x/");
+  const auto without =
+      route_config::Make(config_version(1), {other}, kServices, {});
+  const auto with =
+      route_config::Make(config_version(2), {upload, other}, kServices, {});
+  CHECK(!without.value().takes_uploads());
+  CHECK(with.value().takes_uploads());
+}
+
 TEST_CASE(
     "a configuration with an unknown service or a bad prefix is rejected") {
   CHECK(
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -71,6 +71,8 @@
   std::int64_t time_left_ms = 0;
   // Endpoints that the requester can't reach or has tried already.
   std::vector<endpoint_id> excluded_endpoints;
+  // The size of the request's body.
+  std::uint64_t body_bytes = 0;
 
   friend bool operator==(const permit_request&,
                          const permit_request&) = default;
@@ -78,7 +80,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, service, route, domain, rank, key, objective_left_ms,
-            time_left_ms, excluded_endpoints);
+            time_left_ms, excluded_endpoints, body_bytes);
   }
 };
 
--- a/bluebell/proxy/request_attempt.cc
+++ b/bluebell/proxy/request_attempt.cc
@@ -130,6 +130,7 @@
                                   context.arrived + route.target_latency - now)
                                   .count();
   request.excluded_endpoints = context.excluded_endpoints;
+  request.body_bytes = context.request->body().size();
   ExcludePausedEndpoints(request, now);
   return request;
 }
@@ -240,6 +241,9 @@
       ExchangeOptionsOf(context, granted, retry_taken, sent_at);
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(progress.deadline - sent_at);
+  metrics_.Add(metric::kDomainRequests,
+               {context.service.value(), settings_.domain.value(),
+                endpoint.domain.value()});
   exchange_result exchange = co_await connection_pool_.Send(
       endpoint,
       platform::MakeEndpointRequest(*context.request, granted.endpoint.endpoint,
--- a/bluebell/settings/gateway_settings.cc
+++ b/bluebell/settings/gateway_settings.cc
@@ -26,6 +26,7 @@
 // In thousandths.
 constexpr number_range kRetryShareThousandthsRange{0, 1'000};
 constexpr number_range kRetryReserveRange{0, 1'000'000};
+constexpr number_range kCrossDomainPriceRange{0, 1'000'000};
 constexpr std::int64_t kThousandthsPerPercent = 10;
 
 gateway_settings ReadAll(object_reader& reader) {
@@ -59,6 +60,8 @@
   settings.retry_percent =
       static_cast<std::uint32_t>(retry_thousandths / kThousandthsPerPercent);
   reader.Number("retry_reserve", kRetryReserveRange, settings.retry_reserve);
+  reader.Number("cross_domain_price_ms_per_mb", kCrossDomainPriceRange,
+                settings.cross_domain_price_ms_per_mb);
   reader.Choice("log_level", kLogLevels, settings.log_level);
   return settings;
 }
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -43,6 +43,10 @@
   // this percentage of the requests of the service, and `retry_reserve` more.
   std::uint32_t retry_percent = 20;
   std::uint32_t retry_reserve = 60;
+  // What a megabyte of a request that is sent to another failure domain is
+  // worth, in milliseconds of its caller's waiting time. At the default, an
+  // upload of 60 KB crosses if it is answered 60 ms sooner.
+  std::uint32_t cross_domain_price_ms_per_mb = 1'000;
   // One of "trace", "debug", "info", "warn", "error".
   std::string log_level = "info";
 
--- a/bluebell/settings/gateway_settings_test.cc
+++ b/bluebell/settings/gateway_settings_test.cc
@@ -39,6 +39,25 @@
   CHECK(settings->retry_reserve == 62);
 }
 
+// Guards against a price that is ignored, or required in files without it.
+TEST_CASE("the price of bytes between domains is read and checked") {
+  const std::string name = R"("cross_domain_price_ms_per_mb": )";
+  const auto with_price = [&](const std::string& value) {
+    return gateway_settings::Parse(
+        Replaced(kSettings, R"("grace_s": 6,)",
+                 R"("grace_s": 6, )" + name + value + ","));
+  };
+  const auto without = gateway_settings::Parse(kSettings);
+  CHECK(std::get<gateway_settings>(without).cross_domain_price_ms_per_mb ==
+        1'000);
+  const auto with = with_price("250");
+  CHECK(std::get<gateway_settings>(with).cross_domain_price_ms_per_mb == 250);
+  CHECK(
+      std::holds_alternative<std::vector<settings_problem>>(with_price("-1")));
+  CHECK(std::holds_alternative<std::vector<settings_problem>>(
+      with_price("1000001")));
+}
+
 TEST_CASE("all problems in the settings of a gateway daemon are reported") {
   std::string text =
       Replaced(kSettings, R"("cpu_share": 0.2)", R"("cpu_share": 0)");
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -133,6 +133,11 @@
      metric_kind::kGauge,
      {},
      "Failure domains that this daemon sends no requests to."},
+    {metric::kDomainRequests,
+     "bluebell_domain_requests_total",
+     metric_kind::kCounter,
+     {"service", "from", "to"},
+     "Attempts by the failure domains of the daemon and of the endpoint."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -37,6 +37,7 @@
   kInvariantViolations,  // label invariant
   kSilentWatches,        // labels watch, shown_by
   kEvacuatedDomains,     // gauge
+  kDomainRequests,       // labels service, from, to
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
