Route requests to other failure domains by a forecast where uploads are expensive

A request to another domain costs a fixed 1.35 times the usual, whatever the queues and the links are like: equally loaded domains exchange requests for milliseconds, and a request never waits for its own domain.

cross_domain_forecast compares, for each request, the wait in its own domain (work in line, rate at which running requests end) and the response elsewhere (speed, callers that wait there, what the link adds and loses). Links without 20 samples in 30 s are compared by the fixed factor.

Switch: slot_scheduler::SetDomainPolicy(), by default fixed_domain_cost; the dispatcher sets forecast_domain_cost for services without keys if a route takes uploads.

Measured in the tests, in virtual time: callers of a domain with 60 requests per second for a capacity of 40 wait 24 ms on average beside an idle domain (1608 ms without crossing); of 3843 requests of equally loaded domains 57 cross (541 with the fixed factor), for a mean wait of 8.9 instead of 1.5 ms; 33 requests use a link that loses a tenth, one a link that takes 150 ms longer, 140 the usual one; a burst goes to domains with 8 and 24 free slots as 259 to 677; the choice changes 10 times in 30 s close to the threshold.

bluebell_permits_test: 59 cases pass; bluebell_proxy_test: 67; bluebell_fleet_test: 48.

--- /dev/null
+++ b/bluebell/permits/cross_domain_pass.cc
@@ -0,0 +1,64 @@
+#include "bluebell/permits/cross_domain_pass.h"
+
+#include <algorithm>
+
+namespace bluebell {
+
+const cross_domain_pass::candidates_by_domain& cross_domain_pass::CandidatesFor(
+    const permit_request& message) {
+  const std::vector<endpoint_id>& excluded = message.excluded_endpoints;
+  const auto [entry, is_new] = candidates_.try_emplace(excluded);
+  if (!is_new) {
+    return entry->second;
+  }
+  for (auto& [id, endpoint_state] : endpoints_) {
+    if (!endpoint_state.IsInService(now_) ||
+        std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
+      continue;
+    }
+    domain_candidate& candidate = entry->second[endpoint_state.entry().domain];
+    const double cost =
+        endpoint_state.slowness() / endpoint_state.success_ratio();
+    candidate.least_cost = std::min(candidate.least_cost.value_or(cost), cost);
+    if (!endpoint_state.HasFreeSlot(now_)) {
+      continue;
+    }
+    candidate.free_slots += endpoint_state.FreeSlots(now_);
+    if (candidate.best == nullptr || cost < candidate.free_cost) {
+      candidate.best = &endpoint_state;
+      candidate.free_cost = cost;
+    }
+  }
+  return entry->second;
+}
+
+scheduled_endpoint* cross_domain_pass::Choose(const waiting_request& request) {
+  const candidates_by_domain& candidates = CandidatesFor(request.message);
+  own_domain_option own;
+  own.work_before = work_before_[request.message.domain];
+  scheduled_endpoint* own_best = nullptr;
+  offers_.clear();
+  for (const auto& [domain, candidate] : candidates) {
+    if (domain == request.message.domain) {
+      own.least_cost = candidate.least_cost;
+      own_best = candidate.best;
+      if (own_best != nullptr) {
+        own.free_cost = candidate.free_cost;
+      }
+    } else if (candidate.best != nullptr) {
+      offers_.push_back({domain, candidate.free_cost, candidate.free_slots});
+    }
+  }
+  if (const domain_offer* chosen =
+          forecast_.Choose(request, own, offers_, now_)) {
+    return candidates.at(chosen->domain).best;
+  }
+  if (own_best != nullptr && !forecast_.ShouldWait(request, own)) {
+    return own_best;
+  }
+  work_before_[request.message.domain] += request.work;
+  has_held_back_ = has_held_back_ || own_best != nullptr || !offers_.empty();
+  return nullptr;
+}
+
+}  // namespace bluebell
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -9,17 +9,13 @@
 
 #include "bluebell/core/overloaded.h"
 #include "bluebell/keyspace/rebalance_policy.h"
+#include "bluebell/permits/cross_domain_pass.h"
+#include "bluebell/permits/endpoint_cost.h"
 
 namespace bluebell {
 
 namespace {
 
-// A request to an endpoint in another failure domain costs more, so that the
-// requester's own domain is preferred at equal slowness.
-constexpr double kOtherDomainCostFactor = 1.35;
-// An endpoint whose cost exceeds this multiple of the lowest cost is used only
-// if the expected wait for a better one is longer than the extra time it takes.
-constexpr double kMaxCostRatio = 2.5;
 // Exponent of slowness in an endpoint's capacity for keys. With 1, all
 // endpoints would be equally busy; a higher value gives slow endpoints less
 // work.
@@ -46,6 +42,12 @@
 // The deadlines that are computed from the repetitions of a request differ by
 // the time that the messages travel.
 constexpr milliseconds kDeadlineTolerance{100};
+// A request that is abandoned after this multiple of its expected time counts
+// as one without a response: over a cut link nothing else ends it.
+constexpr int kLostRequestFactor = 3;
+// A request that waits although an endpoint has a free slot is considered again
+// after this time, because its deadline comes nearer.
+constexpr milliseconds kHeldBackRecheck{20};
 
 // The time in which `capacity`, in slots of an average endpoint, does the work.
 duration WaitFor(duration work, double capacity) {
@@ -95,6 +97,44 @@
   MarkAllQueuesChanged();
 }
 
+void slot_scheduler::SetDomainPolicy(const domain_policy& policy) {
+  domain_policy_ = policy;
+  if (const auto* forecast = std::get_if<forecast_domain_cost>(&policy)) {
+    cross_domain_.SetPrice(forecast->price_ms_per_mb);
+  }
+  shared_queue_changed_ = true;
+}
+
+std::map<domain_name, domain_supply> slot_scheduler::DomainSupply(
+    instant now) const {
+  std::map<domain_name, domain_supply> supply;
+  for (const auto& [id, endpoint_state] : endpoints_) {
+    if (endpoint_state.IsInService(now)) {
+      supply[endpoint_state.entry().domain].capacity +=
+          endpoint_state.capacity();
+    }
+  }
+  for (const auto& [id, running] : running_) {
+    const auto endpoint_state = endpoints_.find(running.endpoint);
+    if (endpoint_state == endpoints_.end() ||
+        !endpoint_state->second.IsInService(now)) {
+      continue;
+    }
+    // A request that takes longer than expected is expected to take as long
+    // again, so that a domain whose endpoints stand still has a long wait.
+    const std::chrono::duration<double> expected =
+        running.work * endpoint_state->second.slowness();
+    const std::chrono::duration<double> elapsed = now - running.started;
+    const double time = std::max(expected, elapsed).count();
+    supply[endpoint_state->second.entry().domain].ends_per_s +=
+        time > 0 ? 1 / time : 0;
+  }
+  for (auto& [domain, work] : shared_queue_.WorkByDomain()) {
+    supply[domain].waiting_work = std::move(work);
+  }
+  return supply;
+}
+
 std::vector<waiting_request> slot_scheduler::TakeOwnerQueues() {
   std::vector<waiting_request> requests;
   for (auto& [id, endpoint_state] : endpoints_) {
@@ -356,6 +396,7 @@
   }
   scheduled_endpoint& endpoint_state = found->second;
   const bool was_in_service = endpoint_state.IsInService(now);
+  RecordLink(release, ended, endpoint_state, now);
   const milliseconds response_time(release.took_ms);
   switch (release.outcome) {
     case permit_outcome::kAnswered:
@@ -404,6 +445,28 @@
   }
 }
 
+void slot_scheduler::RecordLink(const permit_release& release,
+                                const running_request& ended,
+                                const scheduled_endpoint& endpoint_state,
+                                instant now) {
+  if (!std::holds_alternative<forecast_domain_cost>(domain_policy_) ||
+      ended.domains.from == domain_name()) {
+    return;
+  }
+  const auto expected = std::chrono::duration_cast<duration>(
+      ended.work * endpoint_state.measured_slowness(now));
+  const bool is_lost = release.outcome == permit_outcome::kUnreachable ||
+                       release.outcome == permit_outcome::kNoResponse ||
+                       (release.outcome == permit_outcome::kAbandoned &&
+                        now - ended.started > expected * kLostRequestFactor);
+  if (is_lost) {
+    cross_domain_.OnNoResponse(ended.domains, ended.endpoint, now);
+  } else if (release.outcome == permit_outcome::kAnswered) {
+    cross_domain_.OnAnswered(ended.domains, milliseconds(release.took_ms),
+                             expected, now);
+  }
+}
+
 void slot_scheduler::Report(const permit_report& report, instant now) {
   std::set<permit_id> listed;
   for (const open_permit& open : report.open) {
@@ -477,6 +540,9 @@
     endpoint_state.Refresh(now);
   }
   UpdateSharedCapacity(now);
+  if (std::holds_alternative<forecast_domain_cost>(domain_policy_)) {
+    cross_domain_.SetSupply(DomainSupply(now), now);
+  }
 }
 
 void slot_scheduler::UpdateSharedCapacity(instant now) {
@@ -558,6 +624,7 @@
     std::map<std::pair<domain_name, std::vector<endpoint_id>>, endpoint_choice>
         choices;
     endpoint_choice choice;
+    cross_domain_pass pass(cross_domain_, endpoints_, now);
     const auto choose = [&](const permit_request& message) {
       std::pair key(message.domain, message.excluded_endpoints);
       auto known = choices.find(key);
@@ -576,9 +643,20 @@
           return free > demand_.ReservedSlots(rank, running_by_rank_, now);
         },
         [&](const waiting_request& each) {
-          choice = choose(each.message);
-          return choice.best != nullptr && !ShouldWait(each, choice);
+          return std::visit(overloaded{[&](const fixed_domain_cost&) {
+                                         choice = choose(each.message);
+                                         return choice.best != nullptr &&
+                                                !ShouldWait(each, choice);
+                                       },
+                                       [&](const forecast_domain_cost&) {
+                                         choice.best = pass.Choose(each);
+                                         return choice.best != nullptr;
+                                       }},
+                            domain_policy_);
         });
+    if (pass.has_held_back()) {
+      next_recheck_ = std::min<instant>(next_recheck_, now + kHeldBackRecheck);
+    }
     if (!next) {
       return;
     }
@@ -637,12 +715,14 @@
   running.endpoint = target.entry().instance.endpoint;
   running.route = request.message.route;
   running.rank = request.message.rank;
+  running.domains = {request.message.domain, target.entry().domain};
   running.fence = request.fence;
   running.table_fence = table_.highest_fence();
   running.started = now;
   running.expires = request.deadline + kExpiryMargin;
   running.work = request.work;
   target.OnRequestStarted();
+  cross_domain_.OnStarted(running.domains);
   ++running_by_rank_[request.message.rank];
   // A permit that is granted at once needs no preceding permit_queued.
   std::erase_if(replies_, [&](const permit_reply& reply) {
@@ -690,6 +770,9 @@
   }
   changed_owner_queues_.insert(found->second.endpoint);
   shared_queue_changed_ = true;
+  if (found->second.domains.from != domain_name()) {
+    cross_domain_.OnEnded(found->second.domains);
+  }
   --running_by_rank_[found->second.rank];
   running_.erase(found);
 }
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -32,6 +32,9 @@
 #include "bluebell/keyspace/key_table.h"
 #include "bluebell/keyspace/shard_load.h"
 #include "bluebell/keyspace/unserved_range.h"
+#include "bluebell/permits/cross_domain_forecast.h"
+#include "bluebell/permits/domain_pair.h"
+#include "bluebell/permits/domain_policy.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
 #include "bluebell/permits/scheduled_endpoint.h"
@@ -56,6 +59,10 @@
   // if an endpoint is expected to serve them soon, and are refused otherwise.
   void SetUnservedRanges(std::vector<unserved_range> unserved, instant now);
 
+  // Sets how endpoints in other failure domains are compared with those in the
+  // requester's. Initially fixed_domain_cost.
+  void SetDomainPolicy(const domain_policy& policy);
+
   // Requests a permit. The reply is permit_granted or permit_refused, possibly
   // after a permit_queued. Repeating the request for a permit that waits or was
   // granted repeats that reply and takes no further slot. If the repetition
@@ -75,6 +82,11 @@
   // if there is none.
   std::optional<instant> NextWakeup() const;
 
+  // Returns the changes of the shares of other domains since the previous call.
+  std::vector<domain_share_change> TakeShareChanges() {
+    return cross_domain_.TakeShareChanges();
+  }
+
   // The recent load of each key, for a keyed service. Refused requests count
   // too, with half of their work where RebalancePolicyFor() asks for complete
   // plans.
@@ -92,6 +104,8 @@
     endpoint_id endpoint;
     std::string route;
     std::uint32_t rank = 0;
+    // Without a requester's domain if the dispatcher didn't issue the permit.
+    domain_pair domains;
     epoch fence;
     // The highest fence of the key table when the permit was issued.
     epoch table_fence;
@@ -175,6 +189,8 @@
       const domain_name& domain,
       const std::vector<endpoint_id>& excluded_endpoints,
       instant now);
+  // The capacity and the waiting work of each domain.
+  std::map<domain_name, domain_supply> DomainSupply(instant now) const;
   // True if waiting for a faster endpoint is expected to give an earlier
   // response than the chosen one.
   bool ShouldWait(const waiting_request& request,
@@ -188,6 +204,11 @@
                    scheduled_endpoint& target,
                    instant now);
 
+  // Passes what the outcome says about the link to `cross_domain_`.
+  void RecordLink(const permit_release& release,
+                  const running_request& ended,
+                  const scheduled_endpoint& endpoint_state,
+                  instant now);
   // Rates the endpoint by the outcome of a request.
   void RecordOutcome(const permit_release& release,
                      const running_request& ended,
@@ -209,6 +230,9 @@
   std::map<std::uint32_t, std::uint32_t> running_by_rank_;
   work_estimate work_estimate_;
   rank_demand demand_;
+  domain_policy domain_policy_;
+  // Used with forecast_domain_cost.
+  cross_domain_forecast cross_domain_;
   shard_load_meter key_loads_;
   // By the fencing token of the assignment.
   std::map<epoch, pause> paused_assignments_;
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -9,6 +9,7 @@
   const sequence number = ++last_sequence_;
   const permit_id id = request.message.id;
   queue.work += request.work;
+  queue.work_by_domain[request.message.domain] += request.work;
   queue.by_late_time.emplace(request.LateAt(), number);
   by_infeasible_time_.emplace(std::pair(request.InfeasibleAt(), number), id);
   positions_[id] = {request.message.rank, number};
@@ -25,6 +26,11 @@
   }
   waiting_request taken = std::move(node.mapped());
   queue.work -= taken.work;
+  const auto domain_work = queue.work_by_domain.find(taken.message.domain);
+  domain_work->second -= taken.work;
+  if (domain_work->second <= duration(0)) {
+    queue.work_by_domain.erase(domain_work);
+  }
   by_infeasible_time_.erase({taken.InfeasibleAt(), position.number});
   positions_.erase(taken.message.id);
   return taken;
@@ -136,6 +142,17 @@
              : std::optional(by_infeasible_time_.begin()->first.first);
 }
 
+std::map<domain_name, std::map<std::uint32_t, duration>>
+wait_queue::WorkByDomain() const {
+  std::map<domain_name, std::map<std::uint32_t, duration>> work;
+  for (const auto& [rank, queue] : rank_queues_) {
+    for (const auto& [domain, domain_work] : queue.work_by_domain) {
+      work[domain][rank] = domain_work;
+    }
+  }
+  return work;
+}
+
 duration wait_queue::WorkBefore(std::uint32_t rank) const {
   duration work(0);
   for (const auto& [each, queue] : rank_queues_) {
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/waiting_request.h"
@@ -59,6 +60,8 @@
   // The sum of the work of all requests that go before the request `id`, which
   // must be in the queue. Takes time in proportion to the length of its rank.
   duration WorkBefore(const permit_id& id) const;
+  // The sum of the work of the requests from each domain, by rank.
+  std::map<domain_name, std::map<std::uint32_t, duration>> WorkByDomain() const;
   bool empty() const { return positions_.empty(); }
   std::size_t size() const { return positions_.size(); }
 
@@ -73,6 +76,8 @@
     std::set<std::pair<instant, sequence>> by_late_time;
     // The sum of the work of all requests of the rank.
     duration work{0};
+    // The same by the domain of the requester. Without empty entries.
+    std::map<domain_name, duration> work_by_domain;
   };
   // Where the queue keeps a request.
   struct queue_position {
--- a/bluebell/proxy/permit_dispatcher.cc
+++ b/bluebell/proxy/permit_dispatcher.cc
@@ -1,25 +1,31 @@
 #include "bluebell/proxy/permit_dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 
 #include <boost/asio/io_context.hpp>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/permits/domain_policy.h"
 #include "bluebell/telemetry/log_event.h"
 
 namespace bluebell {
 
 namespace {
 
+constexpr double kPercent = 100;
+
 permit_id IdOf(const permit_reply& reply) {
   return std::visit([](const auto& each) { return each.id; }, reply);
 }
 
 }  // namespace
 
-permit_dispatcher::permit_dispatcher(boost::asio::io_context& io) : io_(io) {}
+permit_dispatcher::permit_dispatcher(boost::asio::io_context& io,
+                                     std::uint32_t cross_domain_price_ms_per_mb)
+    : io_(io), cross_domain_price_ms_per_mb_(cross_domain_price_ms_per_mb) {}
 
 void permit_dispatcher::SetView(const fleet_view& view, instant now) {
   if (!view->config) {
@@ -37,6 +43,9 @@
     if (service.keyed) {
       owners = table == view->tables.end() ? &no_owners : &table->second;
     }
+    queue->scheduler.SetDomainPolicy(
+        DomainPolicyFor(view->config->takes_uploads(), service.keyed,
+                        cross_domain_price_ms_per_mb_));
     queue->scheduler.SetEndpoints(view->EndpointsOf(service.name), owners, now);
     DeliverReplies(*queue, now);
   }
@@ -109,9 +118,26 @@
     }
     sink(reply);
   }
+  LogShareChanges(queue);
   ScheduleWakeup(queue, now);
 }
 
+void permit_dispatcher::LogShareChanges(service_queue& queue) const {
+  for (const domain_share_change& each : queue.scheduler.TakeShareChanges()) {
+    const auto link_us =
+        std::chrono::duration_cast<microseconds>(each.link_time).count();
+    log_event(log_level::kInfo, "cross-domain share changed")
+        .With("service", queue.scheduler.service())
+        .With("from", each.domains.from)
+        .With("to", each.domains.to)
+        .With("open", each.is_open)
+        .With("share_percent", std::lround(each.share * kPercent))
+        .With("link_us", link_us)
+        .With("loss_percent", std::lround(each.loss * kPercent))
+        .Write();
+  }
+}
+
 void permit_dispatcher::LogRefusal(const service_queue& queue,
                                    const permit_reply& reply) const {
   const auto* refused = std::get_if<permit_refused>(&reply);
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -2,13 +2,14 @@
 // and passes the scheduler's replies to the requesters, in this process or on
 // other daemons. Used on the traffic thread only.
 //
-//   permit_dispatcher dispatcher(io);
+//   permit_dispatcher dispatcher(io, settings.cross_domain_price_ms_per_mb);
 //   dispatcher.SetView(view, now);
 //   dispatcher.RequestPermit(request, reply_sink, now);
 
 #ifndef BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 #define BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,7 +35,8 @@
  public:
   using reply_sink = std::function<void(const permit_reply& reply)>;
 
-  explicit permit_dispatcher(boost::asio::io_context& io);
+  permit_dispatcher(boost::asio::io_context& io,
+                    std::uint32_t cross_domain_price_ms_per_mb);
   permit_dispatcher(const permit_dispatcher&) = delete;
   permit_dispatcher& operator=(const permit_dispatcher&) = delete;
   ~permit_dispatcher() = default;
@@ -81,10 +83,12 @@
   service_queue* FindQueue(const service_name& service);
   // Passes the replies that are due to their sinks and sets the timer.
   void DeliverReplies(service_queue& queue, instant now);
+  void LogShareChanges(service_queue& queue) const;
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
 
   boost::asio::io_context& io_;
+  std::uint32_t cross_domain_price_ms_per_mb_;
   // Of the newest view; stated in granted permits and in the log.
   store_version endpoints_revision_;
   std::map<service_name, std::unique_ptr<service_queue>> queues_;
