Two findings of the linter in the routing between failure domains

A random generator had a constant seed in its declaration, and a method that uses no member wasn't static. The seed is now part of the load of a test.

--- a/bluebell/permits/cross_domain_forecast_test.cc
+++ b/bluebell/permits/cross_domain_forecast_test.cc
@@ -37,6 +37,7 @@
   std::map<std::string, test_domain> domains;
   domain_policy policy = kForecast;
   std::uint32_t rank = 1;
+  std::uint32_t seed = 7;
   seconds length{20};
   // The first requests, while the links aren't known yet, aren't counted.
   seconds counted_from{6};
@@ -101,7 +102,7 @@
     bool operator<(const event& other) const { return other.at < at; }
   };
   test_result result;
-  std::mt19937 random(7);
+  std::mt19937 random(load.seed);
   slot_scheduler scheduler(service_name("manifest"));
   scheduler.SetDomainPolicy(load.policy);
   scheduler.SetEndpoints(EndpointsOf(load), nullptr, kStart);
--- a/bluebell/proxy/permit_dispatcher.cc
+++ b/bluebell/proxy/permit_dispatcher.cc
@@ -122,7 +122,7 @@
   ScheduleWakeup(queue, now);
 }
 
-void permit_dispatcher::LogShareChanges(service_queue& queue) const {
+void permit_dispatcher::LogShareChanges(service_queue& queue) {
   for (const domain_share_change& each : queue.scheduler.TakeShareChanges()) {
     const auto link_us =
         std::chrono::duration_cast<microseconds>(each.link_time).count();
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -83,7 +83,7 @@
   service_queue* FindQueue(const service_name& service);
   // Passes the replies that are due to their sinks and sets the timer.
   void DeliverReplies(service_queue& queue, instant now);
-  void LogShareChanges(service_queue& queue) const;
+  static void LogShareChanges(service_queue& queue);
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
 
