--- a/bluebell/fleet/route_config.cc
+++ b/bluebell/fleet/route_config.cc
@@ -48,6 +48,8 @@
     if (total_weight == 0) {
       return Invalid(route, "no service with a positive weight");
     }
+    config.takes_uploads_ =
+        config.takes_uploads_ || route.kind == request_kind::kUpload;
     config.routes_by_host_[LowerHost(route.host)].push_back(std::move(route));
   }
   for (auto& [host, host_routes] : config.routes_by_host_) {
@@ -73,17 +75,6 @@
   return found == host_routes->second.end() ? nullptr : &*found;
 }
 
-bool route_config::TakesUploads() const {
-  const auto takes_uploads = [](const service_route& route) {
-    return route.kind == request_kind::kUpload;
-  };
-  return std::any_of(routes_by_host_.begin(), routes_by_host_.end(),
-                     [&](const auto& entry) {
-                       return std::any_of(entry.second.begin(),
-                                          entry.second.end(), takes_uploads);
-                     });
-}
-
 const fleet_service* route_config::FindService(const service_name& name) const {
   const auto found = std::find_if(
       services_.begin(), services_.end(),
--- a/bluebell/fleet/route_config.h
+++ b/bluebell/fleet/route_config.h
@@ -37,14 +37,14 @@
   // and the letter case of `host` are ignored. `path` has no query part.
   const service_route* FindRoute(std::string_view host,
                                  std::string_view path) const;
-  // True if the requests of a route have large bodies.
-  bool TakesUploads() const;
   // Null if there is no service of this name.
   const fleet_service* FindService(const service_name& name) const;
 
   const config_version& version() const { return version_; }
   const std::vector<fleet_service>& services() const { return services_; }
   const caller_bounds& bounds() const { return bounds_; }
+  // True if a route takes uploads.
+  bool takes_uploads() const { return takes_uploads_; }
 
   friend bool operator==(const route_config&, const route_config&) = default;
 
@@ -55,6 +55,7 @@
       routes_by_host_;
   std::vector<fleet_service> services_;
   caller_bounds bounds_;
+  bool takes_uploads_ = false;
 };
 
 }  // namespace bluebell
--- a/bluebell/permits/admission_policy.cc
+++ b/bluebell/permits/admission_policy.cc
@@ -5,7 +5,7 @@
 namespace bluebell {
 
 admission_policy AdmissionPolicyFor(const route_config& config) {
-  if (config.TakesUploads()) {
+  if (config.takes_uploads()) {
     return scheduled_admission();
   }
   return simple_admission();
--- a/bluebell/permits/permit_message.h
+++ b/bluebell/permits/permit_message.h
@@ -74,6 +74,8 @@
   // When this message was sent, by the requester's own clock. Only the
   // requester compares it with other times; see permit_granted.
   std::int64_t sent_at_ms = 0;
+  // The size of the request's body.
+  std::uint64_t body_bytes = 0;
 
   friend bool operator==(const permit_request&,
                          const permit_request&) = default;
@@ -81,7 +83,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, service, route, domain, rank, key, objective_left_ms,
-            time_left_ms, excluded_endpoints, sent_at_ms);
+            time_left_ms, excluded_endpoints, sent_at_ms, body_bytes);
   }
 };
 
--- a/bluebell/permits/slot_scheduler.h
+++ b/bluebell/permits/slot_scheduler.h
@@ -39,6 +39,9 @@
 #include "bluebell/permits/cold_start_bound.h"
 #include "bluebell/permits/cold_start_hold.h"
 #include "bluebell/permits/cold_start_limit.h"
+#include "bluebell/permits/cross_domain_forecast.h"
+#include "bluebell/permits/domain_pair.h"
+#include "bluebell/permits/domain_policy.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/rank_demand.h"
 #include "bluebell/permits/route_shares.h"
@@ -74,6 +77,10 @@
   void SetColdStart(std::optional<cold_start_bound> bound,
                     bool is_first,
                     instant now);
+  // Sets how endpoints in other failure domains are compared with those in the
+  // requester's. Initially fixed_domain_cost.
+  void SetDomainPolicy(const domain_policy& policy);
+  const domain_policy& policy() const { return domain_policy_; }
 
   // Requests a permit. The reply is permit_granted or permit_refused, possibly
   // after a permit_queued. Repeating the request for a permit that waits or was
@@ -97,6 +104,10 @@
   // Returns the endpoints whose limit has held requests back since the last
   // call, at most once a second for each.
   std::vector<cold_start_hold> TakeColdStartHolds();
+  // Returns the changes of the shares of other domains since the previous call.
+  std::vector<domain_share_change> TakeShareChanges() {
+    return cross_domain_.TakeShareChanges();
+  }
 
   // The recent load of each key, for a keyed service. Refused requests count
   // too, with half of their work where RebalancePolicyFor() asks for complete
@@ -118,6 +129,8 @@
     endpoint_id endpoint;
     std::string route;
     std::uint32_t rank = 0;
+    // Without a requester's domain if the dispatcher didn't issue the permit.
+    domain_pair domains;
     epoch fence;
     // The highest fence of the key table when the permit was issued.
     epoch table_fence;
@@ -221,6 +234,8 @@
       const domain_name& domain,
       const std::vector<endpoint_id>& excluded_endpoints,
       instant now);
+  // The capacity and the waiting work of each domain.
+  std::map<domain_name, domain_supply> DomainSupply(instant now) const;
   // True if waiting for a faster endpoint is expected to give an earlier
   // response than the chosen one.
   bool ShouldWait(const waiting_request& request,
@@ -243,6 +258,11 @@
                    scheduled_endpoint& target,
                    instant now);
 
+  // Passes what the outcome says about the link to `cross_domain_`.
+  void RecordLink(const permit_release& release,
+                  const running_request& ended,
+                  const scheduled_endpoint& endpoint_state,
+                  instant now);
   // Rates the endpoint by the outcome of a request.
   void RecordOutcome(const permit_release& release,
                      const running_request& ended,
@@ -267,6 +287,11 @@
   // Set with scheduled_admission.
   std::optional<admission_control> admission_;
   route_shares route_shares_;
+  domain_policy domain_policy_;
+  // Used with forecast_domain_cost.
+  cross_domain_forecast cross_domain_;
+  // The next time at which a long line is examined as a whole.
+  instant next_full_pass_;
   shard_load_meter key_loads_;
   cold_start_limit cold_start_;
   // By the fencing token of the assignment.
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/waiting_request.h"
@@ -65,6 +66,8 @@
   // The sum of the work of all requests that go before the request `id`, which
   // must be in the queue. Takes time in proportion to the length of its rank.
   duration WorkBefore(const permit_id& id) const;
+  // The sum of the work of the requests from each domain, by rank.
+  std::map<domain_name, std::map<std::uint32_t, duration>> WorkByDomain() const;
   bool empty() const { return positions_.empty(); }
   std::size_t size() const { return positions_.size(); }
 
@@ -81,6 +84,8 @@
     duration work{0};
     // The part of `work` that belongs to the requests in `late`.
     duration late_work{0};
+    // The same by the domain of the requester. Without empty entries.
+    std::map<domain_name, duration> work_by_domain;
   };
   // Where the queue keeps a request.
   struct queue_position {
--- a/bluebell/proxy/permit_dispatcher.cc
+++ b/bluebell/proxy/permit_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "bluebell/proxy/permit_dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -11,6 +12,7 @@
 #include "bluebell/permits/admission_policy.h"
 #include "bluebell/permits/cold_start_bound.h"
 #include "bluebell/permits/dispatcher_order.h"
+#include "bluebell/permits/domain_policy.h"
 #include "bluebell/telemetry/log_event.h"
 #include "bluebell/telemetry/metric.h"
 #include "bluebell/telemetry/metrics_registry.h"
@@ -19,6 +21,8 @@
 
 namespace {
 
+constexpr double kPercent = 100;
+
 permit_id IdOf(const permit_reply& reply) {
   return std::visit([](const auto& each) { return each.id; }, reply);
 }
@@ -28,10 +32,12 @@
 permit_dispatcher::permit_dispatcher(boost::asio::io_context& io,
                                      daemon_instance self,
                                      warmup_allowance allowance,
+                                     std::uint32_t cross_domain_price_ms_per_mb,
                                      metrics_registry& metrics)
     : io_(io),
       self_(std::move(self)),
       allowance_(allowance),
+      cross_domain_price_ms_per_mb_(cross_domain_price_ms_per_mb),
       metrics_(metrics) {}
 
 void permit_dispatcher::SetView(const fleet_view& view, instant now) {
@@ -53,6 +59,9 @@
     }
     SetColdStart(*queue, service, *view, now);
     queue->scheduler.SetAdmission(policy);
+    queue->scheduler.SetDomainPolicy(
+        DomainPolicyFor(view->config->takes_uploads(), service.keyed,
+                        cross_domain_price_ms_per_mb_));
     queue->scheduler.SetEndpoints(view->EndpointsOf(service.name), owners, now);
     DeliverReplies(*queue, now);
   }
@@ -156,9 +165,26 @@
   }
   ReportColdStartHolds(queue);
   CountPromises(queue);
+  LogShareChanges(queue);
   ScheduleWakeup(queue, now);
 }
 
+void permit_dispatcher::LogShareChanges(service_queue& queue) {
+  for (const domain_share_change& each : queue.scheduler.TakeShareChanges()) {
+    const auto link_us =
+        std::chrono::duration_cast<microseconds>(each.link_time).count();
+    log_event(log_level::kInfo, "cross-domain share changed")
+        .With("service", queue.scheduler.service())
+        .With("from", each.domains.from)
+        .With("to", each.domains.to)
+        .With("open", each.is_open)
+        .With("share_percent", std::lround(each.share * kPercent))
+        .With("link_us", link_us)
+        .With("loss_percent", std::lround(each.loss * kPercent))
+        .Write();
+  }
+}
+
 void permit_dispatcher::LogRefusal(const service_queue& queue,
                                    const permit_reply& reply) const {
   const auto* refused = std::get_if<permit_refused>(&reply);
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -2,13 +2,14 @@
 // and passes the scheduler's replies to the requesters, in this process or on
 // other daemons. Used on the traffic thread only.
 //
-//   permit_dispatcher dispatcher(io, metrics);
+//   permit_dispatcher dispatcher(io, self, allowance, price, metrics);
 //   dispatcher.SetView(view, now);
 //   dispatcher.RequestPermit(request, reply_sink, now);
 
 #ifndef BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 #define BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,10 +39,12 @@
  public:
   using reply_sink = std::function<void(const permit_reply& reply)>;
 
-  // `allowance` limits the requests to cold endpoints.
+  // `allowance` limits the requests to cold endpoints. The price is that of
+  // gateway_settings.
   permit_dispatcher(boost::asio::io_context& io,
                     daemon_instance self,
                     warmup_allowance allowance,
+                    std::uint32_t cross_domain_price_ms_per_mb,
                     metrics_registry& metrics);
   permit_dispatcher(const permit_dispatcher&) = delete;
   permit_dispatcher& operator=(const permit_dispatcher&) = delete;
@@ -97,6 +100,7 @@
                     const fleet_snapshot& view,
                     instant now);
   void ReportColdStartHolds(service_queue& queue);
+  static void LogShareChanges(service_queue& queue);
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
   // Adds the new promises to the metrics.
@@ -105,6 +109,7 @@
   boost::asio::io_context& io_;
   daemon_instance self_;
   warmup_allowance allowance_;
+  std::uint32_t cross_domain_price_ms_per_mb_;
   metrics_registry& metrics_;
   // Of the newest view; stated in granted permits and in the log.
   store_version endpoints_revision_;
--- a/bluebell/settings/gateway_settings.cc
+++ b/bluebell/settings/gateway_settings.cc
@@ -26,6 +26,7 @@
 // In thousandths.
 constexpr number_range kRetryShareThousandthsRange{0, 1'000};
 constexpr number_range kRetryReserveRange{0, 1'000'000};
+constexpr number_range kCrossDomainPriceRange{0, 1'000'000};
 constexpr std::int64_t kThousandthsPerPercent = 10;
 constexpr number_range kWarmupOverageThousandthsRange{0, 1'000'000};
 constexpr number_range kWarmupSlackThousandthsRange{0, 1'000'000'000};
@@ -79,6 +80,8 @@
       ReadFraction(reader, "warmup_overage", kWarmupOverageThousandthsRange);
   settings.warmup_slack =
       ReadFraction(reader, "warmup_slack", kWarmupSlackThousandthsRange);
+  reader.Number("cross_domain_price_ms_per_mb", kCrossDomainPriceRange,
+                settings.cross_domain_price_ms_per_mb);
   reader.Choice("log_level", kLogLevels, settings.log_level);
   return settings;
 }
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -49,6 +49,10 @@
   // limit if neither is given. If one is given, the other counts as 1 or 0.
   std::optional<double> warmup_overage;
   std::optional<double> warmup_slack;
+  // What a megabyte of a request that is sent to another failure domain is
+  // worth, in milliseconds of its caller's waiting time. At the default, an
+  // upload of 60 KB costs 60 ms, a third of the work of a usual one.
+  std::uint32_t cross_domain_price_ms_per_mb = 1'000;
   // One of "trace", "debug", "info", "warn", "error".
   std::string log_level = "info";
 
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -144,6 +144,11 @@
      metric_kind::kCounter,
      {"service", "result"},
      "Times that refused callers were told to return at, by result."},
+    {metric::kDomainRequests,
+     "bluebell_domain_requests_total",
+     metric_kind::kCounter,
+     {"service", "from", "to"},
+     "Attempts by the failure domains of the daemon and of the endpoint."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -39,6 +39,7 @@
   kEvacuatedDomains,     // gauge
   kColdStartHolds,       // label service
   kReturnPromises,       // labels service, result
+  kDomainRequests,       // labels service, from, to
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
