--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -134,7 +134,7 @@
   for (const auto& [id, endpoint_state] : endpoints_) {
     if (endpoint_state.IsInService(now)) {
       supply[endpoint_state.entry().domain].capacity +=
-          endpoint_state.capacity();
+          endpoint_state.current_capacity(now);
     }
   }
   for (const auto& [id, running] : running_) {
