--- a/bluebell/proxy/internal/gateway_path.h
+++ b/bluebell/proxy/internal/gateway_path.h
@@ -130,7 +130,7 @@
         second_(io_, "i-2", script),
         settings_(Settings()),
         peers_(peer_socket::Open(io_, settings_.peer_listen).value()),
-        dispatcher_(io_),
+        dispatcher_(io_, kSelf, {}, 0, metrics_),
         permits_(io_, kSelf, *peers_, dispatcher_),
         pool_(io_, std::move(response_memory)),
         server_(settings_,
--- a/bluebell/proxy/permit_dispatcher_test.cc
+++ b/bluebell/proxy/permit_dispatcher_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/permits/domain_policy.h"
+#include "bluebell/telemetry/metrics_registry.h"
 
 namespace bluebell {
 namespace {
@@ -23,8 +24,9 @@
   route.shares = {{kKeyless, 1}};
   auto snapshot = std::make_shared<fleet_snapshot>();
   snapshot->config = std::make_shared<const route_config>(
-      route_config::Make(config_version(1), {route},
-                         {{kKeyed, true, 10}, {kKeyless, false, 10}}, {})
+      route_config::Make(
+          config_version(1), {route},
+          {{kKeyed, true, 10, {}, 0}, {kKeyless, false, 10, {}, 0}}, {})
           .value());
   return snapshot;
 }
@@ -33,7 +35,9 @@
 // of keys, and against one that stays in force when the uploads are gone.
 TEST_CASE("the policy for other domains follows the configuration") {
   boost::asio::io_context io;
-  permit_dispatcher dispatcher(io, 250);
+  metrics_registry metrics;
+  const daemon_instance self{daemon_id("d-1"), incarnation(1)};
+  permit_dispatcher dispatcher(io, self, {}, 250, metrics);
   const auto policy_of = [&](const service_name& service) {
     return dispatcher.FindScheduler(service)->policy();
   };
