--- a/bluebell/keyspace/complete_planner.cc
+++ b/bluebell/keyspace/complete_planner.cc
@@ -14,14 +14,14 @@
 
 // An owner gives keys away when its use, its load divided by its capacity, is
 // above the mean use times this factor and above the mean use plus this share.
-constexpr double kMaxUseFactor = 1.2;
-constexpr double kMinExcessShare = 0.1;
+constexpr double kMaxUseFactor = 1.35;
+constexpr double kMinExcessShare = 0.2;
 // It keeps this multiple of an even share, so that it isn't left below the mean
 // by a load that was measured too high.
-constexpr double kKeptUseFactor = 1;
+constexpr double kKeptUseFactor = 1.05;
 // A new owner gets up to this multiple of an even share: larger pieces leave
 // the table with fewer ranges.
-constexpr double kFilledUseFactor = 1.05;
+constexpr double kFilledUseFactor = 1.1;
 // An owner whose use is above this multiple of the mean has keys that have just
 // become busy. They are spread at once, over owners that then give other keys
 // away and get up to the second multiple of an even share.
@@ -32,15 +32,24 @@
 // While the use is below this, moves interrupt next to no work, and keys are
 // spread evenly whatever their load.
 constexpr double kIdleUse = 0.01;
+constexpr double kMaxIdleUseFactor = 1.02;
 // The load that each key counts in addition to its measured load, so that keys
 // without requests are divided evenly.
 constexpr double kIdleKeyLoadSlots = 1e-5;
-// Requests for moving keys wait for the work that runs on them.
-constexpr double kMaxMovingShare = 0.3;
+// The shares of the load that move at the same time at most, because requests
+// for moving keys wait for the work that runs on them. The second one is for
+// keys that have just become busy: their requests wait or are refused anyway.
+constexpr double kMaxMovingShare = 0.1;
+constexpr double kMaxUrgentMovingShare = 0.3;
 constexpr std::size_t kMaxMovingRangesPerOwner = 64;
 // Limits the number of ranges in the table, because each range is renewed by
-// its own call.
-constexpr std::size_t kMaxRangesPerOwner = 4;
+// its own call, and the coordinator also dispatches the requests. The second
+// limit is for keys that have just become busy.
+constexpr std::size_t kMaxRangesPerOwner = 2;
+constexpr std::size_t kMaxUrgentRangesPerOwner = 3;
+// Limits the moves of a plan whose keys haven't just become busy, for the same
+// reason.
+constexpr std::size_t kMaxOrdinaryMoves = 16;
 // A piece is moved only if its load is more than this share of the load that
 // could be moved.
 constexpr double kMinPieceShare = 0.15;
@@ -136,7 +145,7 @@
       const std::size_t from = donors_.top().second;
       donors_.pop();
       if (MoveFrom(owners_[from]) &&
-          owners_[from].use() > mean_use_ * kKeptUseFactor) {
+          owners_[from].use() > mean_use_ * kept_use_factor()) {
         donors_.emplace(owners_[from].use(), from);
       }
     }
@@ -154,10 +163,14 @@
   }
 
   bool is_idle() const { return mean_use_ < kIdleUse; }
+  double kept_use_factor() const { return is_idle() ? 1 : kKeptUseFactor; }
 
   bool IsOverloaded(const owner_state& state) const {
+    if (is_idle()) {
+      return state.use() > mean_use_ * kMaxIdleUseFactor;
+    }
     return state.use() > mean_use_ * kMaxUseFactor &&
-           (is_idle() || state.use() > mean_use_ + kMinExcessShare);
+           state.use() > mean_use_ + kMinExcessShare;
   }
 
   // The load that the owner may get until its use is this multiple of the mean.
@@ -167,26 +180,32 @@
 
   // Moves one piece away from the owner. Returns false if none can be moved.
   bool MoveFrom(owner_state& donor) {
-    const bool is_urgent = donor.use() > mean_use_ * kUrgentDonorUseFactor;
+    const bool is_urgent = donor.use() > mean_use_ * kUrgentDonorUseFactor &&
+                           donor.use() > mean_use_ + kMinExcessShare;
     const double use_factor = is_urgent ? kUrgentUseFactor : kFilledUseFactor;
     const auto to = (is_urgent ? urgent_receivers_ : receivers_)
                         .Top([&](std::size_t owner) {
                           return RoomOf(owners_[owner], use_factor);
                         });
-    if (!to || donor.releases >= kMaxMovingRangesPerOwner) {
+    const bool has_enough_moves =
+        !is_urgent && !is_idle() && ordinary_moves_ >= kMaxOrdinaryMoves;
+    if (!to || donor.releases >= kMaxMovingRangesPerOwner || has_enough_moves) {
       return false;
     }
     owner_state& receiver = owners_[*to];
     const double excess =
-        donor.load - mean_use_ * kKeptUseFactor * donor.capacity;
-    std::optional<piece> best =
-        BestPiece(donor, std::min(excess, RoomOf(receiver, use_factor)));
+        donor.load - mean_use_ * kept_use_factor() * donor.capacity;
+    const bool may_split = MaySplit(is_urgent);
+    std::optional<piece> best = BestPiece(
+        donor, std::min(excess, RoomOf(receiver, use_factor)), may_split);
     if (!best) {
-      best = BestPiece(donor, LargerLoadFor(donor, receiver, is_urgent));
+      best = BestPiece(donor, LargerLoadFor(donor, receiver, is_urgent),
+                       may_split);
     }
-    if (!best || ExceedsMovingShare(best->load)) {
+    if (!best || ExceedsMovingShare(best->load, is_urgent)) {
       return false;
     }
+    ordinary_moves_ += is_urgent ? 0 : 1;
     Take(donor, *best);
     moving_load_ += best->load;
     donor.load -= best->load;
@@ -209,15 +228,22 @@
            receiver.load;
   }
 
-  bool ExceedsMovingShare(double load) const {
+  bool ExceedsMovingShare(double load, bool is_urgent) const {
+    const double share = is_urgent ? kMaxUrgentMovingShare : kMaxMovingShare;
     return !is_idle() && moving_load_ > 0 &&
-           moving_load_ + load > kMaxMovingShare * total_;
+           moving_load_ + load > share * total_;
+  }
+
+  bool MaySplit(bool is_urgent) const {
+    return range_count_ < owners_.size() * (is_urgent ? kMaxUrgentRangesPerOwner
+                                                      : kMaxRangesPerOwner);
   }
 
   // The best part of the owner's movable ranges with at most `max_load`. No
   // value if none is worth a move.
   std::optional<piece> BestPiece(const owner_state& donor,
-                                 double max_load) const {
+                                 double max_load,
+                                 bool may_split) const {
     std::optional<piece> best;
     double best_worth = std::max(0.0, max_load * kMinPieceShare);
     const auto consider = [&](const key_range& range, std::size_t source,
@@ -228,7 +254,6 @@
         best_worth = load * preference;
       }
     };
-    const bool may_split = range_count_ < owners_.size() * kMaxRangesPerOwner;
     for (std::size_t i = 0; i < donor.movable.size(); ++i) {
       const key_range& range = donor.movable[i];
       consider(range, i, kWholeRangePreference);
@@ -262,6 +287,7 @@
   double total_ = 0;
   double mean_use_ = 0;
   double moving_load_ = 0;
+  std::size_t ordinary_moves_ = 0;
   // By use.
   std::priority_queue<std::pair<double, std::size_t>> donors_;
   receiver_queue receivers_;
--- a/bluebell/permits/wait_queue.cc
+++ b/bluebell/permits/wait_queue.cc
@@ -9,6 +9,7 @@
   const sequence number = ++last_sequence_;
   const permit_id id = request.message.id;
   queue.work += request.work;
+  queue.work_by_domain[request.message.domain] += request.work;
   queue.by_late_time.emplace(request.LateAt(), number);
   by_infeasible_time_.emplace(std::pair(request.InfeasibleAt(), number), id);
   positions_[id] = {request.message.rank, number};
@@ -22,9 +23,15 @@
     queue.by_late_time.erase({node.mapped().LateAt(), position.number});
   } else {
     node = queue.late.extract(position.number);
+    queue.late_work -= node.mapped().work;
   }
   waiting_request taken = std::move(node.mapped());
   queue.work -= taken.work;
+  const auto domain_work = queue.work_by_domain.find(taken.message.domain);
+  domain_work->second -= taken.work;
+  if (domain_work->second <= duration(0)) {
+    queue.work_by_domain.erase(domain_work);
+  }
   by_infeasible_time_.erase({taken.InfeasibleAt(), position.number});
   positions_.erase(taken.message.id);
   return taken;
@@ -76,8 +83,9 @@
 void wait_queue::MoveLate(rank_queue& queue, instant now) {
   while (!queue.by_late_time.empty() &&
          queue.by_late_time.begin()->first < now) {
-    queue.late.insert(
-        queue.on_time.extract(queue.by_late_time.begin()->second));
+    auto node = queue.on_time.extract(queue.by_late_time.begin()->second);
+    queue.late_work += node.mapped().work;
+    queue.late.insert(std::move(node));
     queue.by_late_time.erase(queue.by_late_time.begin());
   }
 }
@@ -85,7 +93,8 @@
 std::optional<waiting_request> wait_queue::TakeNext(
     instant now,
     const std::function<bool(std::uint32_t rank)>& rank_may_start,
-    const std::function<bool(const waiting_request&)>& is_eligible) {
+    const std::function<bool(const waiting_request&)>& is_eligible,
+    const std::vector<std::string>& deferred_routes) {
   const auto is_next = [&](const auto& entry) {
     return is_eligible(entry.second);
   };
@@ -95,6 +104,18 @@
       continue;
     }
     MoveLate(queue, now);
+    if (!deferred_routes.empty()) {
+      const auto next = std::find_if(
+          queue.on_time.begin(), queue.on_time.end(), [&](const auto& entry) {
+            return std::find(deferred_routes.begin(), deferred_routes.end(),
+                             entry.second.message.route) ==
+                       deferred_routes.end() &&
+                   is_next(entry);
+          });
+      if (next != queue.on_time.end()) {
+        return Take({rank, next->first});
+      }
+    }
     for (const requests_by_sequence* each : {&queue.on_time, &queue.late}) {
       const auto next = std::find_if(each->begin(), each->end(), is_next);
       if (next != each->end()) {
@@ -136,6 +157,17 @@
              : std::optional(by_infeasible_time_.begin()->first.first);
 }
 
+std::map<domain_name, std::map<std::uint32_t, duration>>
+wait_queue::WorkByDomain() const {
+  std::map<domain_name, std::map<std::uint32_t, duration>> work;
+  for (const auto& [rank, queue] : rank_queues_) {
+    for (const auto& [domain, domain_work] : queue.work_by_domain) {
+      work[domain][rank] = domain_work;
+    }
+  }
+  return work;
+}
+
 duration wait_queue::WorkBefore(std::uint32_t rank) const {
   duration work(0);
   for (const auto& [each, queue] : rank_queues_) {
@@ -146,6 +178,13 @@
   return work;
 }
 
+duration wait_queue::OnTimeWorkBefore(std::uint32_t rank) const {
+  const auto own = rank_queues_.find(rank);
+  const duration late =
+      own == rank_queues_.end() ? duration(0) : own->second.late_work;
+  return WorkBefore(rank) - late;
+}
+
 duration wait_queue::WorkBefore(const permit_id& id) const {
   const auto& [own_rank, number] = positions_.at(id);
   duration work(0);
--- a/bluebell/permits/wait_queue.h
+++ b/bluebell/permits/wait_queue.h
@@ -16,10 +16,12 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/waiting_request.h"
@@ -40,11 +42,14 @@
 
   // Removes and returns the first request whose rank and which itself satisfies
   // the predicates; nullopt if there is none. Other requests are skipped and
-  // keep their positions. `now` must not decrease from call to call.
+  // keep their positions. `now` must not decrease from call to call. Of the
+  // requests of a rank that can be answered within their objective, those of
+  // routes other than `deferred_routes` go first.
   std::optional<waiting_request> TakeNext(
       instant now,
       const std::function<bool(std::uint32_t rank)>& rank_may_start,
-      const std::function<bool(const waiting_request&)>& is_eligible);
+      const std::function<bool(const waiting_request&)>& is_eligible,
+      const std::vector<std::string>& deferred_routes = {});
   // Removes and returns all requests.
   std::vector<waiting_request> TakeAll();
   // Removes and returns the requests that can no longer be answered before
@@ -56,9 +61,13 @@
 
   // The sum of the work of all requests that go before a new request of `rank`.
   duration WorkBefore(std::uint32_t rank) const;
+  // The same without the late requests of `rank` itself.
+  duration OnTimeWorkBefore(std::uint32_t rank) const;
   // The sum of the work of all requests that go before the request `id`, which
   // must be in the queue. Takes time in proportion to the length of its rank.
   duration WorkBefore(const permit_id& id) const;
+  // The sum of the work of the requests from each domain, by rank.
+  std::map<domain_name, std::map<std::uint32_t, duration>> WorkByDomain() const;
   bool empty() const { return positions_.empty(); }
   std::size_t size() const { return positions_.size(); }
 
@@ -73,6 +82,10 @@
     std::set<std::pair<instant, sequence>> by_late_time;
     // The sum of the work of all requests of the rank.
     duration work{0};
+    // The part of `work` that belongs to the requests in `late`.
+    duration late_work{0};
+    // The same by the domain of the requester. Without empty entries.
+    std::map<domain_name, duration> work_by_domain;
   };
   // Where the queue keeps a request.
   struct queue_position {
--- a/bluebell/proxy/permit_dispatcher.h
+++ b/bluebell/proxy/permit_dispatcher.h
@@ -2,13 +2,14 @@
 // and passes the scheduler's replies to the requesters, in this process or on
 // other daemons. Used on the traffic thread only.
 //
-//   permit_dispatcher dispatcher(io);
+//   permit_dispatcher dispatcher(io, self, allowance, price, metrics);
 //   dispatcher.SetView(view, now);
 //   dispatcher.RequestPermit(request, reply_sink, now);
 
 #ifndef BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 #define BLUEBELL_PROXY_PERMIT_DISPATCHER_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,8 +22,10 @@
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
 #include "bluebell/keyspace/unserved_range.h"
+#include "bluebell/permits/admission_counts.h"
 #include "bluebell/permits/permit_message.h"
 #include "bluebell/permits/slot_scheduler.h"
+#include "bluebell/permits/warmup_allowance.h"
 
 namespace boost::asio {
 class io_context;
@@ -30,11 +33,19 @@
 
 namespace bluebell {
 
+class metrics_registry;
+
 class permit_dispatcher {
  public:
   using reply_sink = std::function<void(const permit_reply& reply)>;
 
-  explicit permit_dispatcher(boost::asio::io_context& io);
+  // `allowance` limits the requests to cold endpoints. The price is that of
+  // gateway_settings.
+  permit_dispatcher(boost::asio::io_context& io,
+                    daemon_instance self,
+                    warmup_allowance allowance,
+                    std::uint32_t cross_domain_price_ms_per_mb,
+                    metrics_registry& metrics);
   permit_dispatcher(const permit_dispatcher&) = delete;
   permit_dispatcher& operator=(const permit_dispatcher&) = delete;
   ~permit_dispatcher() = default;
@@ -75,16 +86,31 @@
     std::optional<instant> wakeup_at;
     // For requests without a final reply.
     std::map<permit_id, reply_sink> sinks;
+    // The promises that are in the metrics already.
+    admission_counts counted;
   };
 
   // Null for an unknown service.
   service_queue* FindQueue(const service_name& service);
   // Passes the replies that are due to their sinks and sets the timer.
   void DeliverReplies(service_queue& queue, instant now);
+  // Sets the limit of the service's cold endpoints.
+  void SetColdStart(service_queue& queue,
+                    const fleet_service& service,
+                    const fleet_snapshot& view,
+                    instant now);
+  void ReportColdStartHolds(service_queue& queue);
+  static void LogShareChanges(service_queue& queue);
   void LogRefusal(const service_queue& queue, const permit_reply& reply) const;
   void ScheduleWakeup(service_queue& queue, instant now);
+  // Adds the new promises to the metrics.
+  void CountPromises(service_queue& queue);
 
   boost::asio::io_context& io_;
+  daemon_instance self_;
+  warmup_allowance allowance_;
+  std::uint32_t cross_domain_price_ms_per_mb_;
+  metrics_registry& metrics_;
   // Of the newest view; stated in granted permits and in the log.
   store_version endpoints_revision_;
   std::map<service_name, std::unique_ptr<service_queue>> queues_;
--- a/bluebell/proxy/request_server.h
+++ b/bluebell/proxy/request_server.h
@@ -85,6 +85,12 @@
   std::optional<served_response> PassOver(request_context& context,
                                           const permit_granted& granted,
                                           instant now);
+  // Gives back a permit unused. Returns nullopt if another attempt has to
+  // follow.
+  std::optional<served_response> ReturnPermit(request_context& context,
+                                              const permit_granted& granted,
+                                              std::string_view reason,
+                                              instant now);
   // Sends the request with a permit. Returns nullopt if another attempt has to
   // follow.
   boost::asio::awaitable<std::optional<served_response>> SendAttempt(
@@ -138,7 +144,8 @@
                      const exchange_result& exchange,
                      instant now);
   // Makes a response of the router itself. `retry_after` is lengthened at
-  // random and limited by the time that the caller has left.
+  // random, unless a dispatcher has spread it, and limited by the time that the
+  // caller has left.
   http_response Refuse(const request_context& context,
                        unsigned status,
                        std::string_view reason,
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -6,6 +6,7 @@
 #define BLUEBELL_SETTINGS_GATEWAY_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -43,6 +44,15 @@
   // this percentage of the requests of the service, and `retry_reserve` more.
   std::uint32_t retry_percent = 20;
   std::uint32_t retry_reserve = 60;
+  // Limits the requests that a cold endpoint gets in any second: the rate that
+  // it can sustain times `warmup_overage`, and `warmup_slack` more. There is no
+  // limit if neither is given. If one is given, the other counts as 1 or 0.
+  std::optional<double> warmup_overage;
+  std::optional<double> warmup_slack;
+  // What a megabyte of a request that is sent to another failure domain is
+  // worth, in milliseconds of its caller's waiting time. At the default, an
+  // upload of 60 KB costs 60 ms, a third of the work of a usual one.
+  std::uint32_t cross_domain_price_ms_per_mb = 1'000;
   // One of "trace", "debug", "info", "warn", "error".
   std::string log_level = "info";
 
--- a/bluebell/telemetry/metric.cc
+++ b/bluebell/telemetry/metric.cc
@@ -138,6 +138,22 @@
      metric_kind::kGauge,
      {},
      "Times that the store has come back from an older copy."},
+    {metric::kColdStartHolds,
+     "bluebell_cold_start_holds_total",
+     metric_kind::kCounter,
+     {"service"},
+     "Times the limit of a cold endpoint held requests back, at most one a "
+     "second for each."},
+    {metric::kReturnPromises,
+     "bluebell_return_promises_total",
+     metric_kind::kCounter,
+     {"service", "result"},
+     "Times that refused callers were told to return at, by result."},
+    {metric::kDomainRequests,
+     "bluebell_domain_requests_total",
+     metric_kind::kCounter,
+     {"service", "from", "to"},
+     "Attempts by the failure domains of the daemon and of the endpoint."},
 });
 
 consteval bool RowsFollowEnum() {
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -38,6 +38,9 @@
   kSilentWatches,        // labels watch, shown_by
   kEvacuatedDomains,     // gauge
   kStoreEra,             // gauge
+  kColdStartHolds,       // label service
+  kReturnPromises,       // labels service, result
+  kDomainRequests,       // labels service, from, to
 };
 
 enum class metric_kind : std::uint8_t { kCounter, kGauge, kHistogram };
