Assign the first keys at once when the whole system starts for the first time

With a Store-Era above 0 from the start, a service without a table counted as one whose table the store may have lost, and waited 10.8 s for its first keys. The platform says when the whole system starts for the first time; an empty store has lost nothing then, as long as the era is the one that the process saw first.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -80,12 +80,14 @@
 coordinator_role::coordinator_role(asio::io_context& io,
                                    const key_timing& timing,
                                    daemon_instance self,
+                                   bool is_first_start,
                                    kv_client& store,
                                    store_watcher& watcher,
                                    traffic_server& traffic)
     : io_(io),
       timing_(timing),
       self_(std::move(self)),
+      is_first_start_(is_first_start),
       store_(store),
       watcher_(watcher),
       traffic_(traffic),
@@ -168,6 +170,15 @@
   return names;
 }
 
+bool coordinator_role::IsSettled(
+    const std::map<service_name, key_table>& tables,
+    const store_era& era) const {
+  // At the first start of the whole system nothing can have been lost.
+  const bool is_first_table =
+      is_first_start_ && tables.empty() && era == store_.first_era();
+  return is_first_table || AreSettled(tables, KeyedServices(), era);
+}
+
 void coordinator_role::ObserveEra(instant now) {
   const bool knows_owners = authority_.has_role() && !leaving_ &&
                             !silent_until_ &&
@@ -207,8 +218,7 @@
     vacant_since_.reset();
     return;
   }
-  if (!succession_.MayClaim(
-          AreSettled(view_->tables, KeyedServices(), store_.era()), now)) {
+  if (!succession_.MayClaim(IsSettled(view_->tables, store_.era()), now)) {
     vacant_since_.reset();
     return;
   }
@@ -313,8 +323,7 @@
   if (!stored) {
     co_return false;
   }
-  if (!AreSettled(TablesOf(*stored), KeyedServices(),
-                  EraOf(lease_.revision()))) {
+  if (!IsSettled(TablesOf(*stored), EraOf(lease_.revision()))) {
     silent_until_ = succession_.SilentUntil(now);
     co_return true;
   }
@@ -469,8 +478,7 @@
   if (!stored) {
     co_return std::nullopt;
   }
-  co_return AreSettled(TablesOf(*stored), KeyedServices(),
-                       EraOf(tables.value().revision));
+  co_return IsSettled(TablesOf(*stored), EraOf(tables.value().revision));
 }
 
 asio::awaitable<void> coordinator_role::EndSilence(std::uint64_t term) {
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -51,6 +51,7 @@
   coordinator_role(boost::asio::io_context& io,
                    const key_timing& timing,
                    daemon_instance self,
+                   bool is_first_start,
                    kv_client& store,
                    store_watcher& watcher,
                    traffic_server& traffic);
@@ -117,6 +118,9 @@
   boost::asio::awaitable<std::optional<bool>> ReadIsSettled();
   // The names of the keyed services of the present configuration.
   std::vector<service_name> KeyedServices() const;
+  // True if `tables`, which the store has in `era`, name all owners of keys.
+  bool IsSettled(const std::map<service_name, key_table>& tables,
+                 const store_era& era) const;
   // Begins to coordinate from the tables of an older copy of the store, after
   // all grants that may be outstanding have ended.
   boost::asio::awaitable<void> EndSilence(std::uint64_t term);
@@ -189,6 +193,8 @@
   boost::asio::io_context& io_;
   key_timing timing_;
   daemon_instance self_;
+  // True if the whole system started for the first time with this process.
+  bool is_first_start_;
   kv_client& store_;
   store_watcher& watcher_;
   traffic_server& traffic_;
--- a/bluebell/gateway/gateway_daemon.cc
+++ b/bluebell/gateway/gateway_daemon.cc
@@ -146,8 +146,8 @@
   timing.grant_duration =
       std::min(timing.grant_duration, settings.max_grant_lifetime);
   daemon->role_ = std::make_unique<coordinator_role>(
-      io, timing, daemon->self_, *daemon->store_, *daemon->watcher_,
-      *daemon->traffic_);
+      io, timing, daemon->self_, settings.first_start, *daemon->store_,
+      *daemon->watcher_, *daemon->traffic_);
   daemon->watcher_->Start();
   daemon->member_->Start();
   daemon->role_->Start();
--- a/bluebell/kv/kv_client.cc
+++ b/bluebell/kv/kv_client.cc
@@ -65,6 +65,7 @@
   const store_era era = platform::DecodeEra(response);
   if (!era_) {
     era_ = era;
+    first_era_ = era;
   } else if (*era_ < era) {
     era_ = era;
     for (const auto& on_rise : era_handlers_) {
--- a/bluebell/kv/kv_client.h
+++ b/bluebell/kv/kv_client.h
@@ -59,6 +59,8 @@
 
   // The latest era that a response has shown; zero before the first response.
   store_era era() const { return era_.value_or(store_era()); }
+  // The era of the first response; zero before it.
+  store_era first_era() const { return first_era_.value_or(store_era()); }
   // `on_rise` is called when a response shows a later era than those before;
   // not for the first response. Several handlers may be added.
   void AddEraHandler(std::function<void(store_era era)> on_rise);
@@ -110,6 +112,7 @@
                                       const store_version& after);
 
   std::optional<store_era> era_;
+  std::optional<store_era> first_era_;
   std::vector<std::function<void(store_era era)>> era_handlers_;
   std::unique_ptr<http_client> client_;
   // Opens a connection for each call.
--- a/bluebell/settings/gateway_settings.cc
+++ b/bluebell/settings/gateway_settings.cc
@@ -82,6 +82,7 @@
       ReadFraction(reader, "warmup_slack", kWarmupSlackThousandthsRange);
   reader.Number("cross_domain_price_ms_per_mb", kCrossDomainPriceRange,
                 settings.cross_domain_price_ms_per_mb);
+  reader.Flag("first_start", settings.first_start);
   reader.Choice("log_level", kLogLevels, settings.log_level);
   return settings;
 }
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -53,6 +53,8 @@
   // worth, in milliseconds of its caller's waiting time. At the default, an
   // upload of 60 KB costs 60 ms, a third of the work of a usual one.
   std::uint32_t cross_domain_price_ms_per_mb = 1'000;
+  // True if the whole system starts for the first time with this process.
+  bool first_start = false;
   // One of "trace", "debug", "info", "warn", "error".
   std::string log_level = "info";
 
