--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -23,6 +23,7 @@
 #include "bluebell/core/ids.h"
 #include "bluebell/core/time.h"
 #include "bluebell/fleet/fleet_snapshot.h"
+#include "bluebell/gateway/era_succession.h"
 #include "bluebell/gateway/former_coordinators.h"
 #include "bluebell/gateway/order_authority.h"
 #include "bluebell/gateway/role_lease.h"
@@ -50,6 +51,7 @@
   coordinator_role(boost::asio::io_context& io,
                    const key_timing& timing,
                    daemon_instance self,
+                   bool is_first_start,
                    kv_client& store,
                    store_watcher& watcher,
                    traffic_server& traffic);
@@ -111,6 +113,23 @@
   std::string FormerCoordinatorIds() const;
   // Reads the key tables from the store. False if a read or a table failed.
   boost::asio::awaitable<bool> TakeOver();
+  // Whether the key tables in the store name all owners; no value if they can't
+  // be read.
+  boost::asio::awaitable<std::optional<bool>> ReadIsSettled();
+  // The names of the keyed services of the present configuration.
+  std::vector<service_name> KeyedServices() const;
+  // True if `tables`, which the store has in `era`, name all owners of keys.
+  bool IsSettled(const std::map<service_name, key_table>& tables,
+                 const store_era& era) const;
+  // Begins to coordinate from the tables of an older copy of the store, after
+  // all grants that may be outstanding have ended.
+  boost::asio::awaitable<void> EndSilence(std::uint64_t term);
+  // Takes note of the store's era. A coordinator stops, or claims the role
+  // again with its next renewal.
+  void ObserveEra(instant now);
+  // Claims the role again in the present era of the store, and asserts this
+  // daemon's tables.
+  boost::asio::awaitable<claim_outcome> ReclaimInEra();
   // Renews the lease until the term ends or the daemon leaves.
   boost::asio::awaitable<void> KeepLease();
   void StopCoordinating(const std::string& reason);
@@ -174,6 +193,8 @@
   boost::asio::io_context& io_;
   key_timing timing_;
   daemon_instance self_;
+  // True if the whole system started for the first time with this process.
+  bool is_first_start_;
   kv_client& store_;
   store_watcher& watcher_;
   traffic_server& traffic_;
@@ -187,6 +208,14 @@
   // another number of the term.
   order_authority authority_;
   role_lease lease_;
+  era_succession succession_;
+  // The store's era to which this coordinator's claim and the revisions of its
+  // tables belong. It writes no table in another one.
+  store_era asserted_era_;
+  // Until when this daemon, as the coordinator, sends no orders because the
+  // tables in the store may be older than grants in force.
+  std::optional<instant> silent_until_;
+  bool ending_silence_ = false;
   // The clients of the releases in flight.
   std::vector<std::weak_ptr<http_client>> releases_in_flight_;
   former_coordinators former_coordinators_;
--- a/bluebell/telemetry/metric.h
+++ b/bluebell/telemetry/metric.h
@@ -37,6 +37,7 @@
   kInvariantViolations,  // label invariant
   kSilentWatches,        // labels watch, shown_by
   kEvacuatedDomains,     // gauge
+  kStoreEra,             // gauge
   kColdStartHolds,       // label service
   kReturnPromises,       // labels service, result
   kDomainRequests,       // labels service, from, to
