Count the promises of an interval, not only their work

A request whose work isn't known has a promise without work; when the other promise of its interval was removed, the interval was forgotten, and removing the one without work erased a missing entry. The capacity of a promise is freed as well when its caller's deadline passes first.

The two new tests failed before the change (SIGSEGV; capacity left) and pass now.

--- a/bluebell/permits/admission_test.cc
+++ b/bluebell/permits/admission_test.cc
@@ -438,6 +438,41 @@
   CHECK(schedule.PromisedWork(endpoint_id(), urgent.latest) == duration(0));
 }
 
+// Failure: a request whose work isn't known had a promise without work. The
+// interval was forgotten with the other promise in it, and the process ended
+// when this one was removed.
+TEST_CASE("promises without work can be removed after the others") {
+  return_schedule schedule;
+  promise_request request = MakePromise(0);
+  request.latest = request.earliest + milliseconds(1);
+  request.slots = 1'000;
+  promise_request without_work = MakePromise(1);
+  without_work.earliest = request.earliest;
+  without_work.latest = request.latest;
+  without_work.work = duration(0);
+  for (const promise_request& each : {without_work, request}) {
+    schedule.AddRefused(each.identity, kStart, kStart);
+    REQUIRE(schedule.Book(each));
+  }
+  const instant later = kStart + milliseconds(300);
+  schedule.Remove(request.identity, later);
+  schedule.Remove(without_work.identity, later);
+  CHECK(schedule.PromisedWork(endpoint_id(), request.latest) == duration(0));
+}
+
+// Failure: the capacity of a promise stayed reserved for good if the caller's
+// deadline passed before the promise expired.
+TEST_CASE("a forgotten request leaves no promise behind") {
+  return_schedule schedule;
+  promise_request request = MakePromise(0);
+  request.identity.deadline = request.earliest;
+  schedule.AddRefused(request.identity, kStart, kStart);
+  const auto promised_at = schedule.Book(request);
+  REQUIRE(promised_at);
+  schedule.RemoveExpired(*promised_at + milliseconds(1));
+  CHECK(schedule.PromisedWork(endpoint_id(), request.latest) == duration(0));
+}
+
 // Guards against a new request that takes the promise of the one before it.
 TEST_CASE("a caller that returns is recognized by its deadline") {
   return_schedule schedule;
--- a/bluebell/permits/return_schedule.cc
+++ b/bluebell/permits/return_schedule.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <utility>
 
 namespace bluebell {
@@ -64,7 +63,10 @@
   known->second.promised_at = at;
   known->second.queue = request.queue;
   known->second.work = request.work;
-  work_by_queue_[request.queue][IntervalOf(at)] += request.work;
+  promised_capacity& promised =
+      promised_by_queue_[request.queue][IntervalOf(at)];
+  promised.work += request.work;
+  ++promised.promises;
   return at;
 }
 
@@ -72,10 +74,10 @@
     const promise_request& request) const {
   const double share =
       std::max(kMinRankShare, 1 - kShareLeftToUrgentRank * request.rank);
-  static const std::map<interval_number, duration> nothing_promised;
-  const auto queue = work_by_queue_.find(request.queue);
+  static const std::map<interval_number, promised_capacity> nothing_promised;
+  const auto queue = promised_by_queue_.find(request.queue);
   const auto& promised =
-      queue == work_by_queue_.end() ? nothing_promised : queue->second;
+      queue == promised_by_queue_.end() ? nothing_promised : queue->second;
   // Work may take longer than an interval and runs on into the next ones.
   // Therefore the work promised up to the end of an interval is compared with
   // the capacity up to then, for this interval and all later ones.
@@ -84,7 +86,7 @@
   for (interval_number i = IntervalOf(request.earliest);
        i <= IntervalOf(request.latest - duration(1)); ++i) {
     const auto known = promised.find(i);
-    work += known == promised.end() ? duration(0) : known->second;
+    work += known == promised.end() ? duration(0) : known->second.work;
     const duration time = std::min(EndOf(i), request.latest) - request.earliest;
     const double room =
         static_cast<double>(time.count()) * request.slots * share;
@@ -142,14 +144,17 @@
   if (!request.promised_at) {
     return;
   }
-  const auto queue = work_by_queue_.find(request.queue);
+  const auto queue = promised_by_queue_.find(request.queue);
   const auto interval = queue->second.find(IntervalOf(*request.promised_at));
-  interval->second -= request.work;
-  if (interval->second <= duration(0)) {
+  interval->second.work -= request.work;
+  --interval->second.promises;
+  // The work of a request may be zero, so the work alone doesn't tell that no
+  // promise is left.
+  if (interval->second.promises == 0) {
     queue->second.erase(interval);
   }
   if (queue->second.empty()) {
-    work_by_queue_.erase(queue);
+    promised_by_queue_.erase(queue);
   }
 }
 
@@ -166,15 +171,20 @@
       request.promised_at.reset();
       ++removed;
     }
-    each = each->first.deadline < now ? refused_.erase(each) : std::next(each);
+    if (each->first.deadline < now) {
+      FreeCapacity(request);
+      each = refused_.erase(each);
+    } else {
+      ++each;
+    }
   }
   return removed;
 }
 
 duration return_schedule::PromisedWork(const endpoint_id& queue,
                                        instant until) const {
-  const auto found = work_by_queue_.find(queue);
-  if (found == work_by_queue_.end()) {
+  const auto found = promised_by_queue_.find(queue);
+  if (found == promised_by_queue_.end()) {
     return duration(0);
   }
   duration work(0);
@@ -182,7 +192,7 @@
     if (number > IntervalOf(until)) {
       break;
     }
-    work += promised;
+    work += promised.work;
   }
   return work;
 }
--- a/bluebell/permits/return_schedule.h
+++ b/bluebell/permits/return_schedule.h
@@ -87,6 +87,11 @@
 
  private:
   using interval_number = std::int64_t;
+  // What is promised in one interval.
+  struct promised_capacity {
+    duration work{0};
+    std::uint32_t promises = 0;
+  };
   using requests_by_identity = std::map<request_identity, refused_request>;
 
   requests_by_identity::const_iterator FindEntry(
@@ -99,7 +104,8 @@
   // Frees the capacity that is reserved for the request.
   void FreeCapacity(const refused_request& request);
 
-  std::map<endpoint_id, std::map<interval_number, duration>> work_by_queue_;
+  std::map<endpoint_id, std::map<interval_number, promised_capacity>>
+      promised_by_queue_;
   requests_by_identity refused_;
   // Spreads the times within an interval.
   std::uint64_t booked_count_ = 0;
