--- a/bluebell/kv/store_era_test.cc
+++ b/bluebell/kv/store_era_test.cc
@@ -110,7 +110,7 @@
   CHECK_FALSE(store.Watch(store_version()));
   REQUIRE(store.Watch(store_version()));
   CHECK(store.client().first_era() == store_era(3));
-  store.Watch(store_version());
+  CHECK(store.Watch(store_version()));
   CHECK(store.client().era() == store_era(3));
   CHECK(store.rises().empty());
 }
