--- a/bluebell/gateway/era_succession.h
+++ b/bluebell/gateway/era_succession.h
@@ -9,11 +9,11 @@
 // other daemon leaves it some time for that, and sends no orders before all
 // grants that may be outstanding have ended.
 //
-// In era 0, and for settled services, nothing is restricted. An aggregate
-// without I/O, used on the control thread.
+// In era 0, and for settled services, nothing is restricted. Does no I/O; used
+// on the control thread.
 //
 //   era_succession succession(timing);
-//   succession.OnEra(store.era(), holds_authority, now);
+//   succession.OnEra(store.era(), knows_owners, now);
 //   if (succession.MayClaim(AreSettled(tables, services, era), now)) ...
 
 #ifndef BLUEBELL_GATEWAY_ERA_SUCCESSION_H_
@@ -56,8 +56,8 @@
 class era_succession {
  public:
   // How long the other daemons leave a coordinator to claim the role again. It
-  // renews its lease every 0.35 s, each call takes up to 1 s, and a claim takes
-  // three of them.
+  // renews its lease every 0.35 s and needs three calls for a claim, which may
+  // each wait for most of a second while the store is busy again.
   static constexpr milliseconds kPrecedence{3'000};
 
   explicit era_succession(const key_timing& timing) : timing_(timing) {}
--- a/bluebell/http/message_framing.cc
+++ b/bluebell/http/message_framing.cc
@@ -93,7 +93,6 @@
   const bool states_body = head.count(bhttp::field::transfer_encoding) > 0 ||
                            (head.count(bhttp::field::content_length) > 0 &&
                             head[bhttp::field::content_length] != "0");
-  // Readers may take a status below 100 for that of an interim response.
   if (!IsPossibleStatus(status)) {
     return message_framing::kImpossibleStatus;
   }
--- a/bluebell/http/response_status.h
+++ b/bluebell/http/response_status.h
@@ -6,9 +6,9 @@
 namespace bluebell {
 
 // False for a status outside 100 to 599, which no class of statuses contains.
-// Endpoints in trouble have sent 000. A status above 599 is refused too:
-// callers would read it differently, and HTTP lets a client take it for a
-// server error only, which a response that isn't relayed is as well.
+// Endpoints in trouble have sent 000. A status above 599 isn't relayed either:
+// callers disagree on its meaning, and HTTP lets them treat it as a server
+// error, which is what they get instead.
 constexpr bool IsPossibleStatus(unsigned status) {
   constexpr unsigned kFirst = 100;
   constexpr unsigned kLast = 599;
--- a/bluebell/kv/kv_client.h
+++ b/bluebell/kv/kv_client.h
@@ -80,8 +80,9 @@
   // become silent.
   awaitable_result<kv_changes> ReadChanges(std::string prefix,
                                            store_version after);
-  // A conflict or an ended lease is a result, not an error. A conflict without
-  // items if a condition names a revision of another era than the latest. If
+  // A conflict or an ended lease is a result, not an error. Sends nothing and
+  // returns a conflict without items if a condition names a revision of another
+  // era than the latest; no era is known before the first response. If
   // the response shows another era than the latest one when the call was sent,
   // the write fails with errc::kConnectionLost, since its conditions may have
   // been compared with revisions that were assigned again.
--- a/bluebell/permits/admission_counts.h
+++ b/bluebell/permits/admission_counts.h
@@ -15,7 +15,7 @@
   std::uint64_t kept = 0;
   // Those that returned before their time and were refused again.
   std::uint64_t refused_again = 0;
-  // Those that didn't return at their time.
+  // Those whose caller wasn't admitted by shortly after its time.
   std::uint64_t expired = 0;
   // Requests that were refused without a promise.
   std::uint64_t unpromised = 0;
--- a/bluebell/permits/cold_start_bound.cc
+++ b/bluebell/permits/cold_start_bound.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+// Two daemons may consider themselves first while one hands over to the other;
+// see cold_start_limit.h.
 constexpr double kDispatchersAtATime = 2;
 
 }  // namespace
--- a/bluebell/permits/return_schedule.cc
+++ b/bluebell/permits/return_schedule.cc
@@ -16,8 +16,9 @@
 constexpr milliseconds kReturnTolerance{100};
 constexpr milliseconds kExpiryCheckInterval{50};
 // The deadlines that two attempts of a request state differ by the time that
-// they travel.
-constexpr milliseconds kDeadlineTolerance{20};
+// they travel. Short, because new requests of a route have nearly the same
+// deadline as well.
+constexpr milliseconds kAttemptDeadlineTolerance{20};
 // Each rank leaves this part of the capacity to every more urgent one, down to
 // a least share that it may use.
 constexpr double kShareLeftToUrgentRank = 0.2;
@@ -103,18 +104,18 @@
 return_schedule::FindEntry(const request_identity& identity,
                            instant now) const {
   request_identity from = identity;
-  from.deadline -= kDeadlineTolerance;
+  from.deadline -= kAttemptDeadlineTolerance;
   auto nearest = refused_.end();
   for (auto each = refused_.lower_bound(from); each != refused_.end(); ++each) {
     const request_identity& known = each->first;
     if (known.route != identity.route || known.key != identity.key ||
-        known.deadline > identity.deadline + kDeadlineTolerance) {
+        known.deadline > identity.deadline + kAttemptDeadlineTolerance) {
       break;
     }
     // A new request that arrives shortly after the refused one has nearly the
     // same deadline.
     const bool is_recent =
-        now < each->second.refused_at + 2 * kDeadlineTolerance;
+        now < each->second.refused_at + 2 * kAttemptDeadlineTolerance;
     if (!is_recent &&
         (nearest == refused_.end() ||
          std::chrono::abs(known.deadline - identity.deadline) <
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -41,9 +41,9 @@
 constexpr milliseconds kExpiryMargin{700};
 constexpr milliseconds kExpiryCheckInterval{100};
 constexpr milliseconds kEndpointRefreshInterval{20};
-// The deadlines that are computed from the repetitions of a request differ by
-// the time that the messages travel.
-constexpr milliseconds kDeadlineTolerance{100};
+// The deadlines that are computed from the repetitions of a message differ by
+// the time that they travel, on a busy host by tens of milliseconds.
+constexpr milliseconds kRepetitionDeadlineTolerance{100};
 // Names the queue that all endpoints serve.
 const endpoint_id kSharedQueueName;
 // A request that is abandoned after this multiple of its expected time counts
@@ -322,7 +322,7 @@
   wait_queue& queue = *waiting_in.queue;
   const waiting_request& waiting = *queue.Find(id);
   const instant deadline = now + milliseconds(repetition.time_left_ms);
-  if (deadline + kDeadlineTolerance >= waiting.deadline) {
+  if (deadline + kRepetitionDeadlineTolerance >= waiting.deadline) {
     return true;
   }
   const duration wait = WaitFor(queue.WorkBefore(id), waiting_in.capacity);
