--- a/bluebell/gateway/store_rollback_random_test.cc
+++ b/bluebell/gateway/store_rollback_random_test.cc
@@ -137,7 +137,9 @@
     }
     ++grants;
     for (model_endpoint& other : models) {
-      held_twice += &other != owner && other.MayHold(order.grant.range, now);
+      const bool holds_too =
+          &other != owner && other.MayHold(order.grant.range, now);
+      held_twice += holds_too ? 1 : 0;
     }
     return grant_verdict::kAccepted;
   }
@@ -221,7 +223,8 @@
     }
     return tables;
   }
-  std::vector<coordinator_record> History(const std::vector<kv_item>& items) {
+  static std::vector<coordinator_record> History(
+      const std::vector<kv_item>& items) {
     for (const kv_item& item : items) {
       if (item.key == kCoordinatorHistoryKey) {
         return DecodeHistory(item.key, item.value).value();
@@ -418,6 +421,7 @@
   world around(seed);
   std::vector<model_coordinator> coordinators;
   const int count = seed % 2 == 0 ? 2 : 3;
+  coordinators.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     coordinators.emplace_back(around, i);
   }
--- a/bluebell/keyspace/complete_planner.cc
+++ b/bluebell/keyspace/complete_planner.cc
@@ -116,10 +116,11 @@
  public:
   explicit planner(const complete_plan_input& input)
       : index_(input.loads, kIdleKeyLoadSlots),
-        range_count_(input.ranges.size()) {
+        range_count_(input.ranges.size()),
+        total_(index_.LoadOf(key_range())),
+        mean_use_(total_ / TotalCapacity(input)) {
     for (const auto& [owner, capacity] : input.owner_capacities) {
       owners_.push_back({owner, capacity, 0, {}, 0});
-      capacity_ += capacity;
     }
     for (const owned_range& each : input.ranges) {
       if (owner_state* state = FindOwner(each.owner)) {
@@ -129,11 +130,9 @@
         }
       }
     }
-    total_ = index_.LoadOf(key_range());
     for (const key_range& range : input.moving) {
       moving_load_ += index_.LoadOf(range);
     }
-    mean_use_ = total_ / std::max(kMinCapacity, capacity_);
   }
 
   std::vector<planned_move> Plan() {
@@ -157,6 +156,14 @@
   }
 
  private:
+  static double TotalCapacity(const complete_plan_input& input) {
+    double capacity = 0;
+    for (const auto& [owner, slots] : input.owner_capacities) {
+      capacity += slots;
+    }
+    return std::max(kMinCapacity, capacity);
+  }
+
   owner_state* FindOwner(const endpoint_instance& owner) {
     const auto found = std::lower_bound(
         owners_.begin(), owners_.end(), owner,
@@ -287,9 +294,8 @@
   key_load_index index_;
   std::vector<owner_state> owners_;
   std::size_t range_count_;
-  double capacity_ = 0;
-  double total_ = 0;
-  double mean_use_ = 0;
+  double total_;
+  double mean_use_;
   double moving_load_ = 0;
   std::size_t ordinary_moves_ = 0;
   // By use.
--- a/bluebell/keyspace/load_estimate_test.cc
+++ b/bluebell/keyspace/load_estimate_test.cc
@@ -1,6 +1,7 @@
 #include "bluebell/keyspace/load_estimate.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <random>
 #include <vector>
 
@@ -21,8 +22,8 @@
 }
 
 // Requests for keys that are equally busy, as they are measured.
-std::vector<shard_load> MeasuredEvenly() {
-  std::mt19937 random(7);
+std::vector<shard_load> MeasuredEvenly(std::uint32_t seed) {
+  std::mt19937 random(seed);
   std::poisson_distribution<int> requests(10);
   std::vector<shard_load> measured;
   for (std::size_t block = 0; block < kLoadBlockCount; ++block) {
@@ -35,7 +36,7 @@
 // Guards against moves that follow the chance by which requests arrive.
 TEST_CASE("keys whose loads differ by chance count as equally busy") {
   const std::vector<shard_load> loads =
-      EstimateLoads(MeasuredEvenly(), Sampling());
+      EstimateLoads(MeasuredEvenly(7), Sampling());
   const key_load_index index(loads, 0);
   const double half = index.LoadOf({0, 32'767});
   const double other_half = index.LoadOf({32'768, kLastShardKey});
@@ -44,7 +45,7 @@
 }
 
 TEST_CASE("keys that are busier than chance explains keep their load") {
-  std::vector<shard_load> measured = MeasuredEvenly();
+  std::vector<shard_load> measured = MeasuredEvenly(7);
   measured[100].slots = 20;
   const key_load_index index(EstimateLoads(measured, Sampling()), 0);
   CHECK(index.LoadOf({6'400, 6'463}) == Approx(20));
