--- a/bluebell/kv/store_era_test.cc
+++ b/bluebell/kv/store_era_test.cc
@@ -108,9 +108,9 @@
   scripted_store store({Response("", "", "503 Service Unavailable"),
                         Response("3", kNoChanges), Response("", kNoChanges)});
   CHECK_FALSE(store.Watch(store_version()));
-  REQUIRE(store.Watch(store_version()));
+  REQUIRE(store.Watch(VersionIn(store_era(3), 8)));
   CHECK(store.client().first_era() == store_era(3));
-  CHECK(store.Watch(store_version()));
+  CHECK(store.Watch(VersionIn(store_era(3), 8)));
   CHECK(store.client().era() == store_era(3));
   CHECK(store.rises().empty());
 }
--- a/bluebell/permits/admission_test.cc
+++ b/bluebell/permits/admission_test.cc
@@ -19,10 +19,6 @@
 #include "bluebell/permits/return_schedule.h"
 #include "bluebell/permits/slot_scheduler.h"
 
-static const double HOT =
-    std::getenv("HOT") ? std::atof(std::getenv("HOT")) : 0.25;
-static const double FACTOR =
-    std::getenv("FACTOR") ? std::atof(std::getenv("FACTOR")) : 1.6;
 namespace bluebell {
 namespace {
 
@@ -245,7 +241,7 @@
     sum.promises.kept += each.promises.kept;
   };
   comparison sums;
-  for (const std::uint32_t seed : {7, 11, 13, 17, 19, 23, 29, 31}) {
+  for (const std::uint32_t seed : {7U, 11U, 13U, 17U, 19U, 23U, 29U, 31U}) {
     add(sums.off, Run(scenario, {}, seed));
     add(sums.on, Run(scenario, {scheduled_admission()}, seed));
   }
--- a/bluebell/permits/wait_queue_test.cc
+++ b/bluebell/permits/wait_queue_test.cc
@@ -38,7 +38,7 @@
 // exceeded its share, and against slots that stay free while it has work.
 TEST_CASE("a deferred route goes after the other routes of its rank only") {
   wait_queue queue;
-  for (const std::uint64_t number : {1, 2, 3, 4}) {
+  for (const std::uint64_t number : {1U, 2U, 3U, 4U}) {
     waiting_request request =
         MakeRequest(number, number == 4 ? 2 : 1,
                     number == 3 ? milliseconds(10) : milliseconds(5'000));
@@ -47,7 +47,7 @@
   }
   CHECK(queue.OnTimeWorkBefore(1) == milliseconds(300));
   const instant now = kStart + milliseconds(50);
-  for (const std::uint64_t expected : {2, 1, 3, 4}) {
+  for (const std::uint64_t expected : {2U, 1U, 3U, 4U}) {
     CHECK(NumberOf(queue.TakeNext(now, AnyRank, AnyRequest, {"uploads"})) ==
           expected);
     CHECK(queue.OnTimeWorkBefore(1) ==
@@ -159,7 +159,7 @@
 // its domain was dropped with another one, and taking it ended the process.
 TEST_CASE("requests without work can be taken after the others") {
   wait_queue queue;
-  for (std::uint64_t number : {1, 2}) {
+  for (const std::uint64_t number : {1U, 2U}) {
     waiting_request request;
     request.message.id = {1, number};
     request.message.domain = domain_name("a");
