--- a/testing/gateway/kv_standin.h
+++ b/testing/gateway/kv_standin.h
@@ -123,7 +123,7 @@
 
   kv_standin(boost::asio::io_context& io, std::uint64_t seed);
 
-  void Serve(const http_request& request, http_responder respond);
+  void Serve(const http_request& request, http_responder send);
   http_response Answer(const http_request& request);
   http_response Range(const std::string& target) const;
   http_response Transact(const std::string& body);
