Guard the tick after a table write; plainer reasons, shared samples

Cause: a read of the whole change as a newcomer. WriteTable() ticked as coordinator although the table that it had just published could have ended the role.

--- a/bluebell/gateway/coordinator_orders.cc
+++ b/bluebell/gateway/coordinator_orders.cc
@@ -268,6 +268,10 @@
                  },
                  [&](const kv_lease_ended&) {}},
       written.value());
+  // The published table may have ended the role.
+  if (term != authority_.term()) {
+    co_return;
+  }
   TickAsCoordinator(now);
 }
 
--- a/bluebell/gateway/member_lease_test.cc
+++ b/bluebell/gateway/member_lease_test.cc
@@ -8,13 +8,13 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
-#include "bluebell/core/store_era.h"
-
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/store_era.h"
 #include "bluebell/fleet/store_keys.h"
 #include "bluebell/gateway/store_watcher.h"
 #include "bluebell/http/internal/response_script.h"
 #include "bluebell/kv/kv_client.h"
+#include "platform/wire_samples.h"
 
 namespace bluebell {
 namespace {
@@ -28,10 +28,36 @@
                            200,
                            false};
 
+using platform::SampleLeaseBody;
+using platform::SampleStoreResponse;
+
 std::string Response(const std::string& status, const std::string& body) {
-  return "HTTP/1.1 " + status +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
+  return SampleStoreResponse("", body, status);
+}
+
+const fleet_decoders kNoDecoders{"endpoints/", "config", nullptr,
+                                 nullptr,      "config", ""};
+
+// Runs a member_lease with a store that sends the responses in order, and
+// returns the times of the calls.
+std::vector<instant> RunLease(const std::vector<std::string>& responses) {
+  asio::io_context io;
+  std::vector<instant> call_times;
+  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
+    call_times.push_back(BootNow());
+    return responses[std::min(call_times.size(), responses.size()) - 1];
+  });
+  const auto store = kv_client::Make(io, server.where()).value();
+  // Has a client of its own, so that all calls are those of the lease.
+  const auto watcher_store = kv_client::Make(io, server.where()).value();
+  store_watcher watcher(io, *watcher_store, kNoDecoders, watcher_handlers{});
+  member_lease lease(io, *store, watcher, kMember);
+  lease.Start();
+  while (call_times.size() < responses.size() &&
+         io.run_one_for(seconds(5)) > 0) {
+  }
+  REQUIRE(call_times.size() == responses.size());
+  return call_times;
 }
 
 // Failure: the store executes the announcement of an ended process late, after
@@ -51,27 +77,12 @@
 // exists isn't announced until that entry has expired.
 TEST_CASE("a daemon replaces the entry of its former process at once") {
   const std::vector<std::string> responses{
-      Response("200 OK", R"({"Lease":7,"TtlS_time":6})"),
+      Response("200 OK", SampleLeaseBody(7)),
       Response("412 Precondition Failed",
                R"({"items":[{"Key":"bluebell/members/front-1",)"
                R"("Value":"e30=","Revision":3,"CreatedRev":3,"Lease":2}]})"),
       Response("200 OK", R"({"Revision":9})")};
-  asio::io_context io;
-  std::vector<instant> call_times;
-  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
-    call_times.push_back(BootNow());
-    return responses[std::min(call_times.size(), responses.size()) - 1];
-  });
-  const auto store = kv_client::Make(io, server.where()).value();
-  store_watcher watcher(
-      io, *store,
-      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
-      watcher_handlers{});
-  member_lease lease(io, *store, watcher, kMember);
-  lease.Start();
-  while (call_times.size() < 3 && io.run_one_for(seconds(5)) > 0) {
-  }
-  REQUIRE(call_times.size() == 3);
+  const std::vector<instant> call_times = RunLease(responses);
   // Shorter than the pause after a failed announcement.
   CHECK(call_times[2] - call_times[1] < milliseconds(300));
 }
@@ -97,10 +108,8 @@
                        : std::string();
   });
   const auto store = kv_client::Make(io, server.where()).value();
-  store_watcher watcher(
-      io, *store,
-      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
-      watcher_handlers{[](const fleet_state&) {}, nullptr});
+  store_watcher watcher(io, *store, kNoDecoders,
+                        watcher_handlers{[](const fleet_state&) {}, nullptr});
   member_lease lease(io, *store, watcher, kMember);
   lease.Start();
   while (call_times.size() < kAnswered && io.run_one_for(seconds(5)) > 0) {
@@ -119,27 +128,11 @@
 // announced: it is no dispatcher, relay or coordinator until it restarts.
 TEST_CASE("a daemon whose lease has ended writes its entry again") {
   const std::vector<std::string> responses{
-      Response("200 OK", R"({"Lease":7,"TtlS_time":6})"),
+      Response("200 OK", SampleLeaseBody(7)),
       Response("200 OK", R"({"Revision":9})"), Response("404 Not Found", ""),
-      Response("200 OK", R"({"Lease":8,"TtlS_time":6})"),
+      Response("200 OK", SampleLeaseBody(8)),
       Response("200 OK", R"({"Revision":12})")};
-  asio::io_context io;
-  std::vector<instant> call_times;
-  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
-    call_times.push_back(BootNow());
-    return responses[std::min(call_times.size(), responses.size()) - 1];
-  });
-  const auto store = kv_client::Make(io, server.where()).value();
-  store_watcher watcher(
-      io, *store,
-      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
-      watcher_handlers{});
-  member_lease lease(io, *store, watcher, kMember);
-  lease.Start();
-  while (call_times.size() < responses.size() &&
-         io.run_one_for(seconds(5)) > 0) {
-  }
-  REQUIRE(call_times.size() == responses.size());
+  const std::vector<instant> call_times = RunLease(responses);
   // The renewal that shows it, and the new announcement.
   CHECK(call_times[2] - call_times[1] < seconds(2));
   CHECK(call_times[4] - call_times[2] < seconds(1));
@@ -148,33 +141,13 @@
 // Failure: the store comes back without the entry, or with an earlier one, and
 // the daemon goes on renewing a lease id that another daemon may have by now.
 TEST_CASE("a daemon writes its entry again when the store's era rises") {
-  const auto in_era = [](const std::string& era, const std::string& body) {
-    return Response("200 OK\r\nStore-Era: " + era, body);
-  };
   const std::vector<std::string> responses{
-      in_era("1", R"({"Lease":7,"TtlS_time":6})"),
-      in_era("1", R"({"Revision":9})"), in_era("2", "{}"),
-      in_era("2", R"({"Lease":7,"TtlS_time":6})"),
-      in_era("2", R"({"Revision":4})")};
-  asio::io_context io;
-  std::vector<instant> call_times;
-  response_script server(io, [&](std::vector<std::string>& /*sent*/) {
-    call_times.push_back(BootNow());
-    return responses[std::min(call_times.size(), responses.size()) - 1];
-  });
-  const auto store = kv_client::Make(io, server.where()).value();
-  // Has a client of its own, so that all calls are those of the lease.
-  const auto watcher_store = kv_client::Make(io, server.where()).value();
-  store_watcher watcher(
-      io, *watcher_store,
-      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
-      watcher_handlers{});
-  member_lease lease(io, *store, watcher, kMember);
-  lease.Start();
-  while (call_times.size() < responses.size() &&
-         io.run_one_for(seconds(5)) > 0) {
-  }
-  REQUIRE(call_times.size() == responses.size());
+      SampleStoreResponse("1", SampleLeaseBody(7)),
+      SampleStoreResponse("1", R"({"Revision":9})"),
+      SampleStoreResponse("2", "{}"),
+      SampleStoreResponse("2", SampleLeaseBody(7)),
+      SampleStoreResponse("2", R"({"Revision":4})")};
+  const std::vector<instant> call_times = RunLease(responses);
   CHECK(call_times[4] - call_times[2] < milliseconds(1'500));
 }
 
@@ -186,14 +159,12 @@
   response_script server(io, [&](std::vector<std::string>& /*sent*/) {
     // The listing and the watches of the first era, then those of the second.
     const std::string era = ++calls <= 3 ? "1" : "2";
-    return Response("200 OK\r\nStore-Era: " + era,
-                    R"({"items":[],"events":[],"CurrentRev":3})");
+    return SampleStoreResponse(era,
+                               R"({"items":[],"events":[],"CurrentRev":3})");
   });
   const auto store = kv_client::Make(io, server.where()).value();
-  store_watcher watcher(
-      io, *store,
-      fleet_decoders{"endpoints/", "config", nullptr, nullptr, "config", ""},
-      watcher_handlers{[](const fleet_state&) {}, nullptr});
+  store_watcher watcher(io, *store, kNoDecoders,
+                        watcher_handlers{[](const fleet_state&) {}, nullptr});
   watcher.Start();
   const instant latest = BootNow() + seconds(4);
   while (watcher.read_era() != store_era(2) && BootNow() < latest) {
--- a/bluebell/gateway/store_watcher.cc
+++ b/bluebell/gateway/store_watcher.cc
@@ -48,8 +48,8 @@
 // Shorter outages can't make endpoint entries lapse.
 constexpr milliseconds kMinOutageForLapses{1'000};
 // When the store comes back from an older copy, all daemons read it anew, also
-// those that follow relays. Spread over this time, 87 listings stay within the
-// store's rate of reads.
+// those that follow relays. Spreading the listings over this time keeps those
+// of a large fleet within the store's rate limit for reads.
 constexpr milliseconds kEraReadSpread{1'000};
 // The prefix of every key.
 constexpr const char* kAllKeysPrefix = "";
--- a/bluebell/keyspace/shard_load.h
+++ b/bluebell/keyspace/shard_load.h
@@ -48,6 +48,7 @@
   // Long enough to average over several requests of a key, short enough to
   // follow keys that become busy.
   static constexpr decaying_load::window kGradualMeanTime{2.5};
+
   void RemoveNegligible(instant now);
   // The loads, as measured.
   std::vector<shard_load> MeasuredLoads(instant now) const;
--- a/bluebell/kv/store_era_test.cc
+++ b/bluebell/kv/store_era_test.cc
@@ -18,20 +18,15 @@
 #include <catch2/catch.hpp>
 
 #include "bluebell/http/internal/response_script.h"
+#include "platform/wire_samples.h"
 
 namespace bluebell {
 namespace {
 
 namespace asio = boost::asio;
 
-// A response in the given era; without the header if that is empty.
-std::string Response(const std::string& era,
-                     const std::string& body,
-                     const std::string& status = "200 OK") {
-  return "HTTP/1.1 " + status + (era.empty() ? "" : "\r\nStore-Era: " + era) +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
+using platform::SampleLeaseBody;
+using platform::SampleStoreResponse;
 
 const std::string kNoChanges = R"({"events":[],"CurrentRev":9})";
 const std::string kWritten = R"({"Revision":10})";
@@ -90,7 +85,8 @@
 // Failure: without the header, versions change their meaning, or calls are
 // withheld.
 TEST_CASE("a store without eras is used as before") {
-  scripted_store store({Response("", kNoChanges), Response("", kWritten)});
+  scripted_store store(
+      {SampleStoreResponse("", kNoChanges), SampleStoreResponse("", kWritten)});
   const auto changes = store.Watch(store_version(8));
   REQUIRE(changes);
   CHECK(changes.value().revision == store_version(9));
@@ -105,8 +101,9 @@
 // Failure: an error without the header counted as era 0, and the next response
 // as a store that has come back from an older copy.
 TEST_CASE("a response without the header says nothing of the era") {
-  scripted_store store({Response("", "", "503 Service Unavailable"),
-                        Response("3", kNoChanges), Response("", kNoChanges)});
+  scripted_store store({SampleStoreResponse("", "", "503 Service Unavailable"),
+                        SampleStoreResponse("3", kNoChanges),
+                        SampleStoreResponse("", kNoChanges)});
   CHECK_FALSE(store.Watch(store_version()));
   REQUIRE(store.Watch(VersionIn(store_era(3), 8)));
   CHECK(store.client().first_era() == store_era(3));
@@ -118,8 +115,9 @@
 // Failure: a revision that the store has assigned twice satisfies a condition,
 // and the write replaces a value that its writer has never seen.
 TEST_CASE("a condition of an earlier era conflicts without a call") {
-  scripted_store store({Response("1", kNoChanges), Response("2", kNoChanges),
-                        Response("2", kWritten)});
+  scripted_store store({SampleStoreResponse("1", kNoChanges),
+                        SampleStoreResponse("2", kNoChanges),
+                        SampleStoreResponse("2", kWritten)});
   REQUIRE(store.Watch(VersionIn(store_era(1), 8)));
   const auto lost = store.Watch(VersionIn(store_era(1), 9));
   REQUIRE_FALSE(lost);
@@ -146,7 +144,8 @@
 // Failure: a write that a later era has executed counts as one in the era of
 // its conditions.
 TEST_CASE("the outcome of a write during a rise of the era is unknown") {
-  scripted_store store({Response("1", kNoChanges), Response("2", kWritten)});
+  scripted_store store({SampleStoreResponse("1", kNoChanges),
+                        SampleStoreResponse("2", kWritten)});
   REQUIRE(store.Watch(VersionIn(store_era(1), 8)));
   const auto written =
       store.Run(store.client().Write(WriteOf(VersionIn(store_era(1), 9))));
@@ -157,8 +156,9 @@
 // Failure: the daemon renews a lease of another daemon to which the store has
 // granted the same id again, and takes its own for alive.
 TEST_CASE("a lease of an earlier era has ended") {
-  scripted_store store({Response("1", R"({"Lease":7,"TtlS_time":6})"),
-                        Response("2", "{}"), Response("2", "{}")});
+  scripted_store store({SampleStoreResponse("1", SampleLeaseBody(7)),
+                        SampleStoreResponse("2", "{}"),
+                        SampleStoreResponse("2", "{}")});
   const auto lease = store.Run(store.client().StartLease(seconds(6)));
   REQUIRE(lease);
   CHECK(store.Run(store.client().RenewLease(lease.value().lease)).value() ==
@@ -174,8 +174,9 @@
   const std::string page =
       R"({"items":[{"Key":"a","Value":"","Revision":3}],"CurrentRev":9,)"
       R"("HasMore":true})";
-  scripted_store store({Response("1", page), Response("2", kEmptyPage),
-                        Response("2", kEmptyPage)});
+  scripted_store store({SampleStoreResponse("1", page),
+                        SampleStoreResponse("2", kEmptyPage),
+                        SampleStoreResponse("2", kEmptyPage)});
   const auto listing = store.Run(store.client().List(""));
   REQUIRE(listing);
   CHECK(listing.value().items.empty());
--- a/bluebell/permits/admission_control.cc
+++ b/bluebell/permits/admission_control.cc
@@ -12,10 +12,10 @@
 // The time constant of the average of new work. Callers honour promises of less
 // than a third of their deadline, which is about a second.
 constexpr std::chrono::duration<double> kDemandAveragingTime{1};
-// The part of the capacity that may be promised however much new work arrives.
-// After a peak, fewer callers are refused again than without this part. Late
-// answers to returning callers take the place of answers within the objective,
-// so a larger part lowers the number of these.
+// The part of the capacity that may be promised however much new work arrives,
+// so that refused callers can return during a long peak, too. It is small
+// because a late answer to one of them takes the capacity of an answer within
+// the objective.
 constexpr double kMinPromisedShare = 0.1;
 // Callers honour a retry time of up to this part of the time that they have
 // left.
--- a/bluebell/permits/admission_control.h
+++ b/bluebell/permits/admission_control.h
@@ -2,8 +2,8 @@
 // others, and when refused callers may return. Used by its slot_scheduler where
 // the policy is scheduled_admission.
 //
-// An answer within the objective is worth several times a late one. Therefore a
-// caller that returns after a refusal keeps its first objective and doesn't
+// Answers within the objective are preferred to late ones. Therefore a caller
+// that returns after a refusal keeps its first objective and doesn't
 // displace those that can still meet theirs, and an overloaded queue gives up
 // an objective earlier.
 //
--- a/bluebell/permits/cold_start_limit.h
+++ b/bluebell/permits/cold_start_limit.h
@@ -38,8 +38,8 @@
 class cold_start_limit {
  public:
   // A permit for a cold endpoint is used within this time of its issue, or
-  // returned. Covers the way of the permit and the pauses of a daemon with a
-  // tenth of a core, which last up to 90 ms.
+  // returned. Covers the way of the permit and the pauses of a daemon whose
+  // processor share is small.
   static constexpr milliseconds kUseWithin{200};
   // The longest time from the issue of a permit to the arrival of its request.
   // The part beyond kUseWithin covers the way of the request.
--- a/bluebell/permits/cross_domain_forecast.cc
+++ b/bluebell/permits/cross_domain_forecast.cc
@@ -35,7 +35,8 @@
   return std::chrono::duration<double>(value).count();
 }
 
-duration Scale(duration value, double factor) {
+// Unlike Scale(), limits the result to kLongestWait.
+duration BoundedScale(duration value, double factor) {
   return FromSeconds(ToSeconds(value) * factor);
 }
 
@@ -111,7 +112,7 @@
 bool cross_domain_forecast::ShouldWait(const waiting_request& request,
                                        const own_domain_option& own) const {
   return *own.free_cost > kMaxCostRatio * *own.least_cost &&
-         Scale(request.work, *own.free_cost - *own.least_cost) >
+         BoundedScale(request.work, *own.free_cost - *own.least_cost) >
              WaitIn(request.message.domain, own.work_before, request.work);
 }
 
@@ -123,9 +124,9 @@
   }
   const duration after_wait =
       WaitIn(request.message.domain, own.work_before, request.work) +
-      Scale(request.work, *own.least_cost);
+      BoundedScale(request.work, *own.least_cost);
   return own.free_cost
-             ? std::min(after_wait, Scale(request.work, *own.free_cost))
+             ? std::min(after_wait, BoundedScale(request.work, *own.free_cost))
              : after_wait;
 }
 
@@ -133,14 +134,15 @@
                                               const domain_offer& offer,
                                               const link_estimate& link,
                                               instant now) const {
-  duration response = Scale(request.work, offer.free_cost);
+  duration response = BoundedScale(request.work, offer.free_cost);
   // The slot is missed by the callers that wait there.
   response += WaitOfOthers(offer.domain, request.message.rank, request.work);
   response += link.ExtraTimeOver(within_domains_);
   // A lost request costs its caller all the time that is left.
   const double loss =
       std::max(0.0, link.LossAt(now) - within_domains_.LossAt(now));
-  return response + Scale(std::max(duration(0), request.deadline - now), loss);
+  return response +
+         BoundedScale(std::max(duration(0), request.deadline - now), loss);
 }
 
 duration cross_domain_forecast::PriceOf(const waiting_request& request,
@@ -152,8 +154,9 @@
       kBytesPerMegabyte;
   const bool only_other_is_in_time = now + own_response > request.objective &&
                                      now + other_response <= request.objective;
-  return Scale(milliseconds(price_),
-               megabytes * (only_other_is_in_time ? kLatePriceFactor : 1));
+  return BoundedScale(
+      milliseconds(price_),
+      megabytes * (only_other_is_in_time ? kLatePriceFactor : 1));
 }
 
 cross_domain_forecast::offer_forecast cross_domain_forecast::ForecastOf(
@@ -217,7 +220,7 @@
   // Under a steady overflow the wait stays where the first domain becomes worth
   // the price. Without this tolerance, that domain would take all of it.
   const duration similar_response =
-      best_response + Scale(request.work, kSimilarResponseShare);
+      best_response + BoundedScale(request.work, kSimilarResponseShare);
   const offer_forecast* chosen = nullptr;
   double chosen_room = 0;
   for (const offer_forecast& each : forecasts) {
--- a/bluebell/permits/slot_scheduler.cc
+++ b/bluebell/permits/slot_scheduler.cc
@@ -52,9 +52,9 @@
 // A request that waits although an endpoint has a free slot is considered again
 // after this time, because its deadline comes nearer.
 constexpr milliseconds kHeldBackRecheck{20};
-// With 600 requests in line that stay in their domain, a forecast for each of
-// them after each release takes 0.19 ms. It is made for the whole line once in
-// this interval, and otherwise for the first ones.
+// A forecast for each request that stays in its domain, after each release,
+// costs time in proportion to the length of the line. It is made for the whole
+// line once in this interval, and otherwise for the first ones.
 constexpr milliseconds kFullPassInterval{5};
 constexpr std::size_t kMaxHeldBack = 32;
 
--- a/bluebell/proxy/impossible_status_test.cc
+++ b/bluebell/proxy/impossible_status_test.cc
@@ -18,8 +18,7 @@
 const std::string kGoodBody = endpoint_script::kGoodBody;
 const std::string kBadBody = "bad body";
 
-const std::string kFields =
-    "X-Attempt-Id: " + kAttempt + "\r\nX-Server-Signature: s\r\n";
+const std::string kFields = platform::SampleHeaderLines(kAttempt);
 
 // The responses that end by themselves, each also with a valid response behind
 // it, and those that end with their connection.
--- a/bluebell/proxy/internal/gateway_path.h
+++ b/bluebell/proxy/internal/gateway_path.h
@@ -198,10 +198,7 @@
                                             incarnation(7)};
 
   static std::string RequestBytes() {
-    return std::string("POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ") +
-           kAttempt +
-           "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n"
-           "Connection: close\r\n\r\n";
+    return platform::SampleRequest(kAttempt, "/book/1", 3'000);
   }
 
   void Connect(tcp::socket& caller) {
--- a/bluebell/settings/gateway_settings.h
+++ b/bluebell/settings/gateway_settings.h
@@ -50,8 +50,8 @@
   std::optional<double> warmup_overage;
   std::optional<double> warmup_slack;
   // What a megabyte of a request that is sent to another failure domain is
-  // worth, in milliseconds of its caller's waiting time. At the default, an
-  // upload of 60 KB costs 60 ms, a third of the work of a usual one.
+  // worth, in milliseconds of its caller's waiting time. At the default,
+  // 1 KB is worth 1 ms.
   std::uint32_t cross_domain_price_ms_per_mb = 1'000;
   // True if the whole system starts for the first time with this process.
   bool first_start = false;
