Fix the coordinator claim that replaces a live one

The store accepted a claim of the coordinator's role over that of a live coordinator, which the new one didn't know.

Cause: in a store era above zero a daemon lists the key tables before it claims the role. It took the former coordinators from its view before that wait and the expected revisions after it. If the watch showed another claim meanwhile, the write expected that claim's revisions and replaced it. The log didn't say on what a claim relies; with the new lines it shows "vacant" at revisions 0 and 0, and then a claim that expects 813 and 812, those of the other claim.

The claim is given up if the role isn't vacant in it, and the write expects its revisions, so that a later claim conflicts.

--- a/bluebell/gateway/coordinator_role.cc
+++ b/bluebell/gateway/coordinator_role.cc
@@ -209,12 +209,8 @@
     vacant_since_.reset();
     return;
   }
-  // An earlier run of this daemon has ended, since this process could bind its
-  // address.
-  const bool coordinator_is_own_earlier_run =
-      view_->coordinator && view_->coordinator->id == self_.id &&
-      view_->coordinator->run != self_.run;
-  if (view_->coordinator && !coordinator_is_own_earlier_run) {
+  const role_snapshot role = RoleIn(watcher_.state());
+  if (!MayBeClaimed(role, self_)) {
     vacant_since_.reset();
     return;
   }
@@ -225,7 +221,8 @@
   if (!vacant_since_) {
     vacant_since_ = now;
   }
-  if (coordinator_is_own_earlier_run ||
+  const bool is_own_earlier_run = role.coordinator.has_value();
+  if (is_own_earlier_run ||
       now - *vacant_since_ >=
           kClaimDelayPerRank * static_cast<int>(ClaimRank())) {
     claim_in_flight_ = true;
@@ -240,22 +237,37 @@
 }
 
 asio::awaitable<void> coordinator_role::Claim() {
-  former_coordinators_ = former_coordinators::FromHistory(
-      watcher_.state().coordinator_history(),
-      watcher_.state().RevisionOf(kCoordinatorHistoryKey), self_);
   const store_era era = store_.era();
+  bool history_is_lost = false;
   if (era != store_era()) {
     const std::optional<bool> settled = co_await ReadIsSettled();
     if (!settled) {
       vacant_since_.reset();
       co_return;
     }
-    if (!*settled) {
-      former_coordinators_.AddLostHistory(era);
-    }
+    history_is_lost = !*settled;
+  }
+  // Another daemon may have claimed the role during the wait.
+  const role_snapshot role = RoleIn(watcher_.state());
+  const bool may_claim = MayBeClaimed(role, self_) && store_.era() == era;
+  former_coordinators_ = former_coordinators::FromHistory(
+      role.history, role.versions.history, self_);
+  log_event(log_level::kInfo, may_claim ? "coordinator role is vacant"
+                                        : "coordinator role isn't vacant")
+      .With("coordinator_revision", role.versions.coordinator)
+      .With("history_revision", role.versions.history)
+      .With("former", IdsOf(former_coordinators_.pending()))
+      .With("era", store_.era())
+      .Write();
+  if (!may_claim) {
+    vacant_since_.reset();
+    co_return;
+  }
+  if (history_is_lost) {
+    former_coordinators_.AddLostHistory(era);
   }
   const claim_outcome outcome =
-      co_await lease_.Claim(former_coordinators_.pending());
+      co_await lease_.Claim(role.versions, former_coordinators_.pending());
   if (outcome != claim_outcome::kClaimed) {
     vacant_since_.reset();
     co_return;
@@ -279,7 +291,7 @@
   watcher_.SetDuty(watch_duty::kCoordinator);
   log_event(log_level::kInfo, "coordinates keys")
       .With("revision", lease_.revision())
-      .With("former", FormerCoordinatorIds())
+      .With("former", IdsOf(former_coordinators_.pending()))
       .With("era", store_.era())
       .With("silent_ms", silent_until_
                              ? std::chrono::duration_cast<milliseconds>(
@@ -296,14 +308,6 @@
             });
 }
 
-std::string coordinator_role::FormerCoordinatorIds() const {
-  std::string ids;
-  for (const coordinator_record& former : former_coordinators_.pending()) {
-    ids += (ids.empty() ? "" : ",") + former.daemon.id.value();
-  }
-  return ids;
-}
-
 asio::awaitable<bool> coordinator_role::TakeOver() {
   // The tables are read after the claim, because a former coordinator can't
   // write them any more from then on.
@@ -461,7 +465,7 @@
   log_event(log_level::kWarn, "coordinates keys again in a new store era")
       .With("era", era)
       .With("revision", lease_.revision())
-      .With("former", FormerCoordinatorIds())
+      .With("former", IdsOf(former_coordinators_.pending()))
       .Write();
   TickAsCoordinator(now);
   co_return claim_outcome::kClaimed;
--- a/bluebell/gateway/coordinator_role.h
+++ b/bluebell/gateway/coordinator_role.h
@@ -109,8 +109,6 @@
   // Claims the role; see Claim(). Allows the next claim when it has ended.
   boost::asio::awaitable<void> ClaimOnce();
   boost::asio::awaitable<void> Claim();
-  // The ids of the former coordinators that aren't excluded yet, with commas.
-  std::string FormerCoordinatorIds() const;
   // Reads the key tables from the store and coordinates from them, or sets
   // `silent_until_` if they may be older than grants in force. False if a read
   // or a table failed.
--- a/bluebell/gateway/role_claim.cc
+++ b/bluebell/gateway/role_claim.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "bluebell/fleet/fleet_state.h"
 #include "bluebell/fleet/store_keys.h"
 
 namespace bluebell {
@@ -34,6 +35,18 @@
             kv_lease()}}};
 }
 
+role_snapshot RoleIn(const fleet_state& state) {
+  return {state.snapshot().coordinator,
+          {state.RevisionOf(kCoordinatorKey),
+           state.RevisionOf(kCoordinatorHistoryKey)},
+          state.coordinator_history()};
+}
+
+bool MayBeClaimed(const role_snapshot& role, const daemon_instance& self) {
+  return !role.coordinator ||
+         (role.coordinator->id == self.id && role.coordinator->run != self.run);
+}
+
 role_versions FindRoleVersions(const std::vector<kv_item>& items) {
   role_versions found;
   for (const kv_item& item : items) {
@@ -57,4 +70,12 @@
   return std::nullopt;
 }
 
+std::string IdsOf(const std::vector<coordinator_record>& records) {
+  std::string ids;
+  for (const coordinator_record& record : records) {
+    ids += (ids.empty() ? "" : ",") + record.daemon.id.value();
+  }
+  return ids;
+}
+
 }  // namespace bluebell
--- a/bluebell/gateway/role_claim.h
+++ b/bluebell/gateway/role_claim.h
@@ -11,6 +11,7 @@
 #define BLUEBELL_GATEWAY_ROLE_CLAIM_H_
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "bluebell/core/ids.h"
@@ -19,6 +20,8 @@
 
 namespace bluebell {
 
+class fleet_state;
+
 // The store's revisions of both values; zero for a value that doesn't exist.
 struct role_versions {
   store_version coordinator;
@@ -27,6 +30,19 @@
   friend bool operator==(const role_versions&, const role_versions&) = default;
 };
 
+// The role as one state of the store shows it. A claim takes its conditions and
+// its former coordinators from the same snapshot, so that it fails if a daemon
+// that isn't among them has claimed the role since.
+struct role_snapshot {
+  // The daemon under whose lease the role is.
+  std::optional<daemon_instance> coordinator;
+  role_versions versions;
+  // The latest coordinator, and earlier ones that may still send orders.
+  std::vector<coordinator_record> history;
+
+  friend bool operator==(const role_snapshot&, const role_snapshot&) = default;
+};
+
 // A claim that the store holds.
 struct role_claim {
   role_versions versions;
@@ -55,6 +71,13 @@
 kv_write WithdrawalWrite(const role_versions& claimed,
                          const std::vector<coordinator_record>& formers);
 
+// The role in this daemon's copy of the store.
+role_snapshot RoleIn(const fleet_state& state);
+
+// True if the role is vacant, or if an earlier run of `self` has it. That run
+// has ended, since the present one could bind its address.
+bool MayBeClaimed(const role_snapshot& role, const daemon_instance& self);
+
 // The revisions of both values among `items`.
 role_versions FindRoleVersions(const std::vector<kv_item>& items);
 
@@ -63,6 +86,9 @@
 std::optional<role_claim> FindOwnClaim(const std::vector<kv_item>& items,
                                        const daemon_instance& self);
 
+// The daemon ids of `records`, separated by commas, for log lines.
+std::string IdsOf(const std::vector<coordinator_record>& records);
+
 }  // namespace bluebell
 
 #endif  // BLUEBELL_GATEWAY_ROLE_CLAIM_H_
--- a/bluebell/gateway/role_claim_test.cc
+++ b/bluebell/gateway/role_claim_test.cc
@@ -157,5 +157,16 @@
         coordinator_record{Daemon(1), VersionIn(store_era(3), 0)});
 }
 
+// Failure: a daemon claims the role from a live coordinator, or doesn't claim it
+// from its own earlier run, whose lease has yet to expire.
+TEST_CASE("only a vacant role and that of an earlier run may be claimed") {
+  role_snapshot role;
+  CHECK(MayBeClaimed(role, Daemon(1)));
+  role.coordinator = Daemon(2);
+  CHECK(!MayBeClaimed(role, Daemon(1)));
+  CHECK(!MayBeClaimed(role, Daemon(2)));
+  CHECK(MayBeClaimed(role, {Daemon(2).id, incarnation(2)}));
+}
+
 }  // namespace
 }  // namespace bluebell
--- a/bluebell/gateway/role_lease.cc
+++ b/bluebell/gateway/role_lease.cc
@@ -35,13 +35,10 @@
 }
 
 asio::awaitable<claim_outcome> role_lease::Claim(
+    role_versions expected,
     std::vector<coordinator_record> formers) {
   ended_ = false;
-  const fleet_state& state = watcher_.state();
-  return WriteClaim(claim_kind::kFirst,
-                    {state.RevisionOf(kCoordinatorKey),
-                     state.RevisionOf(kCoordinatorHistoryKey)},
-                    std::move(formers));
+  return WriteClaim(claim_kind::kFirst, expected, std::move(formers));
 }
 
 asio::awaitable<claim_outcome> role_lease::Renew(
@@ -103,6 +100,11 @@
     co_return claim_outcome::kUnknown;
   }
   const kv_lease granted = lease.value().lease;
+  log_event(log_level::kInfo, "claims the coordinator role")
+      .With("expected_coordinator_revision", expected.coordinator)
+      .With("expected_history_revision", expected.history)
+      .With("former", IdsOf(formers))
+      .Write();
   const result<kv_write_result> written =
       co_await store_.Write(ClaimWrite(expected, self_, formers, granted));
   if (!written) {
@@ -130,9 +132,13 @@
     co_return AcceptClaim(*earlier_claim, true, sent_at);
   }
   if (conflict != nullptr) {
+    const role_versions found = FindRoleVersions(conflict->items);
+    log_event(log_level::kInfo, "coordinator claim conflicts")
+        .With("coordinator_revision", found.coordinator)
+        .With("history_revision", found.history)
+        .Write();
     conflicting_history_revision_ =
-        std::max(conflicting_history_revision_,
-                 FindRoleVersions(conflict->items).history);
+        std::max(conflicting_history_revision_, found.history);
     watcher_.ExpectRevision(conflicting_history_revision_.value());
     co_return claim_outcome::kLost;
   }
--- a/bluebell/gateway/role_lease.h
+++ b/bluebell/gateway/role_lease.h
@@ -2,8 +2,8 @@
 // renews the lease and ends it. All functions are called on the control thread.
 //
 //   role_lease lease(self, store, watcher);
-//   if (co_await lease.Claim(formers) == claim_outcome::kClaimed) ...
-//   co_await lease.Renew(formers);
+//   if (co_await lease.Claim(role.versions, formers) ==
+//   claim_outcome::kClaimed) ... co_await lease.Renew(formers);
 
 #ifndef BLUEBELL_GATEWAY_ROLE_LEASE_H_
 #define BLUEBELL_GATEWAY_ROLE_LEASE_H_
@@ -40,14 +40,16 @@
   // False while this daemon's view of the store is older than the claim that
   // its last claim conflicted with.
   bool view_is_recent() const;
-  // Claims the vacant role. Expects the revisions of this daemon's view of the
-  // store. `formers` are the coordinators before this one that may
-  // still send orders.
+  // Claims the vacant role if it still has the `expected` revisions. `formers`
+  // are the coordinators that may still send orders, taken from the same
+  // role_snapshot as the revisions.
   boost::asio::awaitable<claim_outcome> Claim(
+      role_versions expected,
       std::vector<coordinator_record> formers);
-  // Renews the lease. If it has expired, claims the role again, which succeeds
-  // only if no other daemon has coordinated since. After End() it doesn't claim
-  // the role again.
+  // Renews the lease. A renewed lease proves that this daemon has the role,
+  // since no claim replaces one that is under a live lease. If it has expired,
+  // claims the role again, which succeeds only if no other daemon has
+  // coordinated since. After End() it doesn't claim the role again.
   boost::asio::awaitable<claim_outcome> Renew(
       std::vector<coordinator_record> formers);
   // Claims the role again in a later era of the store than that of the last
--- a/bluebell/gateway/role_lease_test.cc
+++ b/bluebell/gateway/role_lease_test.cc
@@ -54,7 +54,7 @@
                  watcher_handlers{}),
         lease_({daemon_id("front-1"), incarnation(1)}, *store_, watcher_) {}
 
-  claim_outcome Claim() { return Run(lease_.Claim({})); }
+  claim_outcome Claim() { return Run(lease_.Claim({}, {})); }
   claim_outcome Renew() { return Run(lease_.Renew({})); }
   bool End() { return Run(lease_.End()); }
   void EndAndWithdraw() { Run(RunEndAndWithdraw()); }
--- a/testing/gateway/kv_standin.cc
+++ b/testing/gateway/kv_standin.cc
@@ -26,6 +26,8 @@
 constexpr milliseconds kTick{20};
 constexpr milliseconds kMaxCopyAge{10'000};
 constexpr double kMillisPerSecond = 1'000;
+constexpr std::string_view kRangePath = "/kv-range";
+constexpr std::string_view kWatchPath = "/kv-watch";
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
@@ -65,6 +67,12 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
+bool ListsPrefix(const http_request& request, std::string_view prefix) {
+  const std::string target(request.target());
+  return target.starts_with(kRangePath) &&
+         QueryField(target, "Prefix") == prefix;
+}
+
 http_response Reply(const json::object& body) {
   return JsonResponse(kOk, json::serialize(body));
 }
@@ -192,36 +200,48 @@
         }
         send(std::move(response));
       };
-  const auto carry_out = [this, request](const http_responder& done) {
-    if (std::string(request.target()).starts_with("/kv-watch")) {
-      Watch(std::string(request.target()), done);
-    } else {
-      done(Answer(request));
-    }
-  };
+  const milliseconds at_once(0);
   std::visit(
-      overloaded{[&](const store_well&) { carry_out(respond); },
-                 [&](const store_down& down) {
-                   if (!down.silent) {
-                     respond(JsonResponse(kUnavailable, "{}"));
-                   }
-                 },
-                 [&](const store_slow& slow) {
-                   RunAfter(io_, slow.by,
-                            [carry_out, respond, self = shared_from_this()] {
-                              carry_out(respond);
-                            });
-                 },
-                 [&](const store_loses_answers& loses) {
-                   if (std::bernoulli_distribution(loses.share)(random_)) {
-                     carry_out([](const http_response& /*lost*/) {});
-                   } else {
-                     carry_out(respond);
-                   }
-                 }},
+      overloaded{
+          [&](const store_well&) { CarryOut(request, respond, at_once); },
+          [&](const store_down& down) {
+            if (!down.silent) {
+              respond(JsonResponse(kUnavailable, "{}"));
+            }
+          },
+          [&](const store_slow& slow) { CarryOut(request, respond, slow.by); },
+          [&](const store_slow_listings& slow) {
+            const bool delayed = ListsPrefix(request, slow.prefix);
+            delayed_listings_ += delayed ? 1 : 0;
+            CarryOut(request, respond, delayed ? slow.by : at_once);
+          },
+          [&](const store_loses_answers& loses) {
+            const bool lost = std::bernoulli_distribution(loses.share)(random_);
+            CarryOut(
+                request,
+                lost ? http_responder([](const http_response&) {}) : respond,
+                at_once);
+          }},
       fault_);
 }
 
+void kv_standin::CarryOut(const http_request& request,
+                          const http_responder& respond,
+                          milliseconds delay) {
+  if (delay > milliseconds(0)) {
+    RunAfter(io_, delay, [self = shared_from_this(), request, respond] {
+      self->CarryOut(request, respond, milliseconds(0));
+    });
+    return;
+  }
+  const std::string target(request.target());
+  if (target.starts_with(kWatchPath)) {
+    Watch(target, respond);
+  } else {
+    respond(Answer(request));
+  }
+}
+
 http_response kv_standin::Answer(const http_request& request) {
   const std::string target(request.target());
   const auto id_after = [&](std::string_view path) {
@@ -229,7 +249,7 @@
   };
   constexpr std::string_view kKeep = "/kv-keep/";
   constexpr std::string_view kEnd = "/kv-lease-end/";
-  if (target.starts_with("/kv-range")) {
+  if (target.starts_with(kRangePath)) {
     return Range(target);
   }
   if (target == "/kv-txn") {
--- a/testing/gateway/kv_standin.h
+++ b/testing/gateway/kv_standin.h
@@ -9,6 +9,7 @@
 #ifndef TESTING_GATEWAY_KV_STANDIN_H_
 #define TESTING_GATEWAY_KV_STANDIN_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -51,6 +52,16 @@
   friend bool operator==(const store_slow&, const store_slow&) = default;
 };
 
+// Listings of the keys with `prefix` are carried out `by` later; other calls at
+// once.
+struct store_slow_listings {
+  std::string prefix;
+  milliseconds by{0};
+
+  friend bool operator==(const store_slow_listings&,
+                         const store_slow_listings&) = default;
+};
+
 // Calls are carried out; this share of them gets no response.
 struct store_loses_answers {
   double share = 0;
@@ -59,8 +70,11 @@
                          const store_loses_answers&) = default;
 };
 
-using store_fault =
-    std::variant<store_well, store_down, store_slow, store_loses_answers>;
+using store_fault = std::variant<store_well,
+                                 store_down,
+                                 store_slow,
+                                 store_slow_listings,
+                                 store_loses_answers>;
 
 class kv_standin : public std::enable_shared_from_this<kv_standin> {
  public:
@@ -79,6 +93,8 @@
 
   void SetFault(const store_fault& fault);
   bool is_well() const { return std::holds_alternative<store_well>(fault_); }
+  // The listings that store_slow_listings has delayed so far.
+  std::size_t delayed_listings() const { return delayed_listings_; }
   // Watches from before now get 410.
   void ForgetHistory();
   // The store comes back from a copy that is `age` old, 10 s at most, in the
@@ -124,6 +140,10 @@
   kv_standin(boost::asio::io_context& io, std::uint64_t seed);
 
   void Serve(const http_request& request, http_responder send);
+  // Carries the request out, after `delay` if that isn't zero.
+  void CarryOut(const http_request& request,
+                const http_responder& respond,
+                milliseconds delay);
   http_response Answer(const http_request& request);
   http_response Range(const std::string& target) const;
   http_response Transact(const std::string& body);
@@ -150,6 +170,7 @@
   std::shared_ptr<http_server> server_;
   std::mt19937_64 random_;
   store_fault fault_ = store_well();
+  std::size_t delayed_listings_ = 0;
   std::map<std::string, item> items_;
   std::map<std::uint64_t, lease> leases_;
   std::deque<change> history_;
