Fix the loss of responses that callers read slowly

Cause: TCP_USER_TIMEOUT of 2.5 s, which is there to notice peers that are gone. On Linux it also counts the time in which a peer answers window probes without opening its window. The same option cut off uploads to endpoints that paused, and was set for orders, store calls and pages.

Change: delivery_monitor tells a slow peer from one that is gone by its acknowledgments, raises the user timeout for the one and ends the connection of the other after 2.5 s, or at the deadline of the delivery. delivery_guard takes the samples, only while bytes wait for the peer's window, on all four kinds of connections. Undelivered bytes keep their memory reserved, and their connection busy and not idle. The idle time of a page connection no longer shortens its write.

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -1,6 +1,7 @@
 #include "bluebell/http/http_client.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +21,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/embedded_status_line.h"
 #include "bluebell/http/message_head.h"
 #include "bluebell/http/read_limits.h"
@@ -44,7 +46,10 @@
 
 struct connection {
   explicit connection(asio::io_context& io)
-      : stream(io), buffer(kMaxUnparsedBytes) {}
+      : stream(io),
+        delivery(delivery_guard::Make(stream.socket(),
+                                      {[this] { stream.close(); }})),
+        buffer(kMaxUnparsedBytes) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   // The destructor of Asio's socket would undo the option that closing resets
@@ -52,6 +57,7 @@
   ~connection() { stream.close(); }
 
   beast::tcp_stream stream;
+  std::shared_ptr<delivery_guard> delivery;
   beast::flat_buffer buffer;
   instant last_used;
 };
@@ -222,8 +228,10 @@
     }
     self->AddInFlight(link);
     link->stream.expires_at(deadline);
+    link->delivery->BeginWrite(deadline - Now());
     const auto [write_error, bytes_written] =
         co_await bhttp::async_write(link->stream, request, kAwait);
+    link->delivery->EndWrite();
     if (write_error) {
       co_return self->Failure(errc::kConnectionLost, call_step, write_error,
                               timeout);
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -24,6 +24,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
+#include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/message_head.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/task.h"
@@ -49,7 +50,7 @@
 constexpr unsigned kUnavailable = 503;
 // The time from the end of a request's header to the end of its body.
 constexpr seconds kBodyTimeout{20};
-// The time that writing a response to the caller may take.
+// The time within which the caller has to take a response.
 constexpr seconds kWriteTimeout{20};
 // How long input is discarded after the last response, until the caller closes.
 constexpr milliseconds kCloseTimeout{1'000};
@@ -102,12 +103,27 @@
 }
 
 void caller_connection::Start() {
+  delivery_ = delivery_guard::Make(stream_.socket(),
+                                   {[weak = weak_from_this()] {
+                                      if (const auto self = weak.lock()) {
+                                        self->Abort();
+                                      }
+                                    },
+                                    [weak = weak_from_this()] {
+                                      if (const auto self = weak.lock()) {
+                                        self->OnDelivered();
+                                      }
+                                    }});
   // The handler keeps this object alive as long as the coroutine runs.
   SpawnTask(stream_.get_executor(), "caller connection", Run(),
             [self = shared_from_this()] { self->Abort(); });
 }
 
 void caller_connection::CloseIfIdle() {
+  if (delivers()) {
+    closes_when_delivered_ = true;
+    return;
+  }
   const bool is_idle = !has_request_ && pipeline_.empty() && !closes_ &&
                        buffer_.size() == 0 &&
                        PeekInput(stream_.socket()) != socket_input::kBytes;
@@ -126,7 +142,8 @@
   UpdateBusy();
   co_await WaitUntil([this] {
     buffer_.consume(buffer_.size());
-    return pipeline_.empty() && !writer_runs_;
+    // After the socket is closed, the kernel would give up a slow reader.
+    return pipeline_.empty() && !writer_runs_ && !delivers();
   });
   if (!aborted_) {
     co_await CloseInOrder();
@@ -403,6 +420,9 @@
       break;
     }
     const bool written = co_await Write(*next);
+    if (delivers()) {
+      undelivered_memory_.push_back(std::move(next->served.memory));
+    }
     next.reset();
     pipeline_.OnWritten();
     last_written_at_ = BootNow();
@@ -426,8 +446,10 @@
   response.keep_alive(next.keep_open);
   response.prepare_payload();
   stream_.expires_after(kWriteTimeout);
+  delivery_->BeginWrite(kWriteTimeout);
   const auto [failure, size] =
       co_await bhttp::async_write(stream_, response, kAwait);
+  delivery_->EndWrite();
   co_return !failure;
 }
 
@@ -460,10 +482,26 @@
   for (const auto& request : cancelled) {
     request->cancel.emit(asio::cancellation_type::terminal);
   }
+  delivery_->Stop();
+  undelivered_memory_.clear();
   stream_.close();
   progress_timer_.cancel();
 }
 
+bool caller_connection::delivers() const {
+  return delivery_ && delivery_->is_active();
+}
+
+void caller_connection::OnDelivered() {
+  undelivered_memory_.clear();
+  last_written_at_ = BootNow();
+  UpdateBusy();
+  progress_timer_.cancel();
+  if (closes_when_delivered_) {
+    CloseIfIdle();
+  }
+}
+
 void caller_connection::LimitReadTime(duration limit) {
   read_limit_ = limit;
   ScheduleReadTimeout(BootNow() + limit);
@@ -472,29 +510,30 @@
 void caller_connection::ScheduleReadTimeout(instant time) {
   read_timer_.expires_after(
       std::max<duration>(time - BootNow(), milliseconds(1)));
-  read_timer_.async_wait(
-      [weak = weak_from_this()](boost::system::error_code cancelled) {
-        const auto self = weak.lock();
-        if (cancelled || !self) {
-          return;
-        }
-        const instant now = BootNow();
-        const instant due = self->pipeline_.empty()
-                                ? self->last_written_at_ + self->read_limit_
-                                : now + self->read_limit_;
-        if (now < due) {
-          self->ScheduleReadTimeout(due);
-        } else {
-          self->Abort();
-        }
-      });
+  read_timer_.async_wait([weak = weak_from_this()](
+                             boost::system::error_code cancelled) {
+    const auto self = weak.lock();
+    if (cancelled || !self) {
+      return;
+    }
+    const instant now = BootNow();
+    const bool waits_for_caller = self->pipeline_.empty() && !self->delivers();
+    const instant due = waits_for_caller
+                            ? self->last_written_at_ + self->read_limit_
+                            : now + self->read_limit_;
+    if (now < due) {
+      self->ScheduleReadTimeout(due);
+    } else {
+      self->Abort();
+    }
+  });
 }
 
 void caller_connection::UpdateBusy() {
   const bool is_open = stream_.socket().is_open() && !aborted_;
-  const bool busy =
-      !served_requests_.empty() ||
-      (is_open && (!pipeline_.empty() || pipeline_.closing() || closes_));
+  const bool busy = !served_requests_.empty() ||
+                    (is_open && (!pipeline_.empty() || pipeline_.closing() ||
+                                 closes_ || delivers()));
   if (busy != counted_as_busy_) {
     counted_as_busy_ = busy;
     shared_state_->busy_count += busy ? 1 : 0;
--- a/bluebell/proxy/caller_connection.h
+++ b/bluebell/proxy/caller_connection.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,6 +35,7 @@
 namespace bluebell {
 
 class byte_budget;
+class delivery_guard;
 
 // Settings and counters that all caller connections of a daemon share. Changes
 // of the settings take effect on open connections.
@@ -74,7 +76,8 @@
   // closed. Call it once.
   void Start();
 
-  // Closes the connection unless a request has begun to arrive or is served.
+  // Closes the connection unless a request has begun to arrive or is served. If
+  // the caller hasn't taken its last response yet, closes it after that.
   void CloseIfIdle();
 
  private:
@@ -127,9 +130,16 @@
   // counting the time during which requests are served.
   void LimitReadTime(duration limit);
   void ScheduleReadTimeout(instant time);
+  // True while a response is written or the caller has no room for its bytes.
+  bool delivers() const;
+  void OnDelivered();
   void UpdateBusy();
 
   boost::beast::tcp_stream stream_;
+  // Null before Start().
+  std::shared_ptr<delivery_guard> delivery_;
+  // The memory of written responses that wait in the kernel for the caller.
+  std::vector<byte_reservation> undelivered_memory_;
   boost::beast::flat_buffer buffer_;
   std::shared_ptr<const caller_request_handler> handler_;
   std::shared_ptr<shared_connection_state> shared_state_;
@@ -139,7 +149,11 @@
   boost::asio::steady_timer progress_timer_;
   boost::asio::steady_timer read_timer_;
   duration read_limit_{0};
+  // When the last response was written or, if the caller had no room for it,
+  // delivered.
   instant last_written_at_;
+  // CloseIfIdle() was called before the last response was delivered.
+  bool closes_when_delivered_ = false;
   // True while ReadNextRequest() has a request or a part of one.
   bool has_request_ = false;
   // True if the caller has asked to close the connection.
--- a/bluebell/proxy/caller_connection_test.cc
+++ b/bluebell/proxy/caller_connection_test.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,8 @@
   }
 
   std::map<std::string, milliseconds> delays;
+  // Added to the body of each response.
+  std::size_t filler_bytes = 0;
   std::vector<std::string> started;
   // The header of the last request.
   boost::beast::http::fields fields;
@@ -67,7 +70,7 @@
     served_response served;
     served.response.version(11);
     served.response.result(200);
-    served.response.body() = "for " + path;
+    served.response.body() = "for " + path + std::string(filler_bytes, 'x');
     co_return served;
   }
 
@@ -77,9 +80,16 @@
 // A connection between a test and a caller_connection on one thread.
 class connected_caller {
  public:
-  connected_caller() : handler(io), socket(io) {
+  explicit connected_caller(
+      std::optional<int> receive_buffer_bytes = std::nullopt)
+      : handler(io), socket(io) {
     tcp::acceptor acceptor(io,
                            tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    socket.open(tcp::v4());
+    if (receive_buffer_bytes) {
+      socket.set_option(
+          asio::socket_base::receive_buffer_size(*receive_buffer_bytes));
+    }
     socket.connect(acceptor.local_endpoint());
     connection = std::make_shared<caller_connection>(acceptor.accept(),
                                                      handler.Handler(), state);
@@ -240,6 +250,25 @@
   CHECK(idle.RunUntil([&] { return idle.closed; }));
 }
 
+// Failure: a daemon that stops counts a connection as idle although its caller
+// has yet to read a response that the kernel holds, and cuts it off.
+TEST_CASE("a stop waits for a caller that reads its response late") {
+  constexpr int kReceiveBufferBytes = 4'096;
+  connected_caller caller(kReceiveBufferBytes);
+  caller.handler.filler_bytes = 9'000;
+  caller.SendRequest("/safe/1");
+  caller.io.run_for(milliseconds(200));
+  CHECK(caller.handler.started.size() == 1);
+  caller.state->stopping = true;
+  caller.connection->CloseIfIdle();
+  caller.io.run_for(milliseconds(3'500));
+  CHECK(caller.state->busy_count == 1);
+  CHECK(caller.RunUntil([&] { return caller.closed; }));
+  CHECK(
+      caller.received.ends_with(std::string(caller.handler.filler_bytes, 'x')));
+  CHECK(caller.state->busy_count == 0);
+}
+
 // Guards against memory that large or endless requests use up.
 TEST_CASE("requests beyond the limits are refused") {
   connected_caller caller;
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -22,6 +22,7 @@
 
 #include "bluebell/core/boot_clock.h"
 #include "bluebell/core/byte_budget.h"
+#include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/embedded_status_line.h"
 #include "bluebell/http/message_head.h"
 #include "bluebell/http/read_limits.h"
@@ -85,7 +86,10 @@
 
 struct endpoint_connection_pool::connection {
   explicit connection(asio::io_context& io)
-      : stream(io), buffer(kMaxUnparsedBytes) {}
+      : stream(io),
+        delivery(delivery_guard::Make(stream.socket(),
+                                      {[this] { stream.close(); }})),
+        buffer(kMaxUnparsedBytes) {}
   connection(const connection&) = delete;
   connection& operator=(const connection&) = delete;
   // The destructor of an Asio socket clears the linger option first, and the
@@ -99,6 +103,7 @@
   }
 
   beast::tcp_stream stream;
+  std::shared_ptr<delivery_guard> delivery;
   beast::flat_buffer buffer;
   attempt_history history;
   instant used_at;
@@ -255,9 +260,12 @@
   // If this coroutine ends early, the connection is reset, so that the endpoint
   // stops its work.
   ResetOnClose(link->stream.socket());
-  link->stream.expires_after(options.deadline - BootNow());
+  const duration time_left = options.deadline - BootNow();
+  link->stream.expires_after(time_left);
+  link->delivery->BeginWrite(time_left);
   const auto [write_error, sent] =
       co_await bhttp::async_write(link->stream, request, kAwait);
+  link->delivery->EndWrite();
   bool abandoned = false;
   const auto lost = [&](const boost::system::error_code& cause) {
     const bool timeout = abandoned || cause == beast::error::timeout;
--- a/bluebell/proxy/internal/gateway_path.h
+++ b/bluebell/proxy/internal/gateway_path.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -122,6 +123,8 @@
  public:
   // The attempt id of all requests.
   static constexpr const char* kAttempt = "a1";
+  // The kernel keeps little of a response that isn't read.
+  static constexpr int kSmallSendBufferBytes = 4'096;
 
   gateway_path(request_kind kind,
                endpoint_script& script,
@@ -178,13 +181,20 @@
     return received;
   }
 
-  // Sends a request whose response isn't read.
-  boost::asio::ip::tcp::socket CallWithoutReading() {
+  // Sends a request whose response isn't read. The gateway's kernel keeps up to
+  // `send_buffer_bytes` of a response.
+  boost::asio::ip::tcp::socket CallWithoutReading(
+      bool keep_alive = false,
+      int send_buffer_bytes = kSmallSendBufferBytes) {
     tcp::socket caller(io_);
     caller.open(tcp::v4());
     caller.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
-    Connect(caller);
-    boost::asio::write(caller, boost::asio::buffer(RequestBytes()));
+    Connect(caller, send_buffer_bytes);
+    std::string request = RequestBytes();
+    if (keep_alive) {
+      request.erase(request.find(kCloseLine), kCloseLine.size());
+    }
+    boost::asio::write(caller, boost::asio::buffer(request));
     return caller;
   }
 
@@ -196,16 +206,18 @@
       boost::asio::as_tuple(boost::asio::use_awaitable);
   inline static const daemon_instance kSelf{daemon_id("front-1"),
                                             incarnation(7)};
+  static constexpr std::string_view kCloseLine = "Connection: close\r\n";
 
   static std::string RequestBytes() {
     return platform::SampleRequest(kAttempt, "/book/1", 3'000);
   }
 
-  void Connect(tcp::socket& caller) {
+  void Connect(tcp::socket& caller,
+               int send_buffer_bytes = kSmallSendBufferBytes) {
     caller.connect(acceptor_.local_endpoint());
     tcp::socket accepted = acceptor_.accept();
-    // The kernel keeps little of a response that isn't read.
-    accepted.set_option(boost::asio::socket_base::send_buffer_size(4'096));
+    accepted.set_option(
+        boost::asio::socket_base::send_buffer_size(send_buffer_bytes));
     std::make_shared<caller_connection>(
         std::move(accepted), handler_,
         std::make_shared<shared_connection_state>())
--- a/bluebell/proxy/page_server.cc
+++ b/bluebell/proxy/page_server.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "bluebell/core/time.h"
+#include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/task.h"
 #include "bluebell/net/tcp_listener.h"
@@ -24,9 +25,9 @@
 using asio::ip::tcp;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-// The time limit for reading one request, including the idle time before it,
-// and writing its response.
-constexpr seconds kExchangeTimeout{10};
+// The time limit for reading one request, including the idle time before it.
+constexpr seconds kReadTimeout{10};
+constexpr seconds kWriteTimeout{10};
 constexpr std::size_t kMaxBufferedBytes = 16U << 10U;
 
 asio::awaitable<void> ServeConnection(
@@ -34,10 +35,12 @@
     std::shared_ptr<const page_server::responder> respond) {
   SetSocketOptions(socket);
   boost::beast::tcp_stream stream(std::move(socket));
+  const auto delivery =
+      delivery_guard::Make(stream.socket(), {[&stream] { stream.close(); }});
   boost::beast::flat_buffer buffer(kMaxBufferedBytes);
   bool usable = true;
   while (usable) {
-    stream.expires_after(kExchangeTimeout);
+    stream.expires_after(kReadTimeout);
     http_request request;
     const auto [read_error, read] =
         co_await bhttp::async_read(stream, buffer, request, kAwait);
@@ -47,8 +50,11 @@
     http_response response = (*respond)(request);
     response.keep_alive(request.keep_alive());
     response.prepare_payload();
+    stream.expires_after(kWriteTimeout);
+    delivery->BeginWrite(kWriteTimeout);
     const auto [write_error, sent] =
         co_await bhttp::async_write(stream, response, kAwait);
+    delivery->EndWrite();
     usable = !write_error && response.keep_alive();
   }
 }
--- a/bluebell/proxy/served_response.h
+++ b/bluebell/proxy/served_response.h
@@ -1,5 +1,5 @@
 // The final response to a caller's request, and the memory that it uses until
-// it is written.
+// the caller has room for all of it.
 
 #ifndef BLUEBELL_PROXY_SERVED_RESPONSE_H_
 #define BLUEBELL_PROXY_SERVED_RESPONSE_H_
