--- a/bluebell/gateway/role_claim.cc
+++ b/bluebell/gateway/role_claim.cc
@@ -1,5 +1,6 @@
 #include "bluebell/gateway/role_claim.h"
 
+#include <algorithm>
 #include <string>
 
 #include "bluebell/fleet/fleet_state.h"
@@ -59,6 +60,17 @@
   return found;
 }
 
+result<std::vector<coordinator_record>> HistoryIn(
+    const std::vector<kv_item>& items) {
+  const auto found = std::find_if(
+      items.begin(), items.end(),
+      [](const kv_item& item) { return item.key == kCoordinatorHistoryKey; });
+  if (found == items.end()) {
+    return std::vector<coordinator_record>();
+  }
+  return DecodeHistory(found->key, found->value);
+}
+
 std::optional<role_claim> FindOwnClaim(const std::vector<kv_item>& items,
                                        const daemon_instance& self) {
   const role_versions versions = FindRoleVersions(items);
--- a/bluebell/gateway/role_claim.h
+++ b/bluebell/gateway/role_claim.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "bluebell/core/ids.h"
+#include "bluebell/core/result.h"
 #include "bluebell/fleet/coordinator_record.h"
 #include "bluebell/kv/kv_types.h"
 
@@ -81,6 +82,11 @@
 // The revisions of both values among `items`.
 role_versions FindRoleVersions(const std::vector<kv_item>& items);
 
+// The coordinators' history among `items`; empty if there is none. Fails if it
+// is malformed.
+result<std::vector<coordinator_record>> HistoryIn(
+    const std::vector<kv_item>& items);
+
 // The claim of the daemon run `self`, if the coordinator's value in `items`
 // names it.
 std::optional<role_claim> FindOwnClaim(const std::vector<kv_item>& items,
--- a/bluebell/gateway/role_claim_test.cc
+++ b/bluebell/gateway/role_claim_test.cc
@@ -157,8 +157,8 @@
         coordinator_record{Daemon(1), VersionIn(store_era(3), 0)});
 }
 
-// Failure: a daemon claims the role from a live coordinator, or doesn't claim it
-// from its own earlier run, whose lease has yet to expire.
+// Failure: a daemon claims the role from a live coordinator, or doesn't claim
+// it from its own earlier run, whose lease has yet to expire.
 TEST_CASE("only a vacant role and that of an earlier run may be claimed") {
   role_snapshot role;
   CHECK(MayBeClaimed(role, Daemon(1)));
@@ -168,5 +168,16 @@
   CHECK(MayBeClaimed(role, {Daemon(2).id, incarnation(2)}));
 }
 
+// Failure: a daemon that claims the role again in a later era takes a history
+// that it can't read for an empty one, and replaces the claim of another
+// daemon.
+TEST_CASE("a malformed history doesn't count as an empty one") {
+  const std::string key(kCoordinatorHistoryKey);
+  CHECK(HistoryIn({}).value().empty());
+  CHECK(HistoryIn({{key, EncodeHistory({Record(1)}), {}, {}}}).value() ==
+        std::vector{Record(1)});
+  CHECK(!HistoryIn({{key, "no history", {}, {}}}));
+}
+
 }  // namespace
 }  // namespace bluebell
