One type for connections to servers

http_client and endpoint_connection_pool each had a connection of a stream, its unparsed bytes, the same rule about reuse and the same remark about Asio's destructor; the guard of deliveries came to both. http/server_connection has all of it. The check of a caller's read time is a function of its own, and is_delivering() is named as a question.

--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -14,8 +14,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -24,7 +22,7 @@
 #include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/embedded_status_line.h"
 #include "bluebell/http/message_head.h"
-#include "bluebell/http/read_limits.h"
+#include "bluebell/http/server_connection.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
 #include "bluebell/net/task.h"
@@ -44,21 +42,9 @@
   return std::chrono::steady_clock::now();
 }
 
-struct connection {
-  explicit connection(asio::io_context& io)
-      : stream(io),
-        delivery(delivery_guard::Make(stream.socket(),
-                                      {[this] { stream.close(); }})),
-        buffer(kMaxUnparsedBytes) {}
-  connection(const connection&) = delete;
-  connection& operator=(const connection&) = delete;
-  // The destructor of Asio's socket would undo the option that closing resets
-  // the connection (see ResetOnClose), so the socket is closed explicitly.
-  ~connection() { stream.close(); }
+struct connection : server_connection {
+  using server_connection::server_connection;
 
-  beast::tcp_stream stream;
-  std::shared_ptr<delivery_guard> delivery;
-  beast::flat_buffer buffer;
   instant last_used;
 };
 
@@ -144,20 +130,13 @@
       std::shared_ptr<connection> last = std::move(idle_.back());
       idle_.pop_back();
       if (Now() - last->last_used < options_.idle_timeout &&
-          IsReusable(*last)) {
+          last->IsReusable()) {
         return last;
       }
     }
     return nullptr;
   }
 
-  // False if the server has closed the connection or sent bytes without a
-  // request.
-  static bool IsReusable(connection& candidate) {
-    return candidate.buffer.size() == 0 &&
-           PeekInput(candidate.stream.socket()) == socket_input::kNone;
-  }
-
   void KeepForReuse(std::shared_ptr<connection> link) {
     if (!closed_) {
       link->stream.expires_never();
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -120,7 +120,7 @@
 }
 
 void caller_connection::CloseIfIdle() {
-  if (delivers()) {
+  if (is_delivering()) {
     closes_when_delivered_ = true;
     return;
   }
@@ -143,7 +143,7 @@
   co_await WaitUntil([this] {
     buffer_.consume(buffer_.size());
     // After the socket is closed, the kernel would give up a slow reader.
-    return pipeline_.empty() && !writer_runs_ && !delivers();
+    return pipeline_.empty() && !writer_runs_ && !is_delivering();
   });
   if (!aborted_) {
     co_await CloseInOrder();
@@ -420,7 +420,7 @@
       break;
     }
     const bool written = co_await Write(*next);
-    if (delivers()) {
+    if (is_delivering()) {
       undelivered_memory_.push_back(std::move(next->served.memory));
     }
     next.reset();
@@ -488,7 +488,7 @@
   progress_timer_.cancel();
 }
 
-bool caller_connection::delivers() const {
+bool caller_connection::is_delivering() const {
   return delivery_ && delivery_->is_active();
 }
 
@@ -510,30 +510,30 @@
 void caller_connection::ScheduleReadTimeout(instant time) {
   read_timer_.expires_after(
       std::max<duration>(time - BootNow(), milliseconds(1)));
-  read_timer_.async_wait([weak = weak_from_this()](
-                             boost::system::error_code cancelled) {
-    const auto self = weak.lock();
-    if (cancelled || !self) {
-      return;
-    }
-    const instant now = BootNow();
-    const bool waits_for_caller = self->pipeline_.empty() && !self->delivers();
-    const instant due = waits_for_caller
-                            ? self->last_written_at_ + self->read_limit_
-                            : now + self->read_limit_;
-    if (now < due) {
-      self->ScheduleReadTimeout(due);
-    } else {
-      self->Abort();
-    }
-  });
+  read_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self) {
+          self->CheckReadTime(BootNow());
+        }
+      });
+}
+
+void caller_connection::CheckReadTime(instant now) {
+  const bool waits_for_caller = pipeline_.empty() && !is_delivering();
+  const instant due = (waits_for_caller ? last_written_at_ : now) + read_limit_;
+  if (now < due) {
+    ScheduleReadTimeout(due);
+  } else {
+    Abort();
+  }
 }
 
 void caller_connection::UpdateBusy() {
   const bool is_open = stream_.socket().is_open() && !aborted_;
   const bool busy = !served_requests_.empty() ||
                     (is_open && (!pipeline_.empty() || pipeline_.closing() ||
-                                 closes_ || delivers()));
+                                 closes_ || is_delivering()));
   if (busy != counted_as_busy_) {
     counted_as_busy_ = busy;
     shared_state_->busy_count += busy ? 1 : 0;
--- a/bluebell/proxy/caller_connection.h
+++ b/bluebell/proxy/caller_connection.h
@@ -130,8 +130,9 @@
   // counting the time during which requests are served.
   void LimitReadTime(duration limit);
   void ScheduleReadTimeout(instant time);
+  void CheckReadTime(instant now);
   // True while a response is written or the caller has no room for its bytes.
-  bool delivers() const;
+  bool is_delivering() const;
   void OnDelivered();
   void UpdateBusy();
 
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -12,7 +12,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -25,7 +24,7 @@
 #include "bluebell/http/delivery_guard.h"
 #include "bluebell/http/embedded_status_line.h"
 #include "bluebell/http/message_head.h"
-#include "bluebell/http/read_limits.h"
+#include "bluebell/http/server_connection.h"
 #include "bluebell/http/socket_options.h"
 #include "bluebell/net/socket_address.h"
 #include "bluebell/proxy/attempt_history.h"
@@ -84,27 +83,9 @@
 
 }  // namespace
 
-struct endpoint_connection_pool::connection {
-  explicit connection(asio::io_context& io)
-      : stream(io),
-        delivery(delivery_guard::Make(stream.socket(),
-                                      {[this] { stream.close(); }})),
-        buffer(kMaxUnparsedBytes) {}
-  connection(const connection&) = delete;
-  connection& operator=(const connection&) = delete;
-  // The destructor of an Asio socket clears the linger option first, and the
-  // connection would not be reset on close.
-  ~connection() { stream.close(); }
+struct endpoint_connection_pool::connection : server_connection {
+  using server_connection::server_connection;
 
-  // False if the endpoint has closed the connection or sent unexpected bytes.
-  bool IsReusable() {
-    return buffer.size() == 0 &&
-           PeekInput(stream.socket()) == socket_input::kNone;
-  }
-
-  beast::tcp_stream stream;
-  std::shared_ptr<delivery_guard> delivery;
-  beast::flat_buffer buffer;
   attempt_history history;
   instant used_at;
   instant close_at;
