Free the memory of a response that a later one has overtaken

A response that a caller had no room for keeps its memory reserved until it is delivered. If the caller took it and sent the next request between two checks of the guard, the write of the next response ended the checks without reporting the delivery, and the memory stayed reserved until the connection ended.

delivery_guard reports the delivery at the end of a write too.

--- a/bluebell/http/delivery_guard.cc
+++ b/bluebell/http/delivery_guard.cc
@@ -46,7 +46,11 @@
 }
 
 void delivery_guard::EndWrite() {
-  if (monitor_.OnWriteEnded(UnsentBytes(socket_))) {
+  if (!monitor_.OnWriteEnded(UnsentBytes(socket_))) {
+    has_undelivered_ = true;
+  } else if (has_undelivered_) {
+    OnDelivered();
+  } else {
     EndChecks();
   }
 }
@@ -89,6 +93,7 @@
 }
 
 void delivery_guard::OnDelivered() {
+  has_undelivered_ = false;
   EndChecks();
   if (handlers_.on_delivered) {
     handlers_.on_delivered();
--- a/bluebell/http/delivery_guard.h
+++ b/bluebell/http/delivery_guard.h
@@ -71,6 +71,8 @@
   delivery_monitor monitor_;
   boost::asio::steady_timer timer_;
   milliseconds user_timeout_ = kPeerSilenceTimeout;
+  // A write has left bytes for which the peer had no room.
+  bool has_undelivered_ = false;
   bool stopped_ = false;
 };
 
--- a/bluebell/proxy/internal/gateway_path.h
+++ b/bluebell/proxy/internal/gateway_path.h
@@ -190,12 +190,16 @@
     caller.open(tcp::v4());
     caller.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
     Connect(caller, send_buffer_bytes);
-    std::string request = RequestBytes();
+    boost::asio::write(caller, boost::asio::buffer(RequestBytes(keep_alive)));
+    return caller;
+  }
+
+  static std::string RequestBytes(bool keep_alive = false) {
+    std::string request = platform::SampleRequest(kAttempt, "/book/1", 3'000);
     if (keep_alive) {
       request.erase(request.find(kCloseLine), kCloseLine.size());
     }
-    boost::asio::write(caller, boost::asio::buffer(request));
-    return caller;
+    return request;
   }
 
   boost::asio::io_context& io() { return io_; }
@@ -208,10 +212,6 @@
                                             incarnation(7)};
   static constexpr std::string_view kCloseLine = "Connection: close\r\n";
 
-  static std::string RequestBytes() {
-    return platform::SampleRequest(kAttempt, "/book/1", 3'000);
-  }
-
   void Connect(tcp::socket& caller,
                int send_buffer_bytes = kSmallSendBufferBytes) {
     caller.connect(acceptor_.local_endpoint());
--- a/bluebell/proxy/slow_reader_test.cc
+++ b/bluebell/proxy/slow_reader_test.cc
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "bluebell/core/byte_budget.h"
@@ -165,5 +166,30 @@
   CHECK(memory->used() == 0);
 }
 
+// Failure: the memory of a response that was delivered just before the next one
+// was written stays reserved until the connection ends.
+TEST_CASE("a delivered response occupies no memory") {
+  constexpr int kLargeSendBufferBytes = 1 << 20;
+  const auto memory = std::make_shared<byte_budget>(kMemory);
+  endpoint_script script;
+  script.bytes =
+      platform::SampleResponse(gateway_path::kAttempt, std::string(9'000, 'x'));
+  gateway_path gateway(request_kind::kNonIdempotent, script, memory);
+  tcp::socket caller = gateway.CallWithoutReading(true, kLargeSendBufferBytes);
+  gateway.io().run_for(milliseconds(300));
+  CHECK(memory->used() == script.bytes.size());
+  script.bytes = platform::SampleResponse(gateway_path::kAttempt, "small");
+  std::string received;
+  asio::co_spawn(gateway.io(),
+                 ReadSlowly(caller, {9'000, milliseconds(0), milliseconds(0)},
+                            9'000, received),
+                 asio::detached);
+  gateway.io().run_for(milliseconds(20));
+  asio::write(caller, asio::buffer(gateway_path::RequestBytes(true)));
+  gateway.io().run_for(milliseconds(400));
+  CHECK(script.requests == 2);
+  CHECK(memory->used() == 0);
+}
+
 }  // namespace
 }  // namespace bluebell
