--- a/testing/gateway/fault_schedule.cc
+++ b/testing/gateway/fault_schedule.cc
@@ -65,6 +65,8 @@
     DoKeyFault();
   } else if (selection_ == fault_selection::kStoreRollbacks) {
     DoStoreRollback();
+  } else if (selection_ == fault_selection::kRoleChanges) {
+    DoRoleChange();
   } else {
     DoFault();
   }
@@ -187,6 +189,59 @@
   });
 }
 
+void fault_schedule::DoRoleChange() {
+  const auto coordinator = world_.Coordinator();
+  // One at a time, so that the store is slow all the while.
+  if (!coordinator || BootNow() < role_change_ends_) {
+    return;
+  }
+  constexpr milliseconds kLongestSuccession{5'000};
+  role_change_ends_ = BootNow() + kLongestSuccession;
+  SlowDownStore(PickTime(3'000, 4'500));
+  switch (Pick(4)) {
+    case 0:
+      KillGateway(*coordinator);
+      break;
+    case 1:
+      FreezeGateway(*coordinator);
+      break;
+    default:
+      StopGateway(*coordinator);
+      break;
+  }
+  CutSuccessor(*coordinator, role_change_ends_);
+}
+
+void fault_schedule::SlowDownStore(milliseconds length) {
+  const milliseconds lasts = Begin("store slow", length);
+  world_.store().SetFault(store_slow{PickTime(100, 300)});
+  world_.After(lasts, [this] { world_.store().SetFault(store_well()); });
+}
+
+void fault_schedule::CutSuccessor(std::size_t former, instant until) {
+  constexpr milliseconds kCheck{20};
+  const auto successor = world_.Coordinator();
+  if (healed_ || BootNow() >= until) {
+    return;
+  }
+  if (!successor || *successor == former) {
+    world_.After(kCheck,
+                 [this, former, until] { CutSuccessor(former, until); });
+    return;
+  }
+  world_.After(PickTime(0, 800), [this, index = *successor] {
+    if (healed_) {
+      return;
+    }
+    const std::string link = "store-" + std::to_string(index);
+    const milliseconds lasts = Begin("cut " + link, PickTime(500, 4'000));
+    world_.SetLinkFault(link, lose_bytes{}, true);
+    world_.After(
+        lasts, [this, link] { world_.SetLinkFault(link, pass_all(), false); });
+    UnlistEndpoint(Pick(KeyedEndpoints()));
+  });
+}
+
 void fault_schedule::DoKeyFault() {
   switch (Pick(16)) {
     case 0:
@@ -452,20 +507,36 @@
   });
 }
 
+bool fault_schedule::AllEndpointsServe() const {
+  return std::all_of(
+      world_.endpoints().begin(), world_.endpoints().end(),
+      [](const auto& each) { return each->running() && !each->leaving(); });
+}
+
 void fault_schedule::DrainEndpoint(std::size_t index) {
-  soak_endpoint& endpoint = *world_.endpoints()[index];
   // One at a time, so that each service keeps some.
-  const bool others_drain = std::any_of(
-      world_.endpoints().begin(), world_.endpoints().end(),
-      [](const auto& each) { return !each->running() || each->draining(); });
-  if (others_drain || !endpoint.running()) {
+  if (!AllEndpointsServe()) {
     return;
   }
   Planned("drain endpoint-" + std::to_string(index));
   world_.DrainEndpoint(index);
+  StartAgainAfterLeaving(index);
+}
+
+void fault_schedule::UnlistEndpoint(std::size_t index) {
+  if (!AllEndpointsServe()) {
+    return;
+  }
+  Begin("endpoint-" + std::to_string(index) + " leaves without a report",
+        milliseconds(0));
+  world_.UnlistEndpoint(index);
+  StartAgainAfterLeaving(index);
+}
+
+void fault_schedule::StartAgainAfterLeaving(std::size_t index) {
   // It serves on until nothing may come any more, and a little longer.
   world_.After(PickTime(3'000, 4'000), [this, index] {
-    if (world_.endpoints()[index]->draining()) {
+    if (world_.endpoints()[index]->leaving()) {
       world_.KillEndpoint(index);
       world_.StartEndpoint(index);
     }
--- a/testing/gateway/fault_schedule.h
+++ b/testing/gateway/fault_schedule.h
@@ -36,6 +36,9 @@
   kKeyFaults,
   // Rollbacks of the store, cuts, and ends of the coordinator.
   kStoreRollbacks,
+  // Ends of the coordinator while the store is slow, cuts of its successor, and
+  // endpoints that leave without a report.
+  kRoleChanges,
 };
 
 class fault_schedule {
@@ -62,10 +65,20 @@
   void DoEndpointFault();
   void DoKeyFault();
   void DoStoreRollback();
+  void DoRoleChange();
 
   void StopGateway(std::size_t index);
   void ReplaceWhenEnded(std::size_t index);
   void DrainEndpoint(std::size_t index);
+  // Its entry is removed and it doesn't report that it leaves. Like
+  // DrainEndpoint(), one at a time.
+  void UnlistEndpoint(std::size_t index);
+  bool AllEndpointsServe() const;
+  void StartAgainAfterLeaving(std::size_t index);
+  // Cuts the next coordinator off from the store soon after its claim. Has no
+  // effect if none has claimed the role by `until`.
+  void CutSuccessor(std::size_t former, instant until);
+  void SlowDownStore(milliseconds length);
   void KillGateway(std::size_t index);
   void FreezeGateway(std::size_t index);
   // A short stop of its process, as on a busy machine. No grant is excused for
@@ -104,6 +117,8 @@
   instant ends_;
   bool healed_ = false;
   bool pauses_after_order_ = false;
+  // No further change of the role begins before this time.
+  instant role_change_ends_;
   // How many freezes of each daemon last at the moment.
   std::map<std::size_t, int> freezes_;
   std::uint64_t faults_ = 0;
--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -34,7 +34,7 @@
   fault_soak --program=FILE [--seeds=RANGE] [--jobs=N] [--gateways=N]
              [--seconds=N] [--logs=FOLDER] [--port=N]
              [--endpoint-faults | --all-endpoint-faults | --key-faults |
-              --store-rollbacks]
+              --store-rollbacks | --role-changes]
 
 Options:
   --program=FILE  The program bluebellgw.
@@ -48,11 +48,15 @@
   --all-endpoint-faults  Those, and all other faults of endpoints.
   --key-faults           Keys that move away and back, and what disturbs that.
   --store-rollbacks      Rollbacks of the store, beside cuts and kills.
+  --role-changes         Coordinators that end, in a store era above zero.
 )";
 
 using bluebell::milliseconds;
 
 constexpr milliseconds kStart{3'000};
+// In a later era the first keys are granted after 14 s, since no daemon knows
+// what was granted before.
+constexpr milliseconds kStartInLaterEra{17'000};
 // After the faults: time to recover, and then to be seen serving.
 constexpr milliseconds kHealed{7'000};
 // Without a coordinator that has authority, keys wait for 14 s.
@@ -104,6 +108,9 @@
   if (options.at("--store-rollbacks").asBool()) {
     return bluebell::fault_selection::kStoreRollbacks;
   }
+  if (options.at("--role-changes").asBool()) {
+    return bluebell::fault_selection::kRoleChanges;
+  }
   return std::nullopt;
 }
 
@@ -133,7 +140,12 @@
   bluebell::gateway_world& world = *made.value();
   std::ofstream log(options.folder + "/faults.log");
   bluebell::fault_schedule faults(world, selection, log);
-  world.RunFor(kStart);
+  const bool in_later_era =
+      selection == bluebell::fault_selection::kRoleChanges;
+  if (in_later_era) {
+    world.store().RollBack(milliseconds(0));
+  }
+  world.RunFor(in_later_era ? kStartInLaterEra : kStart);
   faults.Start(soak.length);
   world.RunFor(soak.length);
   faults.Heal();
--- a/testing/gateway/soak_endpoint.h
+++ b/testing/gateway/soak_endpoint.h
@@ -123,6 +123,8 @@
 
   bool running() const { return server_ != nullptr; }
   bool draining() const { return draining_; }
+  // It drains, or its entry was removed without a report.
+  bool leaving() const { return draining_ || !writes_entry_; }
   bool writes_entry() const { return writes_entry_; }
   const soak_endpoint_options& options() const { return options_; }
   std::string EntryKey() const;
