Keep slow readers also on a busy host, and check small writes more cheaply

Two causes by reading; which of them it was isn't known. The kernel also counts the user timeout while it repeats a segment that arrived at a closed window, without backing off: samples go by the state of its congestion control too. And the timeout was raised to the moment of the kernel's next look: it has a margin of 0.5 s now.

The guard set and cancelled a timer for each message. One with a body of up to 2 KB, which the kernel takes at once, needs none: the guard looks only at what is left after the write.

slow_reader_test has 96 callers in 12 phases now, as the kernel's probes and the checks fall together differently in each.

--- a/bluebell/http/delivery_guard.cc
+++ b/bluebell/http/delivery_guard.cc
@@ -16,6 +16,9 @@
 // Several checks fit between the answer to a window probe and the end of the
 // user timeout.
 constexpr milliseconds kCheckInterval{250};
+// The kernel takes a message with a body of this size at once, also on a
+// connection with a small send buffer.
+constexpr std::size_t kSmallBodyBytes = 2'048;
 
 std::string ToText(const boost::asio::ip::tcp::endpoint& peer) {
   return peer.address().to_string() + ":" + std::to_string(peer.port());
@@ -36,11 +39,12 @@
       handlers_(std::move(handlers)),
       timer_(socket.get_executor()) {}
 
-void delivery_guard::BeginWrite(duration max_delivery_time) {
-  const bool has_schedule = is_active();
+void delivery_guard::BeginWrite(std::size_t body_bytes,
+                                duration max_delivery_time) {
   const instant now = BootNow();
   monitor_.OnWriteBegun(now + max_delivery_time, now);
-  if (!has_schedule) {
+  // Most messages are small and need no check, so no timer is set for them.
+  if (body_bytes > kSmallBodyBytes) {
     ScheduleCheck();
   }
 }
@@ -48,6 +52,7 @@
 void delivery_guard::EndWrite() {
   if (!monitor_.OnWriteEnded(UnsentBytes(socket_))) {
     has_undelivered_ = true;
+    ScheduleCheck();
   } else if (has_undelivered_) {
     OnDelivered();
   } else {
@@ -57,15 +62,19 @@
 
 void delivery_guard::Stop() {
   stopped_ = true;
-  timer_.cancel();
+  EndChecks();
 }
 
 void delivery_guard::ScheduleCheck() {
+  if (std::exchange(check_is_scheduled_, true)) {
+    return;
+  }
   timer_.expires_after(kCheckInterval);
   timer_.async_wait(
       [weak = weak_from_this()](boost::system::error_code cancelled) {
         const auto self = weak.lock();
         if (self && !cancelled && self->is_active()) {
+          self->check_is_scheduled_ = false;
           self->Check();
         }
       });
@@ -101,7 +110,9 @@
 }
 
 void delivery_guard::EndChecks() {
-  timer_.cancel();
+  if (std::exchange(check_is_scheduled_, false)) {
+    timer_.cancel();
+  }
   ChangeUserTimeout(kPeerSilenceTimeout);
 }
 
--- a/bluebell/http/delivery_guard.h
+++ b/bluebell/http/delivery_guard.h
@@ -3,7 +3,7 @@
 // too long. delivery_monitor decides which.
 //
 //   auto guard = delivery_guard::Make(socket, handlers);
-//   guard->BeginWrite(kMaxDeliveryTime);
+//   guard->BeginWrite(message.body().size(), kMaxDeliveryTime);
 //   co_await async_write(...);
 //   guard->EndWrite();
 //
@@ -13,6 +13,7 @@
 #ifndef BLUEBELL_HTTP_DELIVERY_GUARD_H_
 #define BLUEBELL_HTTP_DELIVERY_GUARD_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -42,9 +43,9 @@
   delivery_guard& operator=(const delivery_guard&) = delete;
   ~delivery_guard() = default;
 
-  // Called before each write, whose bytes have to be delivered within
-  // `max_delivery_time`, and after it.
-  void BeginWrite(duration max_delivery_time);
+  // Called before each write of a message with `body_bytes`, which have to be
+  // delivered within `max_delivery_time`, and after it.
+  void BeginWrite(std::size_t body_bytes, duration max_delivery_time);
   void EndWrite();
   // Ends the watch. No handler is called any more.
   void Stop();
@@ -71,6 +72,7 @@
   delivery_monitor monitor_;
   boost::asio::steady_timer timer_;
   milliseconds user_timeout_ = kPeerSilenceTimeout;
+  bool check_is_scheduled_ = false;
   // A write has left bytes for which the peer had no room.
   bool has_undelivered_ = false;
   bool stopped_ = false;
--- a/bluebell/http/delivery_monitor.cc
+++ b/bluebell/http/delivery_monitor.cc
@@ -9,6 +9,9 @@
 
 // A probe that was sent shortly before an observation may still be answered.
 constexpr milliseconds kMinAckWait{750};
+// The kernel must not end a connection before an acknowledgment that has just
+// arrived is observed.
+constexpr milliseconds kUserTimeoutMargin{500};
 
 }  // namespace
 
@@ -38,7 +41,7 @@
   if (now >= deadline_) {
     return delivery_overdue();
   }
-  if (!sample.backs_off) {
+  if (!sample.repeats) {
     stalled_since_ = now;
   }
   const instant ack = now - sample.since_last_ack;
@@ -57,7 +60,7 @@
   const duration stalled =
       std::max<duration>(last_ack_ - stalled_since_, duration(0));
   return delivery_continues{std::chrono::ceil<milliseconds>(stalled) +
-                            kPeerSilenceTimeout};
+                            kPeerSilenceTimeout + kUserTimeoutMargin};
 }
 
 }  // namespace bluebell
--- a/bluebell/http/delivery_monitor.h
+++ b/bluebell/http/delivery_monitor.h
@@ -35,8 +35,9 @@
   std::size_t undelivered_bytes = 0;
   // A segment or a window probe was sent and isn't acknowledged yet.
   bool awaits_ack = false;
-  // The kernel repeats segments or window probes at growing intervals.
-  bool backs_off = false;
+  // The kernel repeats segments or window probes, and counts the time of the
+  // user timeout.
+  bool repeats = false;
   duration since_last_ack{0};
 
   friend bool operator==(const delivery_sample&,
--- a/bluebell/http/delivery_monitor_test.cc
+++ b/bluebell/http/delivery_monitor_test.cc
@@ -12,6 +12,8 @@
 
 constexpr milliseconds kStep{250};
 constexpr milliseconds kLimit{20'000};
+// The user timeout of a peer that has just acknowledged something.
+constexpr milliseconds kLeastUserTimeout{3'000};
 const instant kStart = instant() + std::chrono::hours(1);
 
 // A connection whose peer takes nothing, with the kernel's window probes.
@@ -28,7 +30,7 @@
       delivery_sample sample;
       sample.undelivered_bytes = 9'000;
       sample.awaits_ack = last_probe_ && *last_probe_ > last_ack_;
-      sample.backs_off = last_probe_.has_value();
+      sample.repeats = last_probe_.has_value();
       sample.since_last_ack = now - last_ack_;
       const delivery_verdict verdict = monitor.Observe(sample, now);
       const auto* continues = std::get_if<delivery_continues>(&verdict);
@@ -106,7 +108,7 @@
   delivery_sample sample{1'000, true, false, std::chrono::minutes(1)};
   CHECK(std::holds_alternative<delivery_continues>(
       monitor.Observe(sample, kStart + kStep)));
-  sample.backs_off = true;
+  sample.repeats = true;
   CHECK(std::holds_alternative<delivery_continues>(
       monitor.Observe(sample, kStart + milliseconds(2'250))));
   CHECK(monitor.Observe(sample, kStart + kPeerSilenceTimeout) ==
@@ -136,11 +138,11 @@
   monitor.OnWriteBegun(kStart + kLimit, kStart);
   delivery_sample sample{1'000, false, true, milliseconds(0)};
   CHECK(monitor.Observe(sample, kStart + seconds(4)) ==
-        delivery_verdict(delivery_continues{seconds(4) + kPeerSilenceTimeout}));
+        delivery_verdict(delivery_continues{seconds(4) + kLeastUserTimeout}));
   // The window has opened, so that the kernel counts anew.
-  sample.backs_off = false;
+  sample.repeats = false;
   CHECK(monitor.Observe(sample, kStart + seconds(5)) ==
-        delivery_verdict(delivery_continues{kPeerSilenceTimeout}));
+        delivery_verdict(delivery_continues{kLeastUserTimeout}));
 }
 
 TEST_CASE("only bytes that wait for the peer are observed") {
--- a/bluebell/http/http_client.cc
+++ b/bluebell/http/http_client.cc
@@ -207,7 +207,7 @@
     }
     self->AddInFlight(link);
     link->stream.expires_at(deadline);
-    link->delivery->BeginWrite(deadline - Now());
+    link->delivery->BeginWrite(request.body().size(), deadline - Now());
     const auto [write_error, bytes_written] =
         co_await bhttp::async_write(link->stream, request, kAwait);
     link->delivery->EndWrite();
--- a/bluebell/http/socket_options.cc
+++ b/bluebell/http/socket_options.cc
@@ -83,7 +83,10 @@
   delivery_sample sample;
   sample.undelivered_bytes = *undelivered;
   sample.awaits_ack = info.tcpi_unacked > 0 || info.tcpi_probes > 0;
-  sample.backs_off = info.tcpi_backoff > 0;
+  // The kernel doesn't back off while it repeats a segment that arrived at a
+  // closed window.
+  sample.repeats = info.tcpi_backoff > 0 || info.tcpi_retransmits > 0 ||
+                   info.tcpi_ca_state >= TCP_CA_Recovery;
   sample.since_last_ack = milliseconds(info.tcpi_last_ack_recv);
   return sample;
 }
--- a/bluebell/proxy/caller_connection.cc
+++ b/bluebell/proxy/caller_connection.cc
@@ -446,7 +446,7 @@
   response.keep_alive(next.keep_open);
   response.prepare_payload();
   stream_.expires_after(kWriteTimeout);
-  delivery_->BeginWrite(kWriteTimeout);
+  delivery_->BeginWrite(response.body().size(), kWriteTimeout);
   const auto [failure, size] =
       co_await bhttp::async_write(stream_, response, kAwait);
   delivery_->EndWrite();
--- a/bluebell/proxy/endpoint_connection_pool.cc
+++ b/bluebell/proxy/endpoint_connection_pool.cc
@@ -243,7 +243,7 @@
   ResetOnClose(link->stream.socket());
   const duration time_left = options.deadline - BootNow();
   link->stream.expires_after(time_left);
-  link->delivery->BeginWrite(time_left);
+  link->delivery->BeginWrite(request.body().size(), time_left);
   const auto [write_error, sent] =
       co_await bhttp::async_write(link->stream, request, kAwait);
   link->delivery->EndWrite();
--- a/bluebell/proxy/page_server.cc
+++ b/bluebell/proxy/page_server.cc
@@ -51,7 +51,7 @@
     response.keep_alive(request.keep_alive());
     response.prepare_payload();
     stream.expires_after(kWriteTimeout);
-    delivery->BeginWrite(kWriteTimeout);
+    delivery->BeginWrite(response.body().size(), kWriteTimeout);
     const auto [write_error, sent] =
         co_await bhttp::async_write(stream, response, kAwait);
     delivery->EndWrite();
--- a/bluebell/proxy/slow_reader_test.cc
+++ b/bluebell/proxy/slow_reader_test.cc
@@ -111,6 +111,8 @@
 TEST_CASE("callers that read slowly get their whole responses") {
   constexpr std::size_t kBodyBytes = 9'000;
   constexpr int kLargeSendBufferBytes = 1 << 20;
+  constexpr int kPhases = 12;
+  constexpr milliseconds kPhase{25};
   constexpr reading_pace kSteady{500, milliseconds(250), milliseconds(0)};
   constexpr reading_pace kLate{kBodyBytes, milliseconds(0),
                                milliseconds(4'000)};
@@ -120,18 +122,27 @@
   gateway_path gateway(request_kind::kNonIdempotent, script);
   std::deque<tcp::socket> callers;
   std::deque<std::string> received;
-  for (const reading_pace& pace : {kSteady, kLate}) {
+  const auto call = [&](const reading_pace& pace, bool keep_alive,
+                        int send_buffer_bytes) {
+    callers.push_back(
+        gateway.CallWithoutReading(keep_alive, send_buffer_bytes));
+    received.emplace_back();
+    asio::co_spawn(
+        gateway.io(),
+        ReadSlowly(callers.back(), pace, kBodyBytes + 1, received.back()),
+        asio::detached);
+  };
+  // In several phases, as the kernel's probes and the checks of the delivery
+  // fall together differently in each.
+  for (int i = 0; i < kPhases; ++i) {
     for (const bool keep_alive : {true, false}) {
       for (const int send_buffer :
            {gateway_path::kSmallSendBufferBytes, kLargeSendBufferBytes}) {
-        callers.push_back(gateway.CallWithoutReading(keep_alive, send_buffer));
-        received.emplace_back();
-        asio::co_spawn(
-            gateway.io(),
-            ReadSlowly(callers.back(), pace, kBodyBytes + 1, received.back()),
-            asio::detached);
+        call(kSteady, keep_alive, send_buffer);
+        call(kLate, keep_alive, send_buffer);
       }
     }
+    gateway.io().run_for(kPhase);
   }
   gateway.io().run_for(seconds(7));
   CHECK(script.requests == callers.size());
