--- a/testing/gateway/fault_soak_main.cc
+++ b/testing/gateway/fault_soak_main.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -20,6 +21,7 @@
 #include <vector>
 
 #include "bluebell/core/boot_clock.h"
+#include "bluebell/core/result.h"
 #include "testing/gateway/fault_schedule.h"
 #include "testing/gateway/gateway_world.h"
 #include "testing/gateway/promise_check.h"
@@ -114,6 +116,20 @@
   return std::nullopt;
 }
 
+// A daemon that another run is just starting holds all sockets of this process
+// until it closes them, so a port of the last run may be in use for a moment.
+bluebell::result<std::unique_ptr<bluebell::gateway_world>> MakeWorld(
+    const bluebell::gateway_world_options& options) {
+  constexpr int kAttempts = 20;
+  constexpr milliseconds kPause{100};
+  auto made = bluebell::gateway_world::Make(options);
+  for (int i = 1; !made && i < kAttempts; ++i) {
+    std::this_thread::sleep_for(kPause);
+    made = bluebell::gateway_world::Make(options);
+  }
+  return made;
+}
+
 // Returns the promises that the run broke.
 std::vector<std::string> RunSeed(std::uint64_t seed,
                                  std::uint16_t port,
@@ -133,7 +149,7 @@
                          ? bluebell::close_rule::kEndsWorkLate
                          : bluebell::close_rule::kFinishesWork;
   }
-  auto made = bluebell::gateway_world::Make(options);
+  auto made = MakeWorld(options);
   if (!made) {
     return {"not run: " + made.error().ToString()};
   }
