--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -574,15 +574,17 @@
         if not known or note:
             self.record.add("%s takes keys %d-%d with fence %d%s" %
                             (upstream.name, first, last, fence, note))
+        services = {each.name: each.service for each in self.upstreams}
         for _, life, low, high, other, _, _ in self.grants:
-            if life.split("/")[0] != upstream.name and low <= last and high >= first \
-                    and other >= fence:
+            name = life.split("/")[0]
+            if name != upstream.name and services[name] == upstream.service \
+                    and low <= last and high >= first and other >= fence:
                 self.violation("OWNER: %s takes keys %d-%d with fence %d; %s had keys %d-%d"
                                " with fence %d before" % (upstream.name, first, last, fence,
                                                           life, low, high, other))
                 break
         for other in self.upstreams:
-            if other is upstream or other.server is None:
+            if other is upstream or other.server is None or other.service != upstream.service:
                 continue
             for low, high, seen, ends in other.held:
                 if low <= last and high >= first and now() < min(ends, until):
